--- /dev/null
+++ b/src/budget/equal_split.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "budget/token_bucket.h"
+#include "config/fleet_config.h"
+#include "core/time.h"
+
+namespace jackdaw {
+
+/// Answer to a request to spend tokens.
+struct SpendResult {
+  bool granted = false;
+  /// When the same spend could be granted; Instant::max() for never.
+  Instant ready_at{};
+};
+
+/// Budget scheme that gives each instance the same fixed part of each
+/// workspace's rate and burst. It needs no messages and wastes what an
+/// instance does not use; kept as the baseline for the other schemes.
+class EqualSplit {
+ public:
+  /// @param shares number of parts; at least the most instances ever at once
+  explicit EqualSplit(std::int64_t shares) : shares_(shares) {}
+
+  /// Takes over rates and bursts of a configuration.
+  void OnConfig(Instant now, const FleetConfig& config);
+  SpendResult Spend(Instant now,
+                    std::string_view workspace,
+                    std::int64_t tokens);
+  void Refund(Instant now, std::string_view workspace, std::int64_t tokens);
+
+ private:
+  std::int64_t shares_;
+  std::map<std::string, TokenBucket, std::less<>> buckets_;
+};
+
+/// A scheme that admission can spend from.
+template <typename T>
+concept BudgetScheme = requires(T scheme,
+                                Instant now,
+                                const FleetConfig& config,
+                                std::string_view workspace,
+                                std::int64_t tokens) {
+  scheme.OnConfig(now, config);
+  { scheme.Spend(now, workspace, tokens) } -> std::same_as<SpendResult>;
+  scheme.Refund(now, workspace, tokens);
+};
+
+static_assert(BudgetScheme<EqualSplit>);
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/core/log.cc
@@ -0,0 +1,82 @@
+#include "core/log.h"
+
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <boost/json.hpp>
+#include <memory>
+
+namespace jackdaw {
+namespace {
+
+bool json_format = false;
+std::string process_name;
+
+spdlog::level::level_enum ToSpdlog(LogLevel level) {
+  switch (level) {
+    case LogLevel::kTrace:
+      return spdlog::level::trace;
+    case LogLevel::kDebug:
+      return spdlog::level::debug;
+    case LogLevel::kInfo:
+      return spdlog::level::info;
+    case LogLevel::kWarn:
+      return spdlog::level::warn;
+    case LogLevel::kError:
+      return spdlog::level::err;
+  }
+  return spdlog::level::info;
+}
+
+std::string FormatText(std::string_view message,
+                       std::initializer_list<LogField> fields) {
+  std::string line(message);
+  for (const auto& field : fields) {
+    line += " ";
+    line += field.name;
+    line += "=";
+    line += boost::json::serialize(boost::json::value(field.value));
+  }
+  return line;
+}
+
+std::string FormatJson(std::string_view message,
+                       std::initializer_list<LogField> fields) {
+  boost::json::object object{{"process", process_name}, {"message", message}};
+  for (const auto& field : fields) {
+    object[field.name] = field.value;
+  }
+  const std::string text = boost::json::serialize(object);
+  return text.substr(1);
+}
+
+}  // namespace
+
+void SetUpLogging(std::string_view process,
+                  std::string_view format,
+                  std::string_view level) {
+  json_format = format == "json";
+  process_name = process;
+  auto logger = std::make_shared<spdlog::logger>(
+      process_name, std::make_shared<spdlog::sinks::stderr_sink_mt>());
+  logger->set_pattern(json_format
+                          ? R"({"time":"%Y-%m-%dT%H:%M:%S.%fZ","level":"%l",%v)"
+                          : "%Y-%m-%dT%H:%M:%S.%eZ %l %n %v",
+                      spdlog::pattern_time_type::utc);
+  logger->set_level(spdlog::level::from_str(std::string(level)));
+  logger->flush_on(spdlog::level::info);
+  spdlog::set_default_logger(std::move(logger));
+}
+
+void Log(LogLevel level,
+         std::string_view message,
+         std::initializer_list<LogField> fields) {
+  const auto severity = ToSpdlog(level);
+  if (spdlog::should_log(severity)) {
+    spdlog::log(severity, "{}",
+                json_format ? FormatJson(message, fields)
+                            : FormatText(message, fields));
+  }
+}
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/core/log.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace jackdaw {
+
+/// Severity of a log line.
+enum class LogLevel : std::uint8_t { kTrace, kDebug, kInfo, kWarn, kError };
+
+/// One member of a structured log line. Never a caller's key.
+struct LogField {
+  std::string_view name;
+  std::string value;
+};
+
+/// Sets up logging to standard error. @param format `text` or `json`
+/// @param level `trace`, `debug`, `info`, `warn` or `error`
+void SetUpLogging(std::string_view process,
+                  std::string_view format,
+                  std::string_view level);
+
+/// Writes one line with a message and its fields.
+void Log(LogLevel level,
+         std::string_view message,
+         std::initializer_list<LogField> fields = {});
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/ctl/commands.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "core/error.h"
+#include "ctl/operator_client.h"
+
+namespace jackdaw {
+
+/// A parsed command line of jackdawctl.
+struct CommandLine {
+  /// Command, verb and names, in order.
+  std::vector<std::string> words;
+  /// `--set member=value` words.
+  std::vector<std::string> members;
+  std::string reason;
+  std::string workspace;
+  std::string kind;
+  std::string request;
+  std::string target;
+  std::int64_t rate = 0;
+  std::int64_t burst = 0;
+  bool json = false;
+  bool chrome = false;
+  bool dry_run = false;
+};
+
+/// Runs one command. @returns the text to print, or the error
+Result<std::string> RunCommand(const OperatorClient& client,
+                               const CommandLine& line);
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/daemons/jackdaw-standin.cc
@@ -0,0 +1,79 @@
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <cxxopts.hpp>
+#include <iostream>
+
+#include "standin/engine_standin.h"
+#include "standin/platform_standin.h"
+
+namespace {
+
+// Listens, prints the address and serves until a signal comes.
+template <typename Standin>
+int Serve(boost::asio::io_context& context,
+          Standin& standin,
+          const std::string& address) {
+  const auto endpoint = jackdaw::ParseEndpoint(address);
+  const auto bound = endpoint
+                         ? standin.Listen(endpoint.value())
+                         : jackdaw::Result<jackdaw::Endpoint>(endpoint.error());
+  if (!bound) {
+    std::cerr << "jackdaw-standin: " << bound.error().Line() << "\n";
+    return jackdaw::ExitCode(bound.error().kind);
+  }
+  std::cout << "listening " << jackdaw::ToText(bound.value()) << std::endl;
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&](const auto&, int) { context.stop(); });
+  context.run();
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("jackdaw-standin",
+                           "Stand-in for the platform or for a target.");
+  options.add_options()("role", "platform or engine",
+                        cxxopts::value<std::string>())(
+      "listen", "Address",
+      cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
+      "name", "Name", cxxopts::value<std::string>()->default_value("engine"))(
+      "plain", "Act as a plain service")(
+      "models", "Models resident from the start, separated by commas",
+      cxxopts::value<std::vector<std::string>>()->default_value(""))(
+      "memory-mb", "Accelerator memory",
+      cxxopts::value<std::int64_t>()->default_value("80000"))(
+      "first-token-us", "Time to the first token",
+      cxxopts::value<std::int64_t>()->default_value("20000"))(
+      "token-us", "Time between two tokens",
+      cxxopts::value<std::int64_t>()->default_value("10000"))(
+      "help", "Print this help");
+  options.parse_positional({"role"});
+  try {
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") != 0 || parsed.count("role") == 0) {
+      std::cout << options.help()
+                << "Example: jackdaw-standin engine --models m1,m2\n";
+      return parsed.count("help") != 0 ? 0 : 2;
+    }
+    boost::asio::io_context context(1);
+    const auto address = parsed["listen"].as<std::string>();
+    if (parsed["role"].as<std::string>() == "platform") {
+      jackdaw::PlatformStandin standin(context);
+      return Serve(context, standin, address);
+    }
+    jackdaw::EngineShape shape;
+    shape.name = parsed["name"].as<std::string>();
+    shape.plain = parsed.count("plain") != 0;
+    shape.models = parsed["models"].as<std::vector<std::string>>();
+    shape.memory_mb = parsed["memory-mb"].as<std::int64_t>();
+    shape.first_token_us = parsed["first-token-us"].as<std::int64_t>();
+    shape.token_us = parsed["token-us"].as<std::int64_t>();
+    jackdaw::EngineStandin standin(context, shape);
+    return Serve(context, standin, address);
+  } catch (const cxxopts::exceptions::exception& failure) {
+    std::cerr << "jackdaw-standin: " << failure.what()
+              << "; see jackdaw-standin --help\n";
+    return 2;
+  }
+}
--- /dev/null
+++ b/src/daemons/jackdawd.cc
@@ -0,0 +1,94 @@
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <thread>
+
+#include "core/log.h"
+#include "core/object_reader.h"
+#include "instance/instance.h"
+
+namespace {
+
+using jackdaw::Error;
+using jackdaw::Result;
+
+int Fail(const Error& error) {
+  std::cerr << "jackdawd: " << error.Line() << "\n";
+  return jackdaw::ExitCode(error.kind);
+}
+
+Result<jackdaw::InstanceSettings> LoadSettings(const std::string& path) {
+  BOOST_OUTCOME_TRY(const auto text, jackdaw::ReadFile(path));
+  auto settings = jackdaw::ParseInstanceSettings(text);
+  if (!settings) {
+    Error error = settings.error();
+    error.message = path + ": " + error.message;
+    return error;
+  }
+  return settings;
+}
+
+// Runs until SIGTERM or SIGINT, or until an operator drains the instance.
+int Run(const jackdaw::InstanceSettings& settings) {
+  jackdaw::SetUpLogging(settings.name, settings.log_format, settings.log_level);
+  jackdaw::Instance instance(settings);
+  boost::asio::io_context signals_context;
+  boost::asio::signal_set signals(signals_context, SIGTERM, SIGINT);
+  signals.async_wait([&](const auto& failure, int) {
+    if (!failure) {
+      instance.BeginDrain();
+    }
+  });
+  const auto bound = instance.Start();
+  if (!bound) {
+    return Fail(bound.error());
+  }
+  std::cout << "entry " << bound.value().entry << "\noperators "
+            << bound.value().operators << "\npeer " << bound.value().peer
+            << std::endl;
+  std::thread signals_thread([&] { signals_context.run(); });
+  instance.WaitDrained();
+  signals_context.stop();
+  signals_thread.join();
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options(
+      "jackdawd", "Serves callers, and carries out control duties it holds.");
+  options.add_options()("settings", "JSON file of settings",
+                        cxxopts::value<std::string>())(
+      "check-settings", "Check the settings and end")(
+      "version", "Print the version")("help", "Print this help");
+  try {
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") != 0) {
+      std::cout << options.help() << "Example: jackdawd --settings a.json\n";
+      return 0;
+    }
+    if (parsed.count("version") != 0) {
+      std::cout << "jackdawd " << JACKDAW_VERSION << "\n";
+      return 0;
+    }
+    if (parsed.count("settings") == 0) {
+      return Fail({jackdaw::ErrorKind::kInvalidSetting, "--settings is missing",
+                   "name the JSON file: jackdawd --settings FILE"});
+    }
+    const auto settings = LoadSettings(parsed["settings"].as<std::string>());
+    if (!settings) {
+      return Fail(settings.error());
+    }
+    if (parsed.count("check-settings") != 0) {
+      std::cout << "settings are valid\n";
+      return 0;
+    }
+    return Run(settings.value());
+  } catch (const cxxopts::exceptions::exception& failure) {
+    return Fail({jackdaw::ErrorKind::kInvalidSetting, failure.what(),
+                 "see jackdawd --help"});
+  }
+}
--- /dev/null
+++ b/src/decisions/admission.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "budget/equal_split.h"
+#include "config/fleet_config.h"
+#include "core/invariant.h"
+#include "decisions/request.h"
+
+namespace jackdaw {
+
+/// Decides whether a request may run: key, route, budget, deadline. Pure: it
+/// takes `now` and has no socket, thread or clock of its own.
+/// @tparam Budget the scheme that holds workspaces to their rate and burst
+template <BudgetScheme Budget>
+class Admission {
+ public:
+  explicit Admission(Budget budget) : budget_(std::move(budget)) {}
+
+  /// Puts a configuration in force. Versions never go back.
+  void OnConfig(Instant now, FleetConfigPtr config) {
+    CheckInvariant(!config_ || config->version >= config_->version,
+                   "configuration versions never go back");
+    config_ = std::move(config);
+    keys_.clear();
+    for (const auto& key : config_->keys) {
+      keys_[key.digest] = &key;
+    }
+    budget_.OnConfig(now, *config_);
+  }
+
+  AdmitResult Admit(Instant now, const RequestInfo& info);
+
+  /// Workspace of a key that may be used now. @returns empty otherwise
+  std::string_view WorkspaceOf(std::string_view key_digest) const {
+    const auto found = keys_.find(std::string(key_digest));
+    return found == keys_.end() || found->second->withdrawn
+               ? std::string_view()
+               : std::string_view(found->second->workspace);
+  }
+
+  /// Gives back the charge that a request did not use.
+  void Refund(Instant now, std::string_view workspace, std::int64_t tokens) {
+    budget_.Refund(now, workspace, tokens);
+  }
+
+  const FleetConfigPtr& config() const { return config_; }
+  Budget& budget() { return budget_; }
+
+ private:
+  const Route* FindRoute(const RequestInfo& info) const;
+  bool OffersModel(std::string_view model) const;
+
+  Budget budget_;
+  FleetConfigPtr config_;
+  std::unordered_map<std::string, const Key*> keys_;
+};
+
+template <BudgetScheme Budget>
+const Route* Admission<Budget>::FindRoute(const RequestInfo& info) const {
+  for (const auto& service : config_->services) {
+    if (service.name != info.service) {
+      continue;
+    }
+    for (const auto& route : service.routes) {
+      if (route.path == info.path && route.method == info.method) {
+        return &route;
+      }
+    }
+  }
+  return nullptr;
+}
+
+template <BudgetScheme Budget>
+bool Admission<Budget>::OffersModel(std::string_view model) const {
+  for (const auto& deployment : config_->deployments) {
+    for (const auto& name : deployment.models) {
+      if (name == model) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+template <BudgetScheme Budget>
+AdmitResult Admission<Budget>::Admit(Instant now, const RequestInfo& info) {
+  const auto refuse = [](RefusalKind kind, std::string reason,
+                         std::string_view workspace = {},
+                         Instant retry_at = {}) {
+    return Refused{{kind, Ran::kNo, std::move(reason), retry_at},
+                   std::string(workspace)};
+  };
+  if (!config_) {
+    return refuse(RefusalKind::kNotReady, "no configuration read yet", {},
+                  now + 1s);
+  }
+  const Route* route = info.service.empty() ? nullptr : FindRoute(info);
+  if (!info.service.empty() && route == nullptr) {
+    return refuse(RefusalKind::kUnknownRoute, "no route " + info.method + " " +
+                                                  info.path + " at service '" +
+                                                  info.service + "'");
+  }
+  Admitted admitted;
+  if (route == nullptr || !route->open) {
+    if (info.key_digest.empty()) {
+      return refuse(RefusalKind::kMissingKey, "the route needs a key");
+    }
+    const auto found = keys_.find(info.key_digest);
+    if (found == keys_.end()) {
+      return refuse(RefusalKind::kUnknownKey, "the key was never granted");
+    }
+    if (found->second->withdrawn) {
+      return refuse(RefusalKind::kWithdrawnKey,
+                    "key '" + found->second->id + "' was withdrawn",
+                    found->second->workspace);
+    }
+    admitted.workspace = found->second->workspace;
+  }
+  if (info.service.empty() && !OffersModel(info.model)) {
+    return refuse(RefusalKind::kUnknownModel,
+                  "no deployment offers model '" + info.model + "'",
+                  admitted.workspace);
+  }
+  const std::int64_t now_ms = ToMillis(now);
+  const std::string scope = "workspace/" + admitted.workspace;
+  const auto setting = [&](std::string_view name) {
+    return SettingFor(*config_, name, scope, now_ms);
+  };
+  if (route != nullptr) {
+    admitted.idempotent = route->idempotent;
+    admitted.charged_tokens = setting("plain_call_tokens");
+  } else {
+    const std::int64_t output = info.max_output_tokens > 0
+                                    ? info.max_output_tokens
+                                    : setting("max_output_tokens");
+    admitted.charged_tokens = info.prompt_tokens + output;
+  }
+  admitted.deadline =
+      now + std::chrono::milliseconds(setting("request_deadline_ms"));
+  admitted.first_byte_deadline =
+      now + std::chrono::milliseconds(setting("first_byte_ms"));
+  admitted.between_bytes =
+      std::chrono::milliseconds(setting("between_bytes_ms"));
+  if (!admitted.workspace.empty()) {
+    const SpendResult spend =
+        budget_.Spend(now, admitted.workspace, admitted.charged_tokens);
+    if (!spend.granted) {
+      const bool never = spend.ready_at == Instant::max();
+      return refuse(
+          never ? RefusalKind::kOverBurst : RefusalKind::kOverRate,
+          std::to_string(admitted.charged_tokens) +
+              " tokens asked, workspace '" + admitted.workspace +
+              (never ? "' may never hold as many" : "' has fewer left"),
+          admitted.workspace, never ? Instant{} : spend.ready_at);
+    }
+  }
+  return admitted;
+}
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/decisions/decisions.cc
@@ -0,0 +1,82 @@
+#include "decisions/decisions.h"
+
+#include "core/log.h"
+
+namespace jackdaw {
+namespace {
+
+namespace asio = boost::asio;
+
+// Requests that may wait for a decision.
+constexpr std::size_t kRingTasks = 8192;
+
+}  // namespace
+
+Decisions::Decisions(const MonotonicClock& clock, std::int64_t budget_shares)
+    : clock_(clock),
+      duty_("decisions", kRingTasks),
+      admission_(EqualSplit(budget_shares)) {}
+
+asio::awaitable<Result<AdmitResult>> Decisions::Admit(RequestInfo info) {
+  auto admit = [this, info = std::move(info)]() -> Result<AdmitResult> {
+    return admission_.Admit(clock_.Now(), info);
+  };
+  co_return co_await Ask<AdmitResult>(duty_, std::move(admit));
+}
+
+asio::awaitable<Result<std::optional<PickedTarget>>> Decisions::Pick(
+    std::string model,
+    std::string service,
+    std::vector<std::string> excluded) {
+  auto pick = [this, model = std::move(model), service = std::move(service),
+               excluded = std::move(
+                   excluded)]() -> Result<std::optional<PickedTarget>> {
+    auto target = router_.Pick(clock_.Now(), {model, service, excluded});
+    if (target) {
+      router_.OnDispatched(target->name);
+    }
+    return target;
+  };
+  co_return co_await Ask<std::optional<PickedTarget>>(duty_, std::move(pick));
+}
+
+void Decisions::Finish(std::string target, bool failed) {
+  duty_.TryPost([this, target = std::move(target), failed] {
+    router_.OnFinished(target);
+    if (failed) {
+      router_.OnFailure(clock_.Now(), target);
+    }
+  });
+}
+
+void Decisions::Refund(std::string workspace, std::int64_t tokens) {
+  duty_.TryPost([this, workspace = std::move(workspace), tokens] {
+    admission_.Refund(clock_.Now(), workspace, tokens);
+  });
+}
+
+void Decisions::OnConfig(FleetConfigPtr config) {
+  duty_.TryPost([this, config = std::move(config)]() mutable {
+    try {
+      router_.OnConfig(*config);
+      admission_.OnConfig(clock_.Now(), std::move(config));
+    } catch (const InvariantBreach& breach) {
+      Log(LogLevel::kError, "configuration not applied",
+          {{"reason", breach.what()}});
+    }
+  });
+}
+
+void Decisions::OnReport(std::string target, TargetReport report) {
+  duty_.TryPost([this, target = std::move(target), report = std::move(report)] {
+    router_.OnReport(clock_.Now(), target, report);
+  });
+}
+
+void Decisions::OnReportFailure(std::string target) {
+  duty_.TryPost([this, target = std::move(target)] {
+    router_.OnFailure(clock_.Now(), target);
+  });
+}
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/decisions/decisions.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/duty.h"
+#include "decisions/admission.h"
+#include "routing/router.h"
+
+namespace jackdaw {
+
+/// The thread that decides: it owns admission and routing, and answers the
+/// other threads through its ring.
+class Decisions {
+ public:
+  /// @param budget_shares parts that each budget is cut into
+  Decisions(const MonotonicClock& clock, std::int64_t budget_shares);
+
+  void Start() { duty_.Start(); }
+  void Stop() { duty_.Stop(); }
+
+  boost::asio::awaitable<Result<AdmitResult>> Admit(RequestInfo info);
+
+  /// Picks a target and counts the dispatch to it.
+  boost::asio::awaitable<Result<std::optional<PickedTarget>>> Pick(
+      std::string model,
+      std::string service,
+      std::vector<std::string> excluded);
+
+  /// The request left the target. @param failed whether the target failed
+  void Finish(std::string target, bool failed);
+  /// Gives back what a request was charged and did not use.
+  void Refund(std::string workspace, std::int64_t tokens);
+  void OnConfig(FleetConfigPtr config);
+  void OnReport(std::string target, TargetReport report);
+  void OnReportFailure(std::string target);
+
+ private:
+  const MonotonicClock& clock_;
+  Duty duty_;
+  Admission<EqualSplit> admission_;
+  Router router_;
+};
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/entry/caller_service.cc
@@ -0,0 +1,135 @@
+#include "entry/caller_service.h"
+
+#include <boost/json.hpp>
+#include <set>
+
+#include "core/digest.h"
+
+namespace jackdaw {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr std::string_view kBearer = "Bearer ";
+
+std::string_view BearerKey(const HttpRequest& request) {
+  const std::string_view value = request.Header("Authorization");
+  return value.starts_with(kBearer) ? value.substr(kBearer.size())
+                                    : std::string_view();
+}
+
+// A key outside its header would travel on to a target.
+bool KeyStandsElsewhere(const HttpRequest& request, std::string_view key) {
+  return request.target.find(key) != std::string::npos ||
+         request.body.find(key) != std::string::npos;
+}
+
+// Counts a request as in flight while it lives.
+class InFlight {
+ public:
+  explicit InFlight(RunState& state) : state_(state) { ++state_.in_flight; }
+  ~InFlight() { --state_.in_flight; }
+  InFlight(const InFlight&) = delete;
+  InFlight& operator=(const InFlight&) = delete;
+
+ private:
+  RunState& state_;
+};
+
+}  // namespace
+
+CallerService::CallerService(InstanceContext& context, std::string id_prefix)
+    : context_(context),
+      refuser_(context),
+      models_(context, refuser_),
+      plain_(context, refuser_),
+      id_prefix_(std::move(id_prefix)) {}
+
+asio::awaitable<void> CallerService::Handle(HttpExchange& exchange) {
+  const InFlight in_flight(context_.run_state);
+  context_.metrics.SetInFlight(
+      static_cast<double>(context_.run_state.in_flight.load()));
+  if (context_.run_state.leaving) {
+    exchange.CloseAfter();
+  }
+  CallerRequest request;
+  request.id = id_prefix_ + std::to_string(next_id_++);
+  request.arrived = context_.clock.Now();
+  const std::string_view key = BearerKey(exchange.request());
+  if (!key.empty()) {
+    request.key_digest = Sha256Hex(key);
+    if (KeyStandsElsewhere(exchange.request(), key)) {
+      Refusal refusal{RefusalKind::kMalformedRequest, Ran::kNo,
+                      "the key stands outside the Authorization header",
+                      Instant{}};
+      co_await refuser_.Refuse(exchange, request, std::move(refusal));
+      co_return;
+    }
+  }
+  co_await Serve(exchange, std::move(request));
+}
+
+asio::awaitable<void> CallerService::Serve(HttpExchange& exchange,
+                                           CallerRequest request) {
+  const HttpRequest& from = exchange.request();
+  const std::string_view path = from.Path();
+  if (path == "/v1/entry") {
+    co_await exchange.Respond(AnswerEntry());
+  } else if (path == "/v1/models") {
+    co_await exchange.Respond(AnswerModels());
+  } else if (from.method == "POST" &&
+             (path == "/v1/completions" || path == "/v1/chat/completions")) {
+    co_await models_.Serve(exchange, std::move(request));
+  } else if (path.starts_with("/call/")) {
+    co_await plain_.Serve(exchange, std::move(request));
+  } else {
+    Refusal refusal{RefusalKind::kUnknownRoute, Ran::kNo,
+                    "no route " + from.method + " " + std::string(path),
+                    Instant{}};
+    co_await refuser_.Refuse(exchange, request, std::move(refusal));
+  }
+}
+
+HttpResponse CallerService::AnswerEntry() const {
+  const FleetViewPtr view = context_.view.Get();
+  json::array addresses;
+  for (const auto& instance : view->instances) {
+    const bool self = instance.name == context_.settings.name;
+    const bool leaving = instance.state == InstanceState::kLeaving ||
+                         (self && context_.run_state.leaving);
+    if (!leaving) {
+      addresses.push_back(
+          json::object{{"address", instance.entry_address},
+                       {"failure_domain", instance.failure_domain},
+                       {"weight", 1}});
+    }
+  }
+  const Instant now = context_.clock.Now();
+  const std::int64_t keep =
+      view->config
+          ? SettingFor(*view->config, "entry_keep_ms", "fleet", ToMillis(now))
+          : FindSetting("entry_keep_ms")->fallback;
+  return JsonResponse(
+      200, json::serialize(json::object{{"addresses", std::move(addresses)},
+                                        {"until_ms", ToMillis(now) + keep}}));
+}
+
+HttpResponse CallerService::AnswerModels() const {
+  const FleetViewPtr view = context_.view.Get();
+  std::set<std::string> names;
+  if (view->config) {
+    for (const auto& deployment : view->config->deployments) {
+      names.insert(deployment.models.begin(), deployment.models.end());
+    }
+  }
+  json::array items;
+  for (const auto& name : names) {
+    items.push_back(json::object{{"id", name}, {"object", "model"}});
+  }
+  return JsonResponse(
+      200, json::serialize(
+               json::object{{"object", "list"}, {"data", std::move(items)}}));
+}
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/entry/caller_service.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <string>
+
+#include "entry/model_service.h"
+#include "entry/plain_service.h"
+#include "entry/refuser.h"
+#include "http/server.h"
+#include "instance/context.h"
+
+namespace jackdaw {
+
+/// Entry for callers: names each request and leads it to its service.
+class CallerService {
+ public:
+  /// @param id_prefix start of every request id, unique to the incarnation
+  CallerService(InstanceContext& context, std::string id_prefix);
+
+  boost::asio::awaitable<void> Handle(HttpExchange& exchange);
+
+ private:
+  boost::asio::awaitable<void> Serve(HttpExchange& exchange,
+                                     CallerRequest request);
+  HttpResponse AnswerEntry() const;
+  HttpResponse AnswerModels() const;
+
+  InstanceContext& context_;
+  Refuser refuser_;
+  ModelService models_;
+  PlainService plain_;
+  std::string id_prefix_;
+  std::uint64_t next_id_ = 1;
+};
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/instance/context.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "decisions/decisions.h"
+#include "instance/fleet_view.h"
+#include "instance/metrics.h"
+#include "instance/run_state.h"
+#include "once/intent_store.h"
+#include "record/refusal_log.h"
+#include "settings/instance_settings.h"
+#include "targets/relay.h"
+#include "timeline/event_log.h"
+
+namespace jackdaw {
+
+/// The parts of an instance that its services work with. All outlive them.
+struct InstanceContext {
+  const InstanceSettings& settings;
+  const MonotonicClock& clock;
+  RunState& run_state;
+  FleetViewHolder& view;
+  Metrics& metrics;
+  EventLog& events;
+  Decisions& decisions;
+  Relay& relay;
+  IntentStore& intents;
+  RefusalLog& refusals;
+};
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/instance/fleet_watcher.cc
@@ -0,0 +1,155 @@
+#include "instance/fleet_watcher.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include "core/log.h"
+#include "core/object_reader.h"
+
+namespace jackdaw {
+namespace {
+
+namespace asio = boost::asio;
+
+// Time between two reads of the configuration row.
+constexpr auto kPollTime = std::chrono::milliseconds(500);
+// Time for one answer of the platform.
+constexpr Micros kAnswerTime = 2s;
+
+std::shared_ptr<FleetView> CopyOf(const FleetViewHolder& holder) {
+  return std::make_shared<FleetView>(*holder.Get());
+}
+
+}  // namespace
+
+std::string EncodeConfigHead(const ConfigHead& head) {
+  return boost::json::serialize(
+      boost::json::object{{"version", head.version},
+                          {"operation", head.operation},
+                          {"document", head.document}});
+}
+
+Result<ConfigHead> DecodeConfigHead(std::string_view value) {
+  BOOST_OUTCOME_TRY(const auto parsed, ParseJson(value));
+  ObjectReader reader(parsed, "");
+  ConfigHead head;
+  head.version =
+      static_cast<std::uint64_t>(reader.Integer("version", 1, 1LL << 52));
+  head.operation = reader.Text("operation");
+  head.document = reader.Text("document");
+  BOOST_OUTCOME_TRY(reader.Finish());
+  return head;
+}
+
+FleetWatcher::FleetWatcher(Duty& duty,
+                           const MonotonicClock& clock,
+                           const Endpoint& platform,
+                           FleetViewHolder& view,
+                           RunState& run_state,
+                           EventLog& events,
+                           OnConfig on_config)
+    : duty_(duty),
+      clock_(clock),
+      platform_(duty.context(), clock, platform),
+      view_(view),
+      run_state_(run_state),
+      events_(events),
+      on_config_(std::move(on_config)) {}
+
+void FleetWatcher::Start(InstanceEntry self) {
+  self_ = std::move(self);
+  asio::co_spawn(duty_.context(), Run(), asio::detached);
+}
+
+asio::awaitable<void> FleetWatcher::Run() {
+  asio::steady_timer timer(duty_.context());
+  for (;;) {
+    static_cast<void>(co_await AnnounceNow());
+    co_await PollConfig();
+    co_await PollInstances();
+    timer.expires_after(kPollTime);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<Result<bool>> FleetWatcher::AnnounceNow() {
+  self_.state =
+      run_state_.leaving ? InstanceState::kLeaving : InstanceState::kLive;
+  Result<void> done =
+      co_await platform_.Announce(self_, clock_.Now() + kAnswerTime);
+  co_return done ? Result<bool>(true) : Result<bool>(done.error());
+}
+
+void FleetWatcher::NoteStore(bool reachable) {
+  if (run_state_.store_reachable.exchange(reachable) != reachable) {
+    events_.Add(reachable ? EventKind::kStoreUp : EventKind::kStoreDown, {}, {},
+                {}, {});
+    Log(reachable ? LogLevel::kInfo : LogLevel::kWarn,
+        reachable ? "platform reached" : "platform not reached");
+  }
+}
+
+asio::awaitable<void> FleetWatcher::PollConfig() {
+  ReadQuery query;
+  query.keys.emplace_back(kConfigRow);
+  query.newer_than = row_version_;
+  Result<std::vector<Row>> rows =
+      co_await platform_.Read(std::move(query), clock_.Now() + kAnswerTime);
+  NoteStore(rows.has_value());
+  if (!rows || rows.value().empty()) {
+    co_return;
+  }
+  const Row& row = rows.value().front();
+  const auto head = DecodeConfigHead(row.value);
+  if (!head) {
+    Log(LogLevel::kError, "configuration row unreadable",
+        {{"reason", head.error().Line()}});
+    co_return;
+  }
+  row_version_ = row.version;
+  Apply(head.value());
+}
+
+void FleetWatcher::Apply(const ConfigHead& head) {
+  auto view = CopyOf(view_);
+  if (view->config && view->config->version >= head.version) {
+    return;
+  }
+  auto parsed = ParseFleetConfig(head.document, head.version);
+  if (!parsed) {
+    Log(LogLevel::kError, "configuration refused",
+        {{"reason", parsed.error().Line()}});
+    return;
+  }
+  view->config = std::make_shared<const FleetConfig>(std::move(parsed.value()));
+  view->document = head.document;
+  view->live_keys.clear();
+  for (const auto& key : view->config->keys) {
+    if (!key.withdrawn) {
+      view->live_keys.insert(key.digest);
+    }
+  }
+  on_config_(view->config);
+  view_.Set(std::move(view));
+  events_.Add(EventKind::kConfigApplied, {}, {}, {},
+              "version " + std::to_string(head.version));
+  Log(LogLevel::kInfo, "configuration in force",
+      {{"version", std::to_string(head.version)}});
+  if (!run_state_.ready.exchange(true)) {
+    events_.Add(EventKind::kReady, {}, {}, {}, {});
+  }
+}
+
+asio::awaitable<void> FleetWatcher::PollInstances() {
+  Result<std::vector<InstanceEntry>> entries =
+      co_await platform_.Instances(clock_.Now() + kAnswerTime);
+  if (entries) {
+    auto view = CopyOf(view_);
+    view->instances = std::move(entries.value());
+    view_.Set(std::move(view));
+  }
+}
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/instance/run_state.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+namespace jackdaw {
+
+/// Progress of an instance from start to end; shared by its threads.
+struct RunState {
+  std::atomic<bool> ready{false};
+  std::atomic<bool> leaving{false};
+  std::atomic<bool> store_reachable{false};
+  std::atomic<std::uint64_t> in_flight{0};
+};
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/instance/tests/fleet_fixture.h
@@ -0,0 +1,201 @@
+#pragma once
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "core/digest.h"
+#include "core/duty.h"
+#include "ctl/operator_client.h"
+#include "http/client.h"
+#include "instance/instance.h"
+#include "standin/engine_standin.h"
+#include "standin/platform_standin.h"
+
+namespace jackdaw {
+
+/// Waits on a condition, up to a bound that only a hang reaches.
+template <typename F>
+bool WaitFor(F condition) {
+  const auto until = std::chrono::steady_clock::now() + std::chrono::minutes(1);
+  while (std::chrono::steady_clock::now() < until) {
+    if (condition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return false;
+}
+
+/// A small fleet in one process over real sockets: platform, one engine, one
+/// plain service and some instances.
+class FleetFixture {
+ public:
+  static constexpr std::string_view kKey = "jdk-school";
+
+  explicit FleetFixture(int instances = 1)
+      : platform_(platform_duty_.context()),
+        engine_(engine_duty_.context(), EngineStandinShape()),
+        desk_(desk_duty_.context(), DeskShape()) {
+    const Endpoint any = ParseEndpoint("127.0.0.1:0").value();
+    platform_address_ = platform_.Listen(any).value();
+    engine_address_ = engine_.Listen(any).value();
+    desk_address_ = desk_.Listen(any).value();
+    for (Duty* duty : {&platform_duty_, &engine_duty_, &desk_duty_}) {
+      duty->Start();
+    }
+    for (int i = 0; i < instances; ++i) {
+      StartInstance("entry-" + std::to_string(i));
+    }
+    Apply(DefaultConfig());
+  }
+
+  ~FleetFixture() {
+    for (auto& instance : instances_) {
+      if (instance) {
+        instance->BeginDrain();
+      }
+    }
+    for (auto& instance : instances_) {
+      if (instance) {
+        instance->WaitDrained();
+      }
+    }
+    instances_.clear();
+    for (Duty* duty : {&platform_duty_, &engine_duty_, &desk_duty_}) {
+      duty->Stop();
+    }
+  }
+
+  FleetFixture(const FleetFixture&) = delete;
+  FleetFixture& operator=(const FleetFixture&) = delete;
+
+  std::string DefaultConfig() const {
+    return R"({"defaults":{"rate_tokens_per_s":80000,"burst_tokens":160000,
+                           "entry_keep_ms":100},
+      "workspaces":[{"name":"school"}],
+      "keys":[{"id":"k1","workspace":"school","digest":")" +
+           Sha256Hex(kKey) + R"("}],
+      "targets":[{"name":"e1","address":")" +
+           ToText(engine_address_) +
+           R"(","memory_mb":80000},
+                 {"name":"d1","kind":"plain","address":")" +
+           ToText(desk_address_) + R"("}],
+      "models":[{"name":"m","memory_mb":1000}],
+      "deployments":[{"name":"d","models":["m"],"targets":["e1"]}],
+      "services":[{"name":"desk","targets":["d1"],"routes":[
+        {"path":"/book"},{"path":"/open","method":"GET","idempotent":true,
+                          "open":true}]}]})";
+  }
+
+  /// Applies a configuration and waits until it is in force everywhere and
+  /// every target has reported.
+  void Apply(const std::string& document) {
+    const OperatorClient client(Operators(0));
+    ConfigDocument next = client.GetConfig().value();
+    next.content = boost::json::parse(document).as_object();
+    const std::uint64_t version = client.PutConfig(next).value();
+    for (std::size_t i = 0; i < instances_.size(); ++i) {
+      BOOST_TEST_REQUIRE(WaitFor([&] {
+        const auto status =
+            OperatorClient(Operators(i)).Call("GET", "/v1/status");
+        return status &&
+               status.value().at("config_version").to_number<std::uint64_t>() >=
+                   version;
+      }));
+    }
+  }
+
+  HttpResponse Send(std::size_t instance, HttpRequest request) const {
+    return FetchNow(Entry(instance), std::move(request), 30s).value();
+  }
+
+  static HttpRequest Completion(std::string_view key,
+                                std::int64_t tokens,
+                                bool stream) {
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/v1/completions";
+    if (!key.empty()) {
+      request.headers.push_back(
+          {"Authorization", "Bearer " + std::string(key)});
+    }
+    request.body = R"({"model":"m","prompt":"hello","max_tokens":)" +
+                   std::to_string(tokens) +
+                   (stream ? R"(,"stream":true})" : "}");
+    return request;
+  }
+
+  static HttpRequest Booking(std::string_view idempotency_key) {
+    HttpRequest request{"POST", "/call/desk/book", {}, R"({"seat":1})"};
+    request.headers.push_back({"Authorization", "Bearer " + std::string(kKey)});
+    if (!idempotency_key.empty()) {
+      request.headers.push_back(
+          {"Idempotency-Key", std::string(idempotency_key)});
+    }
+    return request;
+  }
+
+  Endpoint Entry(std::size_t i) const {
+    return ParseEndpoint(bound_[i].entry).value();
+  }
+  Endpoint Operators(std::size_t i) const {
+    return ParseEndpoint(bound_[i].operators).value();
+  }
+  Instance& instance(std::size_t i) { return *instances_[i]; }
+  const Endpoint& platform_address() const { return platform_address_; }
+  const Endpoint& engine_address() const { return engine_address_; }
+  const Endpoint& desk_address() const { return desk_address_; }
+
+  /// Waits until a completion is served.
+  void WaitServing(std::size_t i = 0) const {
+    BOOST_TEST_REQUIRE(WaitFor(
+        [&] { return Send(i, Completion(kKey, 1, false)).status == 200; }));
+  }
+
+ private:
+  static EngineShape EngineStandinShape() {
+    EngineShape shape;
+    shape.name = "e1";
+    shape.models = {"m"};
+    shape.first_token_us = 1000;
+    shape.token_us = 1000;
+    return shape;
+  }
+  static EngineShape DeskShape() {
+    EngineShape shape;
+    shape.name = "d1";
+    shape.plain = true;
+    return shape;
+  }
+
+  void StartInstance(const std::string& name) {
+    InstanceSettings settings;
+    settings.name = name;
+    settings.failure_domain = "domain-" + name;
+    settings.entry = settings.operators = settings.peer =
+        ParseEndpoint("127.0.0.1:0").value();
+    settings.platform = platform_address_;
+    settings.body_bytes = 64 * 1024;
+    settings.connections = 256;
+    instances_.push_back(std::make_unique<Instance>(settings));
+    bound_.push_back(instances_.back()->Start().value());
+  }
+
+  Duty platform_duty_{"platform", 64};
+  Duty engine_duty_{"engine", 64};
+  Duty desk_duty_{"desk", 64};
+  PlatformStandin platform_;
+  EngineStandin engine_;
+  EngineStandin desk_;
+  Endpoint platform_address_;
+  Endpoint engine_address_;
+  Endpoint desk_address_;
+  std::vector<std::unique_ptr<Instance>> instances_;
+  std::vector<BoundAddresses> bound_;
+};
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/operator/operator_service.cc
@@ -0,0 +1,254 @@
+#include "operator/operator_service.h"
+
+#include <boost/json.hpp>
+#include <charconv>
+
+#include "core/log.h"
+#include "platform/codec.h"
+
+namespace jackdaw {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+// Time for one answer of the platform.
+constexpr Micros kAnswerTime = 3s;
+
+int HttpStatus(ErrorKind kind) {
+  switch (kind) {
+    case ErrorKind::kConflict:
+      return 409;
+    case ErrorKind::kNotFound:
+      return 404;
+    case ErrorKind::kInvalidSetting:
+    case ErrorKind::kMalformed:
+      return 400;
+    default:
+      return 503;
+  }
+}
+
+HttpResponse ErrorResponse(const Error& error) {
+  return JsonResponse(HttpStatus(error.kind),
+                      json::serialize(json::object{{"kind", Name(error.kind)},
+                                                   {"detail", error.message},
+                                                   {"remedy", error.remedy}}));
+}
+
+std::uint64_t ToNumber(std::string_view text) {
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+HttpResponse ConfigResponse(std::uint64_t version) {
+  return JsonResponse(200, json::serialize(json::object{{"version", version}}));
+}
+
+HttpResponse DocumentResponse(std::uint64_t version,
+                              std::string_view document) {
+  return JsonResponse(200, json::serialize(json::object{
+                               {"version", version}, {"document", document}}));
+}
+
+}  // namespace
+
+OperatorService::OperatorService(InstanceContext& context,
+                                 Duty& duty,
+                                 std::function<void()> begin_drain)
+    : context_(context),
+      platform_(duty.context(), context.clock, context.settings.platform),
+      begin_drain_(std::move(begin_drain)) {}
+
+asio::awaitable<void> OperatorService::Handle(HttpExchange& exchange) {
+  HttpResponse response = co_await Answer(exchange.request());
+  co_await exchange.Respond(std::move(response));
+}
+
+asio::awaitable<HttpResponse> OperatorService::Answer(
+    const HttpRequest& request) {
+  const std::string_view path = request.Path();
+  if (path == "/healthz") {
+    co_return JsonResponse(200, R"({"alive":true})");
+  }
+  if (path == "/readyz") {
+    co_return Ready();
+  }
+  if (path == "/metrics") {
+    HttpResponse response = JsonResponse(200, context_.metrics.Expose());
+    response.headers[0].value = "text/plain; version=0.0.4";
+    co_return response;
+  }
+  if (path == "/v1/status") {
+    co_return Status();
+  }
+  if (path == "/v1/events") {
+    co_return JsonResponse(
+        200, EncodeEvents(context_.settings.name, context_.events));
+  }
+  if (path == "/v1/instances") {
+    co_return JsonResponse(200,
+                           EncodeInstances(context_.view.Get()->instances));
+  }
+  if (path == "/v1/config") {
+    if (request.method == "PUT") {
+      co_return co_await PutConfig(request);
+    }
+    co_return co_await GetConfig();
+  }
+  if (path == "/v1/refusals") {
+    co_return co_await Refusals(request);
+  }
+  if (path == "/v1/drain" && request.method == "POST") {
+    begin_drain_();
+    co_return JsonResponse(202, R"({"draining":true})");
+  }
+  co_return ErrorResponse({ErrorKind::kNotFound, "no such path",
+                           "see docs/OPERATING.md for the interface"});
+}
+
+HttpResponse OperatorService::Ready() const {
+  if (context_.run_state.leaving) {
+    return JsonResponse(503, R"({"ready":false,"reason":"leaving"})");
+  }
+  if (!context_.run_state.ready) {
+    return JsonResponse(
+        503, R"({"ready":false,"reason":"no configuration read yet"})");
+  }
+  return JsonResponse(200, R"({"ready":true})");
+}
+
+HttpResponse OperatorService::Status() const {
+  const FleetViewPtr view = context_.view.Get();
+  return JsonResponse(
+      200, json::serialize(json::object{
+               {"instance", context_.settings.name},
+               {"failure_domain", context_.settings.failure_domain},
+               {"config_version", view->config ? view->config->version : 0},
+               {"ready", context_.run_state.ready.load()},
+               {"leaving", context_.run_state.leaving.load()},
+               {"store_reachable", context_.run_state.store_reachable.load()},
+               {"requests_in_flight", context_.run_state.in_flight.load()},
+               {"refused_total", context_.refusals.added()}}));
+}
+
+// Reads the newest configuration from the table, so that an edit builds on
+// it; while the store is down, the one in force here.
+asio::awaitable<HttpResponse> OperatorService::GetConfig() {
+  ReadQuery query;
+  query.keys.emplace_back(kConfigRow);
+  Result<std::vector<Row>> rows = co_await platform_.Read(
+      std::move(query), context_.clock.Now() + kAnswerTime);
+  if (rows && !rows.value().empty()) {
+    const auto head = DecodeConfigHead(rows.value().front().value);
+    if (head) {
+      co_return DocumentResponse(head.value().version, head.value().document);
+    }
+  }
+  const FleetViewPtr view = context_.view.Get();
+  co_return view->config
+      ? DocumentResponse(view->config->version, view->document)
+      : DocumentResponse(0, "{}");
+}
+
+// Writes a configuration if the version before it is the expected one. The
+// operation id in the row tells after a lost answer whether it took effect.
+asio::awaitable<HttpResponse> OperatorService::PutConfig(
+    const HttpRequest& request) {
+  const std::uint64_t expected = ToNumber(request.Query("expect"));
+  const std::string operation = request.Query("operation");
+  const auto parsed = ParseFleetConfig(request.body, expected + 1);
+  if (!parsed) {
+    co_return ErrorResponse(parsed.error());
+  }
+  ReadQuery query;
+  query.keys.emplace_back(kConfigRow);
+  Result<std::vector<Row>> rows =
+      co_await platform_.Read(query, context_.clock.Now() + kAnswerTime);
+  if (!rows) {
+    co_return ErrorResponse(rows.error());
+  }
+  std::uint64_t row_version = 0;
+  std::uint64_t found = 0;
+  if (!rows.value().empty()) {
+    const auto head = DecodeConfigHead(rows.value().front().value);
+    row_version = rows.value().front().version;
+    found = head ? head.value().version : 0;
+    if (head && head.value().operation == operation) {
+      co_return ConfigResponse(found);
+    }
+  }
+  if (found != expected) {
+    co_return ErrorResponse(
+        {ErrorKind::kConflict,
+         "version " + std::to_string(found) + " is in force, not " +
+             std::to_string(expected),
+         "read the configuration again and repeat the change"});
+  }
+  Transaction transaction;
+  transaction.checks.push_back({std::string(kConfigRow), row_version});
+  transaction.writes.push_back(
+      {std::string(kConfigRow),
+       EncodeConfigHead({expected + 1, operation, request.body})});
+  Result<Commit> commit = co_await platform_.Transact(
+      std::move(transaction), context_.clock.Now() + kAnswerTime);
+  if (!commit) {
+    rows = co_await platform_.Read(query, context_.clock.Now() + kAnswerTime);
+    if (rows && !rows.value().empty()) {
+      const auto head = DecodeConfigHead(rows.value().front().value);
+      if (head && head.value().operation == operation) {
+        co_return ConfigResponse(head.value().version);
+      }
+    }
+    co_return ErrorResponse(commit.error());
+  }
+  if (!commit.value().committed) {
+    co_return ErrorResponse({ErrorKind::kConflict,
+                             "another operator changed the configuration",
+                             "read it again and repeat the change"});
+  }
+  co_return ConfigResponse(expected + 1);
+}
+
+asio::awaitable<HttpResponse> OperatorService::Refusals(
+    const HttpRequest& request) {
+  const Instant deadline = context_.clock.Now() + kAnswerTime;
+  Result<std::vector<std::string>> names =
+      co_await platform_.ListObjects("refusals/", deadline);
+  if (!names) {
+    co_return ErrorResponse(names.error());
+  }
+  const std::string workspace = request.Query("workspace");
+  const std::string kind = request.Query("kind");
+  json::array records;
+  for (const auto& name : names.value()) {
+    Result<std::string> lines = co_await platform_.GetObject(name, deadline);
+    if (!lines) {
+      co_return ErrorResponse(lines.error());
+    }
+    std::string_view rest = lines.value();
+    while (!rest.empty()) {
+      const std::string_view line = rest.substr(0, rest.find('\n'));
+      rest.remove_prefix(std::min(rest.size(), line.size() + 1));
+      boost::system::error_code failure;
+      json::value record = json::parse(line, failure);
+      if (failure || !record.is_object()) {
+        continue;
+      }
+      const auto matches = [&](std::string_view member,
+                               std::string_view wanted) {
+        const auto* value = record.get_object().if_contains(member);
+        return wanted.empty() || (value != nullptr && value->is_string() &&
+                                  value->get_string() == wanted);
+      };
+      if (matches("workspace", workspace) && matches("kind", kind)) {
+        records.push_back(std::move(record));
+      }
+    }
+  }
+  co_return JsonResponse(
+      200, json::serialize(json::object{{"refusals", std::move(records)}}));
+}
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/operator/operator_service.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+
+#include "core/duty.h"
+#include "http/server.h"
+#include "instance/context.h"
+#include "instance/fleet_watcher.h"
+#include "platform/client.h"
+
+namespace jackdaw {
+
+/// HTTP interface for operators, metrics, health and the time line.
+class OperatorService {
+ public:
+  /// @param begin_drain called when an operator asks this instance to leave
+  OperatorService(InstanceContext& context,
+                  Duty& duty,
+                  std::function<void()> begin_drain);
+
+  boost::asio::awaitable<void> Handle(HttpExchange& exchange);
+
+ private:
+  boost::asio::awaitable<HttpResponse> Answer(const HttpRequest& request);
+  boost::asio::awaitable<HttpResponse> PutConfig(const HttpRequest& request);
+  boost::asio::awaitable<HttpResponse> Refusals(const HttpRequest& request);
+  boost::asio::awaitable<HttpResponse> GetConfig();
+  HttpResponse Status() const;
+  HttpResponse Ready() const;
+
+  InstanceContext& context_;
+  PlatformClient platform_;
+  std::function<void()> begin_drain_;
+};
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/peer/peer_link.cc
@@ -0,0 +1,94 @@
+#include "peer/peer_link.h"
+
+#include <zmq.hpp>
+
+namespace jackdaw {
+namespace {
+
+constexpr std::size_t kOutgoingMessages = 4096;
+// Messages held by ZeroMQ for a peer that does not take them.
+constexpr int kHighWaterMark = 1000;
+// Longest time an outgoing message waits for the thread.
+constexpr std::chrono::milliseconds kPollTime{10};
+// Peers written to; beyond it the connections are made anew.
+constexpr std::size_t kMaxPeers = 1024;
+
+}  // namespace
+
+struct PeerLink::Sockets {
+  zmq::context_t context{1};
+  zmq::socket_t pull{context, zmq::socket_type::pull};
+  std::map<std::string, zmq::socket_t, std::less<>> push;
+
+  zmq::socket_t& PushTo(const std::string& address) {
+    if (push.size() >= kMaxPeers) {
+      push.clear();
+    }
+    const auto found = push.find(address);
+    if (found != push.end()) {
+      return found->second;
+    }
+    zmq::socket_t socket(context, zmq::socket_type::push);
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::sndhwm, kHighWaterMark);
+    socket.connect("tcp://" + address);
+    return push.emplace(address, std::move(socket)).first->second;
+  }
+};
+
+PeerLink::PeerLink(Receiver receiver)
+    : receiver_(std::move(receiver)),
+      outgoing_(kOutgoingMessages),
+      sockets_(std::make_unique<Sockets>()) {}
+
+PeerLink::~PeerLink() {
+  Stop();
+}
+
+Result<std::string> PeerLink::Start(std::string_view address) {
+  std::string wanted(address);
+  if (wanted.ends_with(":0")) {
+    wanted.back() = '*';
+  }
+  try {
+    sockets_->pull.set(zmq::sockopt::linger, 0);
+    sockets_->pull.set(zmq::sockopt::rcvhwm, kHighWaterMark);
+    sockets_->pull.bind("tcp://" + wanted);
+  } catch (const zmq::error_t& failure) {
+    return Error{ErrorKind::kAddressInUse,
+                 std::string(address) + ": " + failure.what(),
+                 "free the port or set another; 0 lets the system pick"};
+  }
+  const std::string bound =
+      sockets_->pull.get(zmq::sockopt::last_endpoint).substr(6);
+  thread_ = std::thread([this] { Run(); });
+  return bound;
+}
+
+void PeerLink::Stop() {
+  stop_ = true;
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+bool PeerLink::TrySend(PeerMessage message) {
+  return outgoing_.TryPush(message);
+}
+
+void PeerLink::Run() {
+  while (!stop_) {
+    zmq::pollitem_t item{sockets_->pull.handle(), 0, ZMQ_POLLIN, 0};
+    zmq::poll(&item, 1, kPollTime);
+    zmq::message_t message;
+    while (sockets_->pull.recv(message, zmq::recv_flags::dontwait)) {
+      receiver_(message.to_string());
+    }
+    while (auto out = outgoing_.TryPop()) {
+      sockets_->PushTo(out->address)
+          .send(zmq::buffer(out->bytes), zmq::send_flags::dontwait);
+    }
+  }
+}
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/peer/peer_service.cc
@@ -0,0 +1,124 @@
+#include "peer/peer_service.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "proto/peer.pb.h"
+
+namespace jackdaw {
+namespace {
+
+namespace asio = boost::asio;
+
+// Time between two rounds of heartbeats.
+constexpr auto kRoundTime = std::chrono::milliseconds(500);
+// Peers written to in each round; constant however many instances there are.
+constexpr std::size_t kPeersPerRound = 3;
+
+}  // namespace
+
+PeerService::PeerService(Duty& duty,
+                         const MonotonicClock& clock,
+                         std::string name,
+                         std::uint64_t incarnation,
+                         FleetViewHolder& view,
+                         RunState& run_state,
+                         EventLog& events,
+                         ApplyConfig apply)
+    : duty_(duty),
+      clock_(clock),
+      name_(std::move(name)),
+      incarnation_(incarnation),
+      view_(view),
+      run_state_(run_state),
+      events_(events),
+      apply_(std::move(apply)),
+      link_([this](std::string bytes) {
+        duty_.TryPost([this, bytes = std::move(bytes)] { Receive(bytes); });
+      }) {}
+
+Result<std::string> PeerService::Start(std::string_view address) {
+  auto bound = link_.Start(address);
+  if (bound) {
+    asio::co_spawn(duty_.context(), Run(), asio::detached);
+  }
+  return bound;
+}
+
+asio::awaitable<void> PeerService::Run() {
+  asio::steady_timer timer(duty_.context());
+  for (;;) {
+    SendHeartbeats();
+    timer.expires_after(kRoundTime);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+void PeerService::SendHeartbeats() {
+  const FleetViewPtr view = view_.Get();
+  peer::Envelope envelope;
+  envelope.set_sender(name_);
+  envelope.set_incarnation(incarnation_);
+  envelope.set_hlc(events_.NextStamp());
+  auto& heartbeat = *envelope.mutable_heartbeat();
+  heartbeat.set_config_version(view->config ? view->config->version : 0);
+  heartbeat.set_leaving(run_state_.leaving);
+  heartbeat.set_store_reachable(run_state_.store_reachable);
+  heartbeat.set_requests_in_flight(run_state_.in_flight);
+  const std::string bytes = envelope.SerializeAsString();
+  const std::size_t count = view->instances.size();
+  for (std::size_t i = 0; i < std::min(count, kPeersPerRound); ++i) {
+    const auto& instance = view->instances[next_peer_++ % count];
+    if (instance.name != name_) {
+      link_.TrySend({instance.peer_address, bytes});
+    }
+  }
+}
+
+std::string PeerService::AddressOf(std::string_view peer) const {
+  const FleetViewPtr view = view_.Get();
+  for (const auto& instance : view->instances) {
+    if (instance.name == peer) {
+      return instance.peer_address;
+    }
+  }
+  return {};
+}
+
+void PeerService::Receive(const std::string& bytes) {
+  peer::Envelope envelope;
+  if (!envelope.ParseFromString(bytes)) {
+    return;
+  }
+  events_.Observe(envelope.hlc());
+  if (heard_.insert_or_assign(envelope.sender(), clock_.Now()).second) {
+    events_.Add(EventKind::kPeerSeen, {}, {}, {}, envelope.sender());
+  }
+  const FleetViewPtr view = view_.Get();
+  const std::uint64_t have = view->config ? view->config->version : 0;
+  peer::Envelope answer;
+  answer.set_sender(name_);
+  answer.set_incarnation(incarnation_);
+  if (envelope.has_heartbeat() &&
+      envelope.heartbeat().config_version() > have) {
+    answer.mutable_config_request()->set_have_version(have);
+  } else if (envelope.has_config_request() &&
+             envelope.config_request().have_version() < have) {
+    answer.mutable_config_reply()->set_version(have);
+    answer.mutable_config_reply()->set_document(view->document);
+  } else if (envelope.has_config_reply()) {
+    apply_(envelope.config_reply().version(),
+           envelope.config_reply().document());
+    return;
+  } else {
+    return;
+  }
+  answer.set_hlc(events_.NextStamp());
+  const std::string address = AddressOf(envelope.sender());
+  if (!address.empty()) {
+    link_.TrySend({address, answer.SerializeAsString()});
+  }
+}
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/routing/target_report.cc
@@ -0,0 +1,40 @@
+#include "routing/target_report.h"
+
+#include <boost/json.hpp>
+
+#include "core/object_reader.h"
+
+namespace jackdaw {
+namespace {
+
+constexpr std::int64_t kMaxCount = 1'000'000'000;
+
+}  // namespace
+
+std::string EncodeReport(const TargetReport& report) {
+  return boost::json::serialize(boost::json::object{
+      {"running", report.running},
+      {"waiting", report.waiting},
+      {"memory_mb", report.memory_mb},
+      {"used_mb", report.used_mb},
+      {"leaving", report.leaving},
+      {"models", boost::json::value_from(report.models)},
+      {"adapters", boost::json::value_from(report.adapters)}});
+}
+
+Result<TargetReport> DecodeReport(std::string_view body) {
+  BOOST_OUTCOME_TRY(const auto value, ParseJson(body));
+  ObjectReader reader(value, "");
+  TargetReport report;
+  report.running = reader.IntegerOr("running", 0, kMaxCount, 0);
+  report.waiting = reader.IntegerOr("waiting", 0, kMaxCount, 0);
+  report.memory_mb = reader.IntegerOr("memory_mb", 0, kMaxCount, 0);
+  report.used_mb = reader.IntegerOr("used_mb", 0, kMaxCount, 0);
+  report.leaving = reader.FlagOr("leaving", false);
+  report.models = reader.TextsOr("models");
+  report.adapters = reader.TextsOr("adapters");
+  BOOST_OUTCOME_TRY(reader.Finish());
+  return report;
+}
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/targets/chunk_pipe.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <memory>
+#include <optional>
+
+#include "core/bounded_ring.h"
+
+namespace jackdaw {
+
+/// Bounded pipe between a producing and a consuming coroutine on two event
+/// loops. A full pipe suspends the producer, so a slow caller bounds memory.
+template <typename T>
+class ChunkPipe : public std::enable_shared_from_this<ChunkPipe<T>> {
+ public:
+  ChunkPipe(const boost::asio::any_io_executor& producer,
+            const boost::asio::any_io_executor& consumer,
+            std::size_t capacity)
+      : ring_(capacity), producer_(producer), consumer_(consumer) {}
+
+  /// Appends an item; suspends while the pipe is full.
+  /// @returns false once the consumer has closed the pipe
+  boost::asio::awaitable<bool> Push(T item) {
+    while (!closed_.load(std::memory_order_acquire)) {
+      if (ring_.TryPush(item)) {
+        consumer_.Wake(this->shared_from_this());
+        co_return true;
+      }
+      producer_.waiting.store(true);
+      if (ring_.TryPush(item)) {
+        producer_.waiting.store(false);
+        consumer_.Wake(this->shared_from_this());
+        co_return true;
+      }
+      co_await producer_.Wait(std::chrono::steady_clock::time_point::max());
+    }
+    co_return false;
+  }
+
+  /// Takes the oldest item; suspends until one comes.
+  /// @param until moment to give up at, on the steady clock
+  /// @returns nothing when `until` passed first
+  boost::asio::awaitable<std::optional<T>> Pop(
+      std::chrono::steady_clock::time_point until) {
+    for (;;) {
+      std::optional<T> item = ring_.TryPop();
+      if (!item) {
+        consumer_.waiting.store(true);
+        item = ring_.TryPop();
+      }
+      if (item) {
+        consumer_.waiting.store(false);
+        producer_.Wake(this->shared_from_this());
+        co_return item;
+      }
+      if (std::chrono::steady_clock::now() >= until) {
+        co_return std::nullopt;
+      }
+      co_await consumer_.Wait(until);
+    }
+  }
+
+  /// Takes an item that is there already.
+  std::optional<T> TryPop() {
+    std::optional<T> item = ring_.TryPop();
+    if (item) {
+      producer_.Wake(this->shared_from_this());
+    }
+    return item;
+  }
+
+  /// Ends the pipe from the consumer's side; the producer's next push fails.
+  void Close() {
+    closed_.store(true, std::memory_order_release);
+    producer_.waiting.store(true);
+    producer_.Wake(this->shared_from_this());
+  }
+
+  bool closed() const { return closed_.load(std::memory_order_acquire); }
+
+ private:
+  // One side of the pipe: a timer that stands for a condition variable.
+  struct Side {
+    explicit Side(const boost::asio::any_io_executor& executor)
+        : timer(executor) {}
+
+    boost::asio::awaitable<void> Wait(
+        std::chrono::steady_clock::time_point until) {
+      timer.expires_at(until);
+      co_await timer.async_wait(
+          boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+
+    // The cancel is posted to the side's own loop, which runs it only once
+    // the coroutine there is suspended, so no wake is lost.
+    void Wake(std::shared_ptr<ChunkPipe> keep) {
+      if (waiting.exchange(false)) {
+        boost::asio::post(timer.get_executor(),
+                          [this, keep = std::move(keep)] { timer.cancel(); });
+      }
+    }
+
+    std::atomic<bool> waiting{false};
+    boost::asio::steady_timer timer;
+  };
+
+  BoundedRing<T> ring_;
+  std::atomic<bool> closed_{false};
+  Side producer_;
+  Side consumer_;
+};
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/targets/relay.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "core/duty.h"
+#include "core/error.h"
+#include "http/client.h"
+#include "targets/chunk_pipe.h"
+
+namespace jackdaw {
+
+/// What comes back of a request sent to a target, in order: one head, any
+/// number of chunks, then one end or one failure.
+struct RelayItem {
+  enum class Kind : std::uint8_t { kHead, kChunk, kEnd, kFailure };
+  Kind kind = Kind::kEnd;
+  HttpResponse head;
+  std::string bytes;
+  Error error;
+  /// On a failure: whether any byte of the request may have reached the target.
+  bool bytes_sent = false;
+};
+
+using RelayPipe = ChunkPipe<RelayItem>;
+
+/// A request for a target.
+struct RelayOrder {
+  Endpoint endpoint;
+  HttpRequest request;
+  Instant first_byte_deadline{};
+  Micros between_bytes{};
+  ConnectionChoice choice = ConnectionChoice::kKeptOrFresh;
+};
+
+/// Sends requests to targets on the thread for target I/O.
+class Relay {
+ public:
+  Relay(Duty& duty, const MonotonicClock& clock);
+
+  /// Starts a request. @returns the pipe of its answer, or kOverloaded; then
+  /// nothing was sent
+  Result<std::shared_ptr<RelayPipe>> Start(
+      RelayOrder order,
+      const boost::asio::any_io_executor& consumer);
+
+  /// For duties on the same thread, such as polling reports.
+  HttpClient& client() { return client_; }
+
+ private:
+  boost::asio::awaitable<void> Run(RelayOrder order,
+                                   std::shared_ptr<RelayPipe> pipe);
+
+  Duty& duty_;
+  const MonotonicClock& clock_;
+  HttpClient client_;
+};
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/targets/report_poller.cc
@@ -0,0 +1,56 @@
+#include "targets/report_poller.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace jackdaw {
+namespace {
+
+namespace asio = boost::asio;
+
+// Time between two reports of one target.
+constexpr auto kPollTime = std::chrono::milliseconds(300);
+// Time for a report to come.
+constexpr Micros kReportTime = 1s;
+
+}  // namespace
+
+void ReportPoller::Start() {
+  asio::co_spawn(duty_.context(), Run(), asio::detached);
+}
+
+asio::awaitable<void> ReportPoller::Run() {
+  asio::steady_timer timer(duty_.context());
+  for (;;) {
+    const FleetViewPtr view = view_.Get();
+    if (view->config) {
+      for (const auto& target : view->config->targets) {
+        asio::co_spawn(duty_.context(), PollOne(target.name, target.address),
+                       asio::detached);
+      }
+    }
+    timer.expires_after(kPollTime);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<void> ReportPoller::PollOne(std::string name,
+                                            std::string address) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    co_return;
+  }
+  HttpRequest request{"GET", "/engine/report", {}, {}};
+  Result<HttpResponse> answer = co_await relay_.client().Fetch(
+      endpoint.value(), std::move(request), clock_.Now() + kReportTime);
+  if (answer) {
+    if (const auto report = DecodeReport(answer.value().body); report) {
+      decisions_.OnReport(name, report.value());
+      co_return;
+    }
+  }
+  decisions_.OnReportFailure(name);
+}
+
+}  // namespace jackdaw
