--- a/src/daemons/jackdaw-replay.cc
+++ b/src/daemons/jackdaw-replay.cc
@@ -1,43 +1,22 @@
-#include <chrono>
-#include <cxxopts.hpp>
 #include <iostream>
+#include <string>
+#include <vector>
 
-#include "replay/bench.h"
-
-namespace {
-
-// Prints the signature on standard output and the speed beside it, so that
-// the signature line is the same on every machine.
-int Bench() {
-  const auto start = std::chrono::steady_clock::now();
-  const jackdaw::BenchResult result = jackdaw::RunBench();
-  const std::chrono::duration<double> spent =
-      std::chrono::steady_clock::now() - start;
-  std::cout << "Bench: " << result.signature << "\n";
-  std::cerr << static_cast<std::uint64_t>(
-                   static_cast<double>(result.decisions) / spent.count())
-            << " decisions per second\n";
-  return 0;
-}
-
-}  // namespace
+#include "replay/command.h"
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("jackdaw-replay",
-                           "Runs the decision code under a virtual clock.");
-  options.add_options()("command", "bench", cxxopts::value<std::string>())(
-      "help", "Print this help");
-  options.parse_positional({"command"});
-  try {
-    const auto parsed = options.parse(argc, argv);
-    if (parsed.count("help") == 0 && parsed.count("command") != 0 &&
-        parsed["command"].as<std::string>() == "bench") {
-      return Bench();
+  const std::vector<std::string> words(argv + 1, argv + argc);
+  const std::string name = words.empty() ? "--help" : words.front();
+  for (const auto& command : jackdaw::ReplayCommands()) {
+    if (command.name == name) {
+      return command.run(std::span(words).subspan(1));
     }
-    std::cout << options.help() << "Example: jackdaw-replay bench\n";
-    return parsed.count("help") != 0 ? 0 : 2;
-  } catch (const cxxopts::exceptions::exception& failure) {
-    std::cerr << "jackdaw-replay: " << failure.what() << "\n";
-    return 2;
   }
+  std::cout << "jackdaw-replay runs the decision code under a virtual clock.\n"
+               "Commands:\n";
+  for (const auto& command : jackdaw::ReplayCommands()) {
+    std::cout << "  " << command.name << ": " << command.help << "\n";
+  }
+  std::cout << "Example: jackdaw-replay bench\n";
+  return name == "--help" ? 0 : 2;
 }
--- a/src/peer/peer_service.cc
+++ b/src/peer/peer_service.cc
@@ -58,24 +58,33 @@
 void PeerService::SendHeartbeats() {
   const FleetViewPtr view = view_.Get();
   peer::Envelope envelope;
-  envelope.set_sender(name_);
-  envelope.set_incarnation(incarnation_);
-  envelope.set_hlc(events_.NextStamp());
   auto& heartbeat = *envelope.mutable_heartbeat();
   heartbeat.set_config_version(view->config ? view->config->version : 0);
   heartbeat.set_leaving(run_state_.leaving);
   heartbeat.set_store_reachable(run_state_.store_reachable);
   heartbeat.set_requests_in_flight(run_state_.in_flight);
-  const std::string bytes = envelope.SerializeAsString();
   const std::size_t count = view->instances.size();
   for (std::size_t i = 0; i < std::min(count, kPeersPerRound); ++i) {
     const auto& instance = view->instances[next_peer_++ % count];
     if (instance.name != name_) {
-      link_.TrySend({instance.peer_address, bytes});
+      Send(instance.name, envelope);
     }
   }
 }
 
+void PeerService::Handle(int body_case, Handler handler) {
+  handlers_[body_case] = std::move(handler);
+}
+
+bool PeerService::Send(std::string_view peer, peer::Envelope envelope) {
+  envelope.set_sender(name_);
+  envelope.set_incarnation(incarnation_);
+  envelope.set_hlc(events_.NextStamp());
+  std::string address = AddressOf(peer);
+  return !address.empty() &&
+         link_.TrySend({std::move(address), envelope.SerializeAsString()});
+}
+
 std::string PeerService::AddressOf(std::string_view peer) const {
   const FleetViewPtr view = view_.Get();
   for (const auto& instance : view->instances) {
@@ -95,11 +104,18 @@
   if (heard_.insert_or_assign(envelope.sender(), clock_.Now()).second) {
     events_.Add(EventKind::kPeerSeen, {}, {}, {}, envelope.sender());
   }
+  const auto handler = handlers_.find(envelope.body_case());
+  if (handler != handlers_.end()) {
+    handler->second(envelope);
+  } else {
+    ReceiveConfig(envelope);
+  }
+}
+
+void PeerService::ReceiveConfig(const peer::Envelope& envelope) {
   const FleetViewPtr view = view_.Get();
   const std::uint64_t have = view->config ? view->config->version : 0;
   peer::Envelope answer;
-  answer.set_sender(name_);
-  answer.set_incarnation(incarnation_);
   if (envelope.has_heartbeat() &&
       envelope.heartbeat().config_version() > have) {
     answer.mutable_config_request()->set_have_version(have);
@@ -107,18 +123,14 @@
              envelope.config_request().have_version() < have) {
     answer.mutable_config_reply()->set_version(have);
     answer.mutable_config_reply()->set_document(view->document);
-  } else if (envelope.has_config_reply()) {
-    apply_(envelope.config_reply().version(),
-           envelope.config_reply().document());
-    return;
   } else {
+    if (envelope.has_config_reply()) {
+      apply_(envelope.config_reply().version(),
+             envelope.config_reply().document());
+    }
     return;
   }
-  answer.set_hlc(events_.NextStamp());
-  const std::string address = AddressOf(envelope.sender());
-  if (!address.empty()) {
-    link_.TrySend({address, answer.SerializeAsString()});
-  }
+  Send(envelope.sender(), std::move(answer));
 }
 
 }  // namespace jackdaw
--- a/src/peer/peer_service.h
+++ b/src/peer/peer_service.h
@@ -14,12 +14,19 @@
 #include "settings/instance_settings.h"
 #include "timeline/event_log.h"
 
+namespace jackdaw::peer {
+class Envelope;
+}  // namespace jackdaw::peer
+
 namespace jackdaw {
 
 /// Exchanges heartbeats with peers and relays configurations: an instance
-/// that lags behind a peer's version asks that peer for the document.
+/// that lags behind a peer's version asks that peer for the document. Other
+/// subsystems register handlers for their messages.
 class PeerService {
  public:
+  /// Called on the service's thread for each message of one body case.
+  using Handler = std::function<void(const peer::Envelope&)>;
   using ApplyConfig =
       std::function<void(std::uint64_t version, std::string document)>;
 
@@ -37,11 +44,21 @@
   Result<std::string> Start(std::string_view address);
   void Stop() { link_.Stop(); }
 
+  /// Registers the receiver of one body case of peer.proto's Envelope; before
+  /// Start only. @param body_case value of Envelope::BodyCase
+  void Handle(int body_case, Handler handler);
+
+  /// Sends an envelope to an instance by name, from any thread. Sender,
+  /// incarnation and stamp are filled in. @returns false when the instance is
+  /// not known or the ring is full; a true says nothing about its arrival
+  bool Send(std::string_view peer, peer::Envelope envelope);
+
  private:
   boost::asio::awaitable<void> Run();
   void Receive(const std::string& bytes);
   void SendHeartbeats();
   std::string AddressOf(std::string_view peer) const;
+  void ReceiveConfig(const peer::Envelope& envelope);
 
   Duty& duty_;
   const MonotonicClock& clock_;
@@ -52,6 +69,7 @@
   EventLog& events_;
   ApplyConfig apply_;
   PeerLink link_;
+  std::map<int, Handler> handlers_;
   std::size_t next_peer_ = 0;
   std::map<std::string, Instant, std::less<>> heard_;
 };
--- /dev/null
+++ b/src/replay/command.cc
@@ -0,0 +1,15 @@
+#include "replay/command.h"
+
+#include <array>
+
+namespace jackdaw {
+
+std::span<const ReplayCommand> ReplayCommands() {
+  static constexpr std::array kCommands{
+      ReplayCommand{"bench", "one deterministic signature over all decisions",
+                    BenchCommand},
+  };
+  return kCommands;
+}
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/replay/command.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace jackdaw {
+
+/// A command of jackdaw-replay.
+struct ReplayCommand {
+  std::string_view name;
+  std::string_view help;
+  /// @param arguments words after the command @returns the exit code
+  int (*run)(std::span<const std::string> arguments);
+};
+
+/// All commands; each stands in a file of its own.
+std::span<const ReplayCommand> ReplayCommands();
+
+int BenchCommand(std::span<const std::string> arguments);
+
+}  // namespace jackdaw
