Complete refusal record: numbered lines, copies at a peer, pages by time

Cause: batches were named by a counter of the instance, so a crash lost what was not stored, an overflow left no trace by number, a lost answer could not be told from a taken name, two coroutines could run Flush, and a query read every object. Lines are now numbered by incarnation, objects named by the first line's minute and number; a peer in another failure domain holds what is not stored and stores it when the owner is silent or cut off; whichever writer creates an object first stands and the other goes on after it.

Before, by design: 4 puts a second for each instance, up to 1480 at 370.

--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -6,6 +6,7 @@
 #include "core/object_reader.h"
 #include "core/time.h"
 #include "ctl/printing.h"
+#include "ctl/refusals_command.h"
 #include "ctl/resource.h"
 #include "ctl/timeline.h"
 
@@ -250,14 +251,6 @@
   return Printed(rows, line.json);
 }
 
-Result<std::string> ShowRefusals(const OperatorClient& client,
-                                 const CommandLine& line) {
-  std::string target = "/v1/refusals?workspace=" + line.workspace;
-  target += "&kind=" + line.kind;
-  BOOST_OUTCOME_TRY(const auto value, client.Call("GET", target));
-  return Printed(value.at("refusals"), line.json);
-}
-
 Result<std::string> ShowTimeline(const OperatorClient& client,
                                  const CommandLine& line) {
   BOOST_OUTCOME_TRY(const auto documents,
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -19,6 +19,9 @@
   std::string kind;
   std::string request;
   std::string target;
+  std::string instance;
+  std::string from;
+  std::string to;
   std::int64_t rate = 0;
   std::int64_t burst = 0;
   bool json = false;
--- a/src/daemons/jackdawctl.cc
+++ b/src/daemons/jackdawctl.cc
@@ -14,7 +14,9 @@
   limit     set WORKSPACE --rate N --burst N --reason TEXT
   default   set SETTING VALUE | list
   apply     FILE [--dry-run]
-  status | drain INSTANCE | refusals [--workspace W] [--kind K]
+  status | drain INSTANCE
+  refusals  [--workspace W] [--kind K] [--instance I] [--from T] [--to T]
+            T is like 2026-01-31T08:00:00Z or -90m; without --from, one hour
   timeline  [--request ID] [--workspace W] [--target T] [--chrome]
 
 Examples:
@@ -49,6 +51,9 @@
       "kind", "Refusal kind", cxxopts::value(line.kind))(
       "request", "Request id", cxxopts::value(line.request))(
       "target", "Target", cxxopts::value(line.target))(
+      "instance", "Instance", cxxopts::value(line.instance))(
+      "from", "First moment", cxxopts::value(line.from))(
+      "to", "Moment after the last", cxxopts::value(line.to))(
       "rate", "Tokens per second", cxxopts::value(line.rate))(
       "burst", "Tokens", cxxopts::value(line.burst))("json", "Print JSON",
                                                      cxxopts::value(line.json))(
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -13,6 +13,7 @@
 #include "instance/fleet_watcher.h"
 #include "operator/operator_service.h"
 #include "peer/peer_service.h"
+#include "record/copy_exchange.h"
 #include "targets/report_poller.h"
 
 namespace jackdaw {
@@ -65,9 +66,8 @@
   Decisions decisions{clock, kBudgetShares};
   Relay relay{target_duty, clock};
   IntentStore intents{platform_duty, clock, settings.platform};
-  RefusalLog refusals{
-      recorder_duty, clock, settings.platform,
-      "refusals/" + settings.name + "-" + std::to_string(incarnation)};
+  RefusalLog refusals{recorder_duty, clock, settings.platform, view,
+                      RecordOwner{settings.name, incarnation}};
   InstanceContext context{settings, clock,     run_state, view,    metrics,
                           events,   decisions, relay,     intents, refusals};
   FleetWatcher watcher{
@@ -91,6 +91,8 @@
                     [this](std::uint64_t version, std::string document) {
                       watcher.Apply({version, "relayed", std::move(document)});
                     }};
+  CopyExchange copies{recorder_duty, clock, settings, view,
+                      run_state,     peers, refusals};
   ReportPoller poller{target_duty, clock, relay, view, decisions};
   CallerService callers{context, settings.name + "-" + RandomHex(4) + "-"};
   std::function<void()> begin_drain;
@@ -135,6 +137,7 @@
   BoundAddresses bound{ToText(entry), ToText(operators), peer};
   parts.watcher.Start(parts.SelfEntry(bound));
   parts.refusals.Start();
+  parts.copies.Start();
   parts.poller.Start();
   parts.decisions.Start();
   for (Duty* duty :
--- a/src/instance/run_state.h
+++ b/src/instance/run_state.h
@@ -11,6 +11,12 @@
   std::atomic<bool> leaving{false};
   std::atomic<bool> store_reachable{false};
   std::atomic<std::uint64_t> in_flight{0};
+  /// Bytes of refusal records held for peers.
+  std::atomic<std::uint64_t> copies_held{0};
+  /// Number of the newest refusal record made here, and of the newest that,
+  /// with all before it, is stored or held by a peer.
+  std::atomic<std::uint64_t> records_made{0};
+  std::atomic<std::uint64_t> records_safe{0};
 };
 
 }  // namespace jackdaw
--- a/src/instance/tests/fleet_fixture.h
+++ b/src/instance/tests/fleet_fixture.h
@@ -150,6 +150,16 @@
   const Endpoint& engine_address() const { return engine_address_; }
   const Endpoint& desk_address() const { return desk_address_; }
 
+  /// Ends an instance without a drain.
+  void Kill(std::size_t i) { instances_[i].reset(); }
+
+  /// Switches faults of the platform.
+  void SetPlatformFaults(std::string faults) const {
+    const HttpRequest request{"POST", "/standin/faults", {}, std::move(faults)};
+    BOOST_TEST_REQUIRE(
+        FetchNow(platform_address_, request, 30s).value().status == 200);
+  }
+
   /// Waits until a completion is served.
   void WaitServing(std::size_t i = 0) const {
     BOOST_TEST_REQUIRE(WaitFor(
--- a/src/operator/operator_service.cc
+++ b/src/operator/operator_service.cc
@@ -59,6 +59,10 @@
                                  std::function<void()> begin_drain)
     : context_(context),
       platform_(duty.context(), context.clock, context.settings.platform),
+      refusals_(duty.context(),
+                context.clock,
+                context.settings.platform,
+                context.view),
       begin_drain_(std::move(begin_drain)) {}
 
 asio::awaitable<void> OperatorService::Handle(HttpExchange& exchange) {
@@ -130,7 +134,10 @@
                {"leaving", context_.run_state.leaving.load()},
                {"store_reachable", context_.run_state.store_reachable.load()},
                {"requests_in_flight", context_.run_state.in_flight.load()},
-               {"refused_total", context_.refusals.added()}}));
+               {"refused_total", context_.refusals.added()},
+               {"records_made", context_.run_state.records_made.load()},
+               {"records_safe", context_.run_state.records_safe.load()},
+               {"copies_held", context_.run_state.copies_held.load()}}));
 }
 
 // Reads the newest configuration from the table, so that an edit builds on
@@ -213,42 +220,9 @@
 
 asio::awaitable<HttpResponse> OperatorService::Refusals(
     const HttpRequest& request) {
-  const Instant deadline = context_.clock.Now() + kAnswerTime;
-  Result<std::vector<std::string>> names =
-      co_await platform_.ListObjects("refusals/", deadline);
-  if (!names) {
-    co_return ErrorResponse(names.error());
-  }
-  const std::string workspace = request.Query("workspace");
-  const std::string kind = request.Query("kind");
-  json::array records;
-  for (const auto& name : names.value()) {
-    Result<std::string> lines = co_await platform_.GetObject(name, deadline);
-    if (!lines) {
-      co_return ErrorResponse(lines.error());
-    }
-    std::string_view rest = lines.value();
-    while (!rest.empty()) {
-      const std::string_view line = rest.substr(0, rest.find('\n'));
-      rest.remove_prefix(std::min(rest.size(), line.size() + 1));
-      boost::system::error_code failure;
-      json::value record = json::parse(line, failure);
-      if (failure || !record.is_object()) {
-        continue;
-      }
-      const auto matches = [&](std::string_view member,
-                               std::string_view wanted) {
-        const auto* value = record.get_object().if_contains(member);
-        return wanted.empty() || (value != nullptr && value->is_string() &&
-                                  value->get_string() == wanted);
-      };
-      if (matches("workspace", workspace) && matches("kind", kind)) {
-        records.push_back(std::move(record));
-      }
-    }
-  }
-  co_return JsonResponse(
-      200, json::serialize(json::object{{"refusals", std::move(records)}}));
+  Result<json::object> page = co_await refusals_.Read(request);
+  co_return page ? JsonResponse(200, json::serialize(page.value()))
+                 : ErrorResponse(page.error());
 }
 
 }  // namespace jackdaw
--- /dev/null
+++ b/src/operator/refusal_reader.cc
@@ -0,0 +1,200 @@
+#include "operator/refusal_reader.h"
+
+#include <charconv>
+#include <map>
+
+#include "record/batch_writer.h"
+
+namespace jackdaw {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+// Time for one page.
+constexpr Micros kPageTime = 8s;
+// Minutes looked at for one page.
+constexpr std::int64_t kPageMinutes = 240;
+constexpr std::int64_t kMinuteMs = 60'000;
+constexpr std::int64_t kDefaultRangeMs = 60 * kMinuteMs;
+constexpr std::int64_t kMaxRangeMs = 31LL * 24 * 60 * kMinuteMs;
+
+Result<std::int64_t> TimeMember(const HttpRequest& request,
+                                std::string_view name,
+                                std::int64_t fallback) {
+  const std::string text = request.Query(name);
+  if (text.empty()) {
+    return fallback;
+  }
+  std::int64_t value = 0;
+  const auto [end, failure] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (failure != std::errc() || end != text.data() + text.size() || value < 0) {
+    return Error{ErrorKind::kInvalidSetting,
+                 std::string(name) + " '" + text + "' is not a time",
+                 "give milliseconds since the Unix epoch"};
+  }
+  return value;
+}
+
+Result<RefusalQuery> ParseQuery(const HttpRequest& request, Instant now) {
+  RefusalQuery query;
+  query.workspace = request.Query("workspace");
+  query.kind = request.Query("kind");
+  query.instance = request.Query("instance");
+  BOOST_OUTCOME_TRY(query.to_ms,
+                    TimeMember(request, "to_ms", ToMillis(now) + 1));
+  BOOST_OUTCOME_TRY(
+      query.from_ms,
+      TimeMember(request, "from_ms",
+                 std::max<std::int64_t>(0, query.to_ms - kDefaultRangeMs)));
+  if (query.from_ms >= query.to_ms ||
+      query.to_ms - query.from_ms > kMaxRangeMs) {
+    return Error{ErrorKind::kInvalidSetting,
+                 "from_ms and to_ms span no time, or more than 31 days",
+                 "ask for a range of up to 31 days"};
+  }
+  return query;
+}
+
+std::map<RecordOwner, std::uint64_t> LastNumbers(const RefusalPage& page) {
+  std::map<RecordOwner, std::uint64_t> last;
+  for (const auto& range : page.ranges()) {
+    auto& number = last[range.owner];
+    number = std::max(number, range.last);
+  }
+  return last;
+}
+
+bool IsListed(const FleetView& view, const RecordOwner& owner) {
+  for (const auto& instance : view.instances) {
+    if (instance.name == owner.instance) {
+      return instance.incarnation == owner.incarnation;
+    }
+  }
+  return false;
+}
+
+json::array RangesJson(const RefusalPage& page) {
+  json::array ranges;
+  for (const auto& range : page.ranges()) {
+    ranges.push_back(json::object{{"instance", range.owner.instance},
+                                  {"incarnation", range.owner.incarnation},
+                                  {"first", range.first},
+                                  {"last", range.last}});
+  }
+  return ranges;
+}
+
+json::object PageJson(RefusalPage& page, const std::string& next) {
+  json::object answer{{"refusals", page.TakeRecords()},
+                      {"ranges", RangesJson(page)}};
+  if (!next.empty()) {
+    answer["next"] = next;
+  }
+  return answer;
+}
+
+}  // namespace
+
+RefusalReader::RefusalReader(asio::io_context& context,
+                             const MonotonicClock& clock,
+                             const Endpoint& platform,
+                             const FleetViewHolder& view)
+    : clock_(clock), platform_(context, clock, platform), view_(view) {}
+
+asio::awaitable<Result<json::object>> RefusalReader::Read(
+    const HttpRequest& request) {
+  const Instant now = clock_.Now();
+  const Instant deadline = now + kPageTime;
+  Result<RefusalQuery> query = ParseQuery(request, now);
+  if (!query) {
+    co_return query.error();
+  }
+  const std::string after = request.Query("after");
+  const std::int64_t begin = query.value().from_ms / kMinuteMs;
+  const std::int64_t end = (query.value().to_ms - 1) / kMinuteMs;
+  RefusalPage page(std::move(query.value()));
+  std::string next;
+  std::int64_t looked_at = 0;
+  for (std::int64_t minute = begin; minute <= end && next.empty(); ++minute) {
+    const std::string prefix = MinutePrefix(minute);
+    if (!after.empty() && prefix < after && !after.starts_with(prefix)) {
+      continue;
+    }
+    if (++looked_at > kPageMinutes) {
+      next = prefix;
+      break;
+    }
+    Result<std::string> stopped =
+        co_await FillMinute(page, minute, after, deadline);
+    if (!stopped) {
+      co_return stopped.error();
+    }
+    next = std::move(stopped.value());
+  }
+  Result<json::array> tails = co_await TailGaps(page, deadline);
+  if (!tails) {
+    co_return tails.error();
+  }
+  json::array gaps = FindGaps(page.ranges());
+  gaps.insert(gaps.end(), tails.value().begin(), tails.value().end());
+  json::object answer = PageJson(page, next);
+  answer["gaps"] = std::move(gaps);
+  co_return answer;
+}
+
+// Reads the objects of one minute. @returns the name of the last object read
+// when the page is full, else empty
+asio::awaitable<Result<std::string>> RefusalReader::FillMinute(
+    RefusalPage& page,
+    std::int64_t minute,
+    std::string after,
+    Instant deadline) {
+  Result<std::vector<std::string>> names =
+      co_await platform_.ListObjects(MinutePrefix(minute), deadline);
+  if (!names) {
+    co_return names.error();
+  }
+  for (const auto& name : names.value()) {
+    if (name <= after || !page.Wants(name)) {
+      continue;
+    }
+    Result<std::string> lines = co_await platform_.GetObject(name, deadline);
+    if (!lines) {
+      co_return lines.error();
+    }
+    page.Add(name, lines.value());
+    if (page.full()) {
+      co_return name;
+    }
+  }
+  co_return std::string();
+}
+
+// An incarnation that is not listed and has no clean end may have taken
+// records with it.
+asio::awaitable<Result<json::array>> RefusalReader::TailGaps(
+    const RefusalPage& page,
+    Instant deadline) {
+  const FleetViewPtr view = view_.Get();
+  json::array gaps;
+  for (const auto& [owner, last] : LastNumbers(page)) {
+    if (IsListed(*view, owner)) {
+      continue;
+    }
+    Result<std::string> mark =
+        co_await platform_.GetObject(EndName(owner), deadline);
+    if (!mark && mark.error().kind != ErrorKind::kNotFound) {
+      co_return mark.error();
+    }
+    const bool clean =
+        mark && mark.value().find(R"("clean":true)") != std::string::npos;
+    if (!clean) {
+      gaps.push_back(TailGap(owner, last));
+    }
+  }
+  co_return gaps;
+}
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/operator/refusal_reader.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <string>
+
+#include "http/message.h"
+#include "instance/fleet_view.h"
+#include "platform/client.h"
+#include "record/refusal_query.h"
+
+namespace jackdaw {
+
+/// Answers `GET /v1/refusals` from the object store, a bounded page at a
+/// time. Query members: workspace, kind, instance, from_ms, to_ms, after.
+class RefusalReader {
+ public:
+  RefusalReader(boost::asio::io_context& context,
+                const MonotonicClock& clock,
+                const Endpoint& platform,
+                const FleetViewHolder& view);
+
+  /// @returns an object with `refusals`, `ranges` of the record numbers read,
+  /// `gaps`, and `next` where there is more: the value for `after`
+  boost::asio::awaitable<Result<boost::json::object>> Read(
+      const HttpRequest& request);
+
+ private:
+  boost::asio::awaitable<Result<std::string>> FillMinute(RefusalPage& page,
+                                                         std::int64_t minute,
+                                                         std::string after,
+                                                         Instant deadline);
+  boost::asio::awaitable<Result<boost::json::array>> TailGaps(
+      const RefusalPage& page,
+      Instant deadline);
+
+  const MonotonicClock& clock_;
+  PlatformClient platform_;
+  const FleetViewHolder& view_;
+};
+
+}  // namespace jackdaw
--- a/src/platform/client.cc
+++ b/src/platform/client.cc
@@ -17,10 +17,11 @@
                                const Endpoint& endpoint)
     : client_(context, clock, kKeptConnections), endpoint_(endpoint) {}
 
-asio::awaitable<Result<std::string>> PlatformClient::Call(std::string method,
-                                                          std::string target,
-                                                          std::string body,
-                                                          Instant deadline) {
+asio::awaitable<Result<HttpResponse>> PlatformClient::Exchange(
+    std::string method,
+    std::string target,
+    std::string body,
+    Instant deadline) {
   HttpRequest request{std::move(method),
                       std::move(target),
                       {{"Content-Type", "application/json"}},
@@ -41,6 +42,18 @@
                     "the platform answered " + std::to_string(status),
                     "check the platform's health"};
   }
+  co_return answer;
+}
+
+asio::awaitable<Result<std::string>> PlatformClient::Call(std::string method,
+                                                          std::string target,
+                                                          std::string body,
+                                                          Instant deadline) {
+  Result<HttpResponse> answer = co_await Exchange(
+      std::move(method), std::move(target), std::move(body), deadline);
+  if (!answer) {
+    co_return answer.error();
+  }
   co_return std::move(answer.value().body);
 }
 
@@ -69,6 +82,15 @@
   co_return body ? Result<void>(success()) : Result<void>(body.error());
 }
 
+asio::awaitable<Result<bool>> PlatformClient::CreateObject(std::string name,
+                                                           std::string bytes,
+                                                           Instant deadline) {
+  Result<HttpResponse> answer = co_await Exchange("PUT", "/v1/objects/" + name,
+                                                  std::move(bytes), deadline);
+  co_return answer ? Result<bool>(answer.value().status != 412)
+                   : Result<bool>(answer.error());
+}
+
 asio::awaitable<Result<std::string>> PlatformClient::GetObject(
     std::string name,
     Instant deadline) {
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -29,6 +29,11 @@
   boost::asio::awaitable<Result<void>> PutObject(std::string name,
                                                  std::string bytes,
                                                  Instant deadline);
+  /// Stores an object unless one has that name. @returns true when it was
+  /// created, false when the name was taken
+  boost::asio::awaitable<Result<bool>> CreateObject(std::string name,
+                                                    std::string bytes,
+                                                    Instant deadline);
   boost::asio::awaitable<Result<std::string>> GetObject(std::string name,
                                                         Instant deadline);
   /// Names of objects under a prefix, in order.
@@ -42,6 +47,10 @@
                                                 Instant deadline);
 
  private:
+  boost::asio::awaitable<Result<HttpResponse>> Exchange(std::string method,
+                                                        std::string target,
+                                                        std::string body,
+                                                        Instant deadline);
   boost::asio::awaitable<Result<std::string>> Call(std::string method,
                                                    std::string target,
                                                    std::string body,
--- a/src/record/refusal_log.cc
+++ b/src/record/refusal_log.cc
@@ -3,48 +3,40 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/json.hpp>
 
 namespace jackdaw {
 namespace {
 
 namespace asio = boost::asio;
 
-// Time between two batches.
-constexpr auto kBatchTime = std::chrono::milliseconds(250);
-// Time for one batch to be stored.
-constexpr Micros kStoreTime = 2s;
-// Records held while the object store cannot be reached.
-constexpr std::uint64_t kMaxPendingRecords = 200'000;
-
-std::string GapLine(Instant now, std::uint64_t lost) {
-  return boost::json::serialize(
-             boost::json::object{{"when_ms", ToMillis(now)}, {"gap", lost}}) +
-         "\n";
-}
+// Time between two looks at whether a batch is due.
+constexpr auto kTickTime = std::chrono::milliseconds(50);
+// Time between two looks at whether all is stored.
+constexpr auto kFlushTickTime = std::chrono::milliseconds(10);
+// Time that one Flush waits.
+constexpr Micros kFlushTime = 2s;
+// Bytes of records held while the object store cannot be reached.
+constexpr std::size_t kMaxBufferBytes = 8 * 1024 * 1024;
 
 }  // namespace
 
 RefusalLog::RefusalLog(Duty& duty,
                        const MonotonicClock& clock,
                        const Endpoint& platform,
-                       std::string prefix)
+                       const FleetViewHolder& view,
+                       RecordOwner owner)
     : duty_(duty),
       clock_(clock),
-      platform_(duty.context(), clock, platform),
-      prefix_(std::move(prefix)) {}
+      view_(view),
+      owner_(owner),
+      writer_(duty.context(), clock, platform),
+      buffer_(std::move(owner), kMaxBufferBytes, clock.Now()) {}
 
 void RefusalLog::Add(RefusalRecord record) {
   ++added_;
   auto shared = std::make_shared<RefusalRecord>(std::move(record));
-  const bool posted = duty_.TryPost([this, shared] {
-    if (pending_records_ >= kMaxPendingRecords) {
-      ++lost_;
-      return;
-    }
-    pending_ += EncodeRecordLine(*shared);
-    ++pending_records_;
-  });
+  const bool posted =
+      duty_.TryPost([this, shared] { buffer_.Add(clock_.Now(), *shared); });
   if (!posted) {
     ++lost_;
   }
@@ -55,34 +47,45 @@
 }
 
 asio::awaitable<Result<bool>> RefusalLog::Flush() {
-  if (const std::uint64_t lost = lost_.exchange(0); lost > 0) {
-    pending_ += GapLine(clock_.Now(), lost);
-  }
-  // The same bytes go to the same name until the store has confirmed them, so
-  // that a lost answer never doubles a batch.
-  if (writing_.empty()) {
-    writing_.swap(pending_);
-    pending_records_ = 0;
-  }
-  if (writing_.empty()) {
-    co_return true;
+  asio::steady_timer timer(duty_.context());
+  const Instant until = clock_.Now() + kFlushTime;
+  flushing_ = true;
+  while (!buffer_.all_stored() && clock_.Now() < until) {
+    timer.expires_after(kFlushTickTime);
+    co_await timer.async_wait(asio::use_awaitable);
   }
-  const std::string number = std::to_string(1'000'000'000 + sequence_);
-  Result<void> stored = co_await platform_.PutObject(
-      prefix_ + "/" + number, writing_, clock_.Now() + kStoreTime);
-  if (stored) {
-    ++sequence_;
-    writing_.clear();
+  flushing_ = false;
+  if (buffer_.all_stored()) {
+    static_cast<void>(co_await writer_.StoreEnd(owner_, buffer_.last(), true));
   }
-  co_return stored.has_value() && pending_.empty();
+  co_return buffer_.all_safe();
 }
 
 asio::awaitable<void> RefusalLog::Run() {
   asio::steady_timer timer(duty_.context());
   for (;;) {
-    timer.expires_after(kBatchTime);
+    buffer_.AddLost(clock_.Now(), lost_.exchange(0));
+    co_await WriteBatches();
+    timer.expires_after(kTickTime);
     co_await timer.async_wait(asio::use_awaitable);
-    static_cast<void>(co_await Flush());
+  }
+}
+
+// Stores what is due; all of it while a flush waits.
+asio::awaitable<void> RefusalLog::WriteBatches() {
+  for (;;) {
+    const std::size_t instances = view_.Get()->instances.size();
+    std::optional<LineBatch> batch =
+        flushing_ ? buffer_.AnyBatch()
+                  : buffer_.NextBatch(clock_.Now(), instances);
+    if (!batch) {
+      co_return;
+    }
+    Result<std::uint64_t> last = co_await writer_.Store(std::move(*batch));
+    if (!last) {
+      co_return;
+    }
+    buffer_.OnStored(std::min(last.value(), buffer_.last()));
   }
 }
 
--- a/src/record/refusal_log.h
+++ b/src/record/refusal_log.h
@@ -4,22 +4,23 @@
 #include <string>
 
 #include "core/duty.h"
-#include "platform/client.h"
+#include "instance/fleet_view.h"
+#include "record/batch_writer.h"
+#include "record/refusal_buffer.h"
 #include "record/refusal_record.h"
 
 namespace jackdaw {
 
-/// Collects refusal records and writes them to the object store in batches.
-/// A record that finds the ring full is counted, and the count is written as
-/// a gap with the next batch.
+/// Collects the refusal records of this instance and writes them to the
+/// object store. One coroutine writes; all others wait for it.
 class RefusalLog {
  public:
-  /// @param duty thread of the recorder @param prefix object name prefix that
-  /// no other incarnation uses
+  /// @param duty thread of the recorder
   RefusalLog(Duty& duty,
              const MonotonicClock& clock,
              const Endpoint& platform,
-             std::string prefix);
+             const FleetViewHolder& view,
+             RecordOwner owner);
 
   /// Hands over a record from any thread.
   void Add(RefusalRecord record);
@@ -27,22 +28,28 @@
   /// Starts the periodic writes.
   void Start();
 
-  /// Writes what is left. @returns whether all is stored
+  /// Writes without pauses until all is stored, then marks the end of this
+  /// incarnation; gives up after a while. On the recorder's thread.
+  /// @returns whether each record is stored or held by a peer
   boost::asio::awaitable<Result<bool>> Flush();
 
+  /// Records as they are held now; on the recorder's thread.
+  RefusalBuffer& buffer() { return buffer_; }
+
+  const RecordOwner& owner() const { return owner_; }
   std::uint64_t added() const { return added_.load(); }
 
  private:
   boost::asio::awaitable<void> Run();
+  boost::asio::awaitable<void> WriteBatches();
 
   Duty& duty_;
   const MonotonicClock& clock_;
-  PlatformClient platform_;
-  std::string prefix_;
-  std::string pending_;
-  std::uint64_t pending_records_ = 0;
-  std::string writing_;
-  std::uint64_t sequence_ = 0;
+  const FleetViewHolder& view_;
+  RecordOwner owner_;
+  BatchWriter writer_;
+  RefusalBuffer buffer_;
+  bool flushing_ = false;
   std::atomic<std::uint64_t> lost_{0};
   std::atomic<std::uint64_t> added_{0};
 };
--- a/src/replay/command.h
+++ b/src/replay/command.h
@@ -18,5 +18,6 @@
 std::span<const ReplayCommand> ReplayCommands();
 
 int BenchCommand(std::span<const std::string> arguments);
+int RefusalsCommand(std::span<const std::string> arguments);
 
 }  // namespace jackdaw
