Make calls at most once by a pure intent book with batched rows

Cause: each claim was one transaction, a conflict or lost answer was met by one read, a claim that took effect late left a row that nobody would end, and stored bodies had to be UTF-8. The book joins the writes of many calls into one transaction, resolves conflicts and lost answers by reading rows back, marks given-up and released claims as not run on condition of their version, and keeps bodies as Base64. Calls without an Idempotency-Key need no row and so run during outages of the store too. Conclusion: 60 random histories of 1500 steps with lost, late and dropped writes, outages and restarts: no call ran twice, no false "not run"; four mutants are caught.

--- /dev/null
+++ b/src/entry/answer_reader.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+
+#include "targets/relay.h"
+
+namespace jackdaw {
+
+/// A whole answer of a target, or why there is none.
+struct ReadAnswer {
+  Result<HttpResponse> answer;
+  /// On a failure: whether any byte of the request may have reached the target.
+  bool bytes_sent = false;
+
+  ReadAnswer(Result<HttpResponse> read, bool sent)
+      : answer(std::move(read)), bytes_sent(sent) {}
+};
+
+/// Reads an answer up to its explicit end. A truncated one is an error.
+/// @param head status and headers, where they were read already
+boost::asio::awaitable<ReadAnswer> ReadWholeAnswer(
+    std::shared_ptr<RelayPipe> pipe,
+    HttpResponse head);
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/entry/call_claim.cc
@@ -0,0 +1,131 @@
+#include "entry/call_claim.h"
+
+#include "core/digest.h"
+
+namespace jackdaw {
+namespace {
+
+namespace asio = boost::asio;
+
+// Longest time to try to store a claim.
+constexpr Micros kClaimTime = 2s;
+// Longest time that an answer waits for its call's row.
+constexpr Micros kStoreTime = 500ms;
+// Time after which the holder of a pending row is not expected to end it.
+constexpr Micros kHolderTime = 60s;
+
+ClaimOrder OrderFor(const HttpRequest& from,
+                    const CallerRequest& request,
+                    std::string_view service,
+                    Instant deadline) {
+  ClaimOrder order;
+  const std::string identity = request.workspace + "\n" + std::string(service) +
+                               "\n" +
+                               std::string(from.Header("Idempotency-Key"));
+  order.key = std::string(kIntentPrefix) + Sha256Hex(identity);
+  order.fingerprint =
+      Sha256Hex(from.method + "\n" + from.target + "\n" + from.body);
+  order.request_id = request.id;
+  order.deadline = deadline;
+  return order;
+}
+
+Refusal StoreDown(std::string reason, Instant now) {
+  return {RefusalKind::kStoreUnavailable, Ran::kNo, std::move(reason),
+          now + 2s};
+}
+
+// Refusal of a submission whose call another submission holds.
+Refusal RefusalFor(const ClaimAnswer& claim, Instant now) {
+  using Kind = ClaimAnswer::Kind;
+  if (claim.kind == Kind::kGaveUp) {
+    return StoreDown("the intent could not be stored in time", now);
+  }
+  if (claim.kind == Kind::kMismatch) {
+    return {RefusalKind::kIdempotencyConflict, Ran::kNo,
+            "the Idempotency-Key was used for a different request", Instant{}};
+  }
+  if (claim.kind == Kind::kPending && now < claim.written + kHolderTime) {
+    return {RefusalKind::kOutcomeUnknown, Ran::kUnknown,
+            "an earlier submission is under way", now + 1s};
+  }
+  if (claim.kind == Kind::kDone) {
+    return {RefusalKind::kOutcomeUnknown, Ran::kUnknown,
+            "the call ran with status " + std::to_string(claim.outcome.status) +
+                "; its answer was too large to keep",
+            Instant{}};
+  }
+  return {RefusalKind::kOutcomeUnknown, Ran::kUnknown,
+          "an earlier submission was dispatched, its outcome is not known",
+          Instant{}};
+}
+
+}  // namespace
+
+CallClaim::~CallClaim() {
+  if (granted_) {
+    context_.intents.Abandon(*granted_);
+  }
+}
+
+asio::awaitable<bool> CallClaim::Claim(HttpExchange& exchange,
+                                       const CallerRequest& request,
+                                       std::string_view service,
+                                       Instant deadline) {
+  const Instant until = std::min(deadline, context_.clock.Now() + kClaimTime);
+  ClaimOrder order = OrderFor(exchange.request(), request, service, until);
+  Result<ClaimAnswer> claim = co_await context_.intents.Claim(std::move(order));
+  if (!claim) {
+    Refusal refusal = StoreDown(claim.error().Line(), context_.clock.Now());
+    co_await refuser_.Refuse(exchange, request, std::move(refusal));
+    co_return false;
+  }
+  if (claim.value().kind == ClaimAnswer::Kind::kRun) {
+    granted_ = claim.value().call;
+    context_.events.Add(EventKind::kIntentStored, request.id, request.workspace,
+                        {}, std::string(service));
+    co_return true;
+  }
+  ClaimAnswer answer = std::move(claim.value());
+  co_await Answer(exchange, request, std::move(answer));
+  co_return false;
+}
+
+asio::awaitable<void> CallClaim::Answer(HttpExchange& exchange,
+                                        const CallerRequest& request,
+                                        ClaimAnswer claim) {
+  if (claim.kind == ClaimAnswer::Kind::kDone && !claim.outcome.body_left_out) {
+    HttpResponse response{claim.outcome.status, {}, claim.outcome.body};
+    response.headers.push_back({"Content-Type", claim.outcome.content_type});
+    response.headers.push_back({"X-Request-Id", request.id});
+    response.headers.push_back({"Idempotency-Replayed", "true"});
+    co_await exchange.Respond(std::move(response));
+    co_return;
+  }
+  Refusal refusal = RefusalFor(claim, context_.clock.Now());
+  co_await refuser_.Refuse(exchange, request, std::move(refusal));
+}
+
+asio::awaitable<void> CallClaim::Release() {
+  if (granted_) {
+    const CallId call = *granted_;
+    granted_.reset();
+    co_await context_.intents.Release(call, context_.clock.Now() + kStoreTime);
+  }
+}
+
+asio::awaitable<void> CallClaim::Finish(const HttpResponse& answer) {
+  if (granted_) {
+    const CallId call = *granted_;
+    granted_.reset();
+    StoredOutcome outcome;
+    outcome.status = answer.status;
+    outcome.content_type =
+        std::string(FindHeader(answer.headers, "Content-Type"));
+    outcome.body = answer.body;
+    co_await context_.intents.Finish(call, std::move(outcome),
+                                     context_.clock.Now() + kStoreTime);
+  }
+}
+
+}  // namespace jackdaw
--- a/src/entry/plain_service.cc
+++ b/src/entry/plain_service.cc
@@ -3,8 +3,6 @@
 #include <boost/asio/this_coro.hpp>
 #include <variant>
 
-#include "core/digest.h"
-
 namespace jackdaw {
 namespace {
 
@@ -13,8 +11,6 @@
 constexpr std::string_view kCallPath = "/call/";
 // Targets tried for one idempotent call.
 constexpr int kMaxAttempts = 3;
-// Time for the outcome of a call to be stored.
-constexpr Micros kStoreTime = 5s;
 
 HttpRequest ForTarget(const HttpRequest& from,
                       const CallerRequest& request,
@@ -43,11 +39,6 @@
   return to;
 }
 
-Refusal StoreDown(const Error& error, Instant now) {
-  return {RefusalKind::kStoreUnavailable, Ran::kNo,
-          "the intent could not be stored: " + error.Line(), now + 2s};
-}
-
 }  // namespace
 
 asio::awaitable<void> PlainService::Serve(HttpExchange& exchange,
@@ -84,74 +75,32 @@
   co_await Run(exchange, request, std::move(call));
 }
 
+// A call that may not be repeated is claimed first where the caller gave it
+// an Idempotency-Key. Without one no other submission can be told to be the
+// same call, so that a row would tell nobody anything: it is dispatched once.
 asio::awaitable<void> PlainService::Run(HttpExchange& exchange,
                                         const CallerRequest& request,
                                         Call call) {
-  const HttpRequest& from = exchange.request();
-  if (!call.admitted.idempotent) {
-    const auto given = from.Header("Idempotency-Key");
-    const std::string identity =
-        given.empty() ? "request:" + request.id : "key:" + std::string(given);
-    call.intent_key = "once/" + Sha256Hex(request.workspace + "\n" +
-                                          call.service + "\n" + identity);
-    call.fingerprint =
-        Sha256Hex(from.method + "\n" + from.target + "\n" + from.body);
-    const bool claimed = co_await Claim(exchange, request, call);
-    if (!claimed) {
+  CallClaim claim(context_, refuser_);
+  const bool keyed = !exchange.request().Header("Idempotency-Key").empty();
+  if (!call.admitted.idempotent && keyed) {
+    const bool granted = co_await claim.Claim(exchange, request, call.service,
+                                              call.admitted.deadline);
+    if (!granted) {
+      context_.decisions.Refund(request.workspace,
+                                call.admitted.charged_tokens);
       co_return;
     }
   }
-  co_await Dispatch(exchange, request, call);
-}
-
-// Stores the intent. @returns true when this request may be dispatched;
-// otherwise it has been answered
-asio::awaitable<bool> PlainService::Claim(HttpExchange& exchange,
-                                          const CallerRequest& request,
-                                          const Call& call) {
-  Result<IntentState> state = co_await context_.intents.Claim(
-      call.intent_key, call.fingerprint, request.id, call.admitted.deadline);
-  if (!state) {
-    context_.decisions.Refund(request.workspace, call.admitted.charged_tokens);
-    Refusal refusal = StoreDown(state.error(), context_.clock.Now());
-    co_await refuser_.Refuse(exchange, request, std::move(refusal));
-    co_return false;
-  }
-  switch (state.value().kind) {
-    case IntentState::Kind::kRun:
-      context_.events.Add(EventKind::kIntentStored, request.id,
-                          request.workspace, {}, call.service + call.path);
-      co_return true;
-    case IntentState::Kind::kDone: {
-      const StoredOutcome& outcome = state.value().outcome;
-      HttpResponse response{outcome.status, {}, outcome.body};
-      response.headers.push_back({"Content-Type", outcome.content_type});
-      response.headers.push_back({"Idempotency-Replayed", "true"});
-      co_await exchange.Respond(std::move(response));
-      co_return false;
-    }
-    case IntentState::Kind::kMismatch: {
-      Refusal refusal{RefusalKind::kIdempotencyConflict, Ran::kNo,
-                      "the Idempotency-Key was used for a different request",
-                      Instant{}};
-      co_await refuser_.Refuse(exchange, request, std::move(refusal));
-      co_return false;
-    }
-    case IntentState::Kind::kPending:
-      break;
-  }
-  Refusal refusal{RefusalKind::kOutcomeUnknown, Ran::kUnknown,
-                  "an earlier submission was dispatched, its outcome is not "
-                  "known",
-                  Instant{}};
-  co_await refuser_.Refuse(exchange, request, std::move(refusal));
-  co_return false;
+  co_await Dispatch(exchange, request, call, claim);
 }
 
 asio::awaitable<void> PlainService::Dispatch(HttpExchange& exchange,
                                              const CallerRequest& request,
-                                             const Call& call) {
+                                             const Call& call,
+                                             CallClaim& claim) {
   std::vector<std::string> tried;
+  bool any_byte_sent = false;
   Refusal refusal{RefusalKind::kNoTarget, Ran::kNo,
                   "no target of service '" + call.service + "' is up",
                   context_.clock.Now() + 1s};
@@ -165,21 +114,11 @@
     context_.events.Add(attempt == 0 ? EventKind::kRequestDispatched
                                      : EventKind::kRequestRetried,
                         request.id, request.workspace, target.name, {});
-    bool bytes_sent = false;
-    Result<HttpResponse> answer =
-        co_await Send(exchange.request(), request, call, target, bytes_sent);
+    ReadAnswer read = co_await Send(exchange.request(), request, call, target);
+    Result<HttpResponse>& answer = read.answer;
     context_.decisions.Finish(target.name, !answer);
     if (answer) {
-      if (!call.admitted.idempotent) {
-        StoredOutcome outcome;
-        outcome.status = answer.value().status;
-        outcome.content_type =
-            std::string(FindHeader(answer.value().headers, "Content-Type"));
-        outcome.body = answer.value().body;
-        static_cast<void>(co_await context_.intents.Store(
-            call.intent_key, call.fingerprint, request.id, std::move(outcome),
-            context_.clock.Now() + kStoreTime));
-      }
+      co_await claim.Finish(answer.value());
       HttpResponse response = ForCaller(answer.value(), request.id);
       co_await exchange.Respond(std::move(response));
       context_.events.Add(EventKind::kRequestFinished, request.id,
@@ -187,31 +126,31 @@
       co_return;
     }
     tried.push_back(target.name);
-    const bool may_have_run = bytes_sent && !call.admitted.idempotent;
+    any_byte_sent = any_byte_sent || read.bytes_sent;
+    const bool may_have_run = read.bytes_sent && !call.admitted.idempotent;
     refusal = {may_have_run ? RefusalKind::kOutcomeUnknown
                             : RefusalKind::kTargetFailed,
-               bytes_sent ? Ran::kUnknown : Ran::kNo, answer.error().Line(),
+               any_byte_sent ? Ran::kUnknown : Ran::kNo, answer.error().Line(),
                Instant{}};
     if (may_have_run) {
       break;
     }
   }
   if (refusal.ran == Ran::kNo) {
+    co_await claim.Release();
     context_.decisions.Refund(request.workspace, call.admitted.charged_tokens);
   }
   co_await refuser_.Refuse(exchange, request, std::move(refusal));
 }
 
 // Sends the call to one target and reads the whole answer.
-asio::awaitable<Result<HttpResponse>> PlainService::Send(
-    const HttpRequest& from,
-    const CallerRequest& request,
-    const Call& call,
-    const PickedTarget& target,
-    bool& bytes_sent) {
+asio::awaitable<ReadAnswer> PlainService::Send(const HttpRequest& from,
+                                               const CallerRequest& request,
+                                               const Call& call,
+                                               const PickedTarget& target) {
   const auto endpoint = ParseEndpoint(target.address);
   if (!endpoint) {
-    co_return endpoint.error();
+    co_return ReadAnswer(endpoint.error(), false);
   }
   RelayOrder order;
   order.endpoint = endpoint.value();
@@ -224,26 +163,10 @@
   const auto executor = co_await asio::this_coro::executor;
   auto pipe = context_.relay.Start(std::move(order), executor);
   if (!pipe) {
-    co_return pipe.error();
-  }
-  HttpResponse answer;
-  for (;;) {
-    std::optional<RelayItem> item = co_await pipe.value()->Pop(
-        std::chrono::steady_clock::time_point::max());
-    switch (item->kind) {
-      case RelayItem::Kind::kHead:
-        answer = std::move(item->head);
-        break;
-      case RelayItem::Kind::kChunk:
-        answer.body += item->bytes;
-        break;
-      case RelayItem::Kind::kFailure:
-        bytes_sent = item->bytes_sent;
-        co_return item->error;
-      case RelayItem::Kind::kEnd:
-        co_return answer;
-    }
+    co_return ReadAnswer(pipe.error(), false);
   }
+  HttpResponse head;
+  co_return co_await ReadWholeAnswer(pipe.value(), std::move(head));
 }
 
 }  // namespace jackdaw
--- a/src/entry/plain_service.h
+++ b/src/entry/plain_service.h
@@ -3,6 +3,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <string>
 
+#include "entry/answer_reader.h"
+#include "entry/call_claim.h"
 #include "entry/caller_request.h"
 #include "entry/refuser.h"
 #include "http/server.h"
@@ -21,30 +23,24 @@
                                      CallerRequest request);
 
  private:
-  // A call on its way: what was decided and the key of its intent row.
+  // A call on its way and what was decided for it.
   struct Call {
     Admitted admitted;
     std::string service;
     std::string path;
-    std::string intent_key;
-    std::string fingerprint;
   };
 
   boost::asio::awaitable<void> Run(HttpExchange& exchange,
                                    const CallerRequest& request,
                                    Call call);
-  boost::asio::awaitable<bool> Claim(HttpExchange& exchange,
-                                     const CallerRequest& request,
-                                     const Call& call);
   boost::asio::awaitable<void> Dispatch(HttpExchange& exchange,
                                         const CallerRequest& request,
-                                        const Call& call);
-  boost::asio::awaitable<Result<HttpResponse>> Send(
-      const HttpRequest& from,
-      const CallerRequest& request,
-      const Call& call,
-      const PickedTarget& target,
-      bool& bytes_sent);
+                                        const Call& call,
+                                        CallClaim& claim);
+  boost::asio::awaitable<ReadAnswer> Send(const HttpRequest& from,
+                                          const CallerRequest& request,
+                                          const Call& call,
+                                          const PickedTarget& target);
 
   InstanceContext& context_;
   Refuser& refuser_;
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -64,7 +64,7 @@
   Duty operator_duty{"operators", kRingTasks};
   Decisions decisions{clock, kBudgetShares};
   Relay relay{target_duty, clock};
-  IntentStore intents{platform_duty, clock, settings.platform};
+  IntentStore intents{platform_duty, clock, settings.platform, view};
   RefusalLog refusals{
       recorder_duty, clock, settings.platform,
       "refusals/" + settings.name + "-" + std::to_string(incarnation)};
@@ -136,6 +136,7 @@
   parts.watcher.Start(parts.SelfEntry(bound));
   parts.refusals.Start();
   parts.poller.Start();
+  parts.intents.Start();
   parts.decisions.Start();
   for (Duty* duty :
        {&parts.caller_duty, &parts.target_duty, &parts.platform_duty,
--- /dev/null
+++ b/src/once/intent_action.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "once/intent_row.h"
+#include "platform/table.h"
+
+namespace jackdaw {
+
+/// Number of a call within one IntentBook.
+using CallId = std::uint64_t;
+
+/// What a claim came to.
+struct ClaimAnswer {
+  enum class Kind : std::uint8_t {
+    /// The row is ours: the call may be dispatched once, now.
+    kRun,
+    /// The call ran and its outcome is stored.
+    kDone,
+    /// Another submission holds the row and may be running the call.
+    kPending,
+    /// The call was dispatched and its outcome will not be known.
+    kUnknown,
+    /// The row belongs to a different request.
+    kMismatch,
+    /// The row could not be stored in time: the call is not dispatched.
+    kGaveUp,
+  };
+  CallId call = 0;
+  Kind kind = Kind::kGaveUp;
+  StoredOutcome outcome;
+  /// When the row of another submission was written.
+  Instant written{};
+};
+
+/// Ask the table service to apply a transaction.
+struct SendTransaction {
+  std::uint64_t batch = 0;
+  Transaction transaction;
+};
+
+/// Ask the table service for rows.
+struct SendRead {
+  std::uint64_t batch = 0;
+  std::vector<std::string> keys;
+};
+
+/// The last write of a call is durable, or not needed any more.
+struct CallSettled {
+  CallId call = 0;
+};
+
+using IntentAction =
+    std::variant<SendTransaction, SendRead, ClaimAnswer, CallSettled>;
+
+}  // namespace jackdaw
--- a/src/once/intent_store.h
+++ b/src/once/intent_store.h
@@ -1,70 +1,87 @@
 #pragma once
 
+#include <atomic>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
 #include <string>
-#include <string_view>
-#include <variant>
 
 #include "core/duty.h"
+#include "instance/fleet_view.h"
+#include "once/expiry_sweep.h"
+#include "once/intent_book.h"
 #include "platform/client.h"
 
 namespace jackdaw {
 
-/// Outcome of a call, kept for resubmissions with the same key.
-struct StoredOutcome {
-  int status = 0;
-  std::string content_type;
-  std::string body;
+/// Submission of a call that must run at most once.
+struct ClaimOrder {
+  /// Row key of the call.
+  std::string key;
+  /// Digest of the request.
+  std::string fingerprint;
+  /// Unique over all instances.
+  std::string request_id;
+  /// Moment at which the claim is given up.
+  Instant deadline{};
 };
 
-/// What stands in the intent row of a call.
-struct IntentState {
-  enum class Kind : std::uint8_t {
-    /// The row is new and ours: the call may be dispatched once.
-    kRun,
-    /// The call ran and its outcome is stored.
-    kDone,
-    /// The call was dispatched and its outcome is not known.
-    kPending,
-    /// The row belongs to a different request.
-    kMismatch,
-  };
-  Kind kind = Kind::kPending;
-  StoredOutcome outcome;
-};
-
-/// Rows that make a non-idempotent call run at most once: an intent is stored
-/// before the first byte leaves, the outcome after the answer.
+/// Runs an IntentBook against the platform's table service, on the platform
+/// thread. Its methods may be awaited on any thread.
 class IntentStore {
  public:
   IntentStore(Duty& duty,
               const MonotonicClock& clock,
-              const Endpoint& platform);
+              const Endpoint& platform,
+              const FleetViewHolder& view);
+
+  /// Claims the right to dispatch a call.
+  /// @returns the answer; kRun must be followed by one Release, Abandon or
+  /// Finish. kOverloaded when too many calls are open; nothing was stored then
+  boost::asio::awaitable<Result<ClaimAnswer>> Claim(ClaimOrder order);
+
+  /// No byte of the call left: others may run it. Waits until that is stored.
+  /// @param until moment to stop waiting; the write goes on
+  boost::asio::awaitable<void> Release(CallId call, Instant until);
 
-  /// Claims the right to dispatch. @param key row key of the call
-  /// @param fingerprint digest of the request @param request_id its id here
-  /// @returns the state, or an error; then nothing may be dispatched
-  boost::asio::awaitable<Result<IntentState>> Claim(std::string key,
-                                                    std::string fingerprint,
-                                                    std::string request_id,
-                                                    Instant deadline);
+  /// The call ran with this outcome. Waits like Release.
+  boost::asio::awaitable<void> Finish(CallId call,
+                                      StoredOutcome outcome,
+                                      Instant until);
 
-  /// Stores the outcome of a call that was claimed.
-  boost::asio::awaitable<Result<void>> Store(std::string key,
-                                             std::string fingerprint,
-                                             std::string request_id,
-                                             StoredOutcome outcome,
-                                             Instant deadline);
+  /// The call's outcome will not be known. Returns at once.
+  void Abandon(CallId call);
+
+  /// Starts to delete rows that have expired, and to share the table's writes
+  /// among the instances seen.
+  void Start();
+
+  /// Calls with a claim or a write under way.
+  std::size_t open_calls() const { return open_calls_; }
 
  private:
-  boost::asio::awaitable<Result<IntentState>> ClaimHere(std::string key,
-                                                        std::string fingerprint,
-                                                        std::string request_id,
-                                                        Instant deadline);
+  // A coroutine on the platform thread that waits for a call.
+  struct Waiter;
+
+  boost::asio::awaitable<Result<ClaimAnswer>> ClaimHere(ClaimOrder order);
+  boost::asio::awaitable<Result<void>> Await(CallId call, Instant until);
+  boost::asio::awaitable<void> Send(SendTransaction send);
+  boost::asio::awaitable<void> Read(SendRead read);
+  boost::asio::awaitable<void> KeepUp();
+  boost::asio::awaitable<void> DeleteExpired(Micros keep);
+  void Pump();
+  void Act(IntentAction action);
 
   Duty& duty_;
   const MonotonicClock& clock_;
   PlatformClient platform_;
+  const FleetViewHolder& view_;
+  IntentBook book_{IntentLimits{}};
+  ExpirySweep sweep_;
+  std::map<CallId, std::shared_ptr<Waiter>> waiters_;
+  boost::asio::steady_timer wake_;
+  std::atomic<std::size_t> open_calls_{0};
 };
 
 }  // namespace jackdaw
--- /dev/null
+++ b/src/once/tests/intent_book_test.cc
@@ -0,0 +1,147 @@
+#include <boost/test/unit_test.hpp>
+
+#include "once/tests/once_world.h"
+
+namespace jackdaw {
+namespace {
+
+constexpr Instant kStart{1000s};
+
+// Polls once and returns the only action of a kind.
+template <typename T>
+T Only(IntentBook& book, Instant now) {
+  for (auto& action : book.Poll(now)) {
+    if (auto* found = std::get_if<T>(&action)) {
+      return std::move(*found);
+    }
+  }
+  BOOST_FAIL("no such action");
+  return {};
+}
+
+BOOST_AUTO_TEST_CASE(ABatchedConflictFailsNoOtherCall) {
+  MemoryTable table;
+  IntentBook book{IntentLimits{}};
+  IntentRow other;
+  other.fingerprint = "f";
+  other.request_id = "elsewhere";
+  table.Apply({{}, {{"once/b", EncodeIntentRow(other)}}});
+  for (const char* key : {"once/a", "once/b", "once/c"}) {
+    BOOST_TEST(book.Claim(kStart, key, "f", key, kStart + 1s).has_value());
+  }
+  Instant now = kStart + 3ms;
+  const auto first = Only<SendTransaction>(book, now);
+  BOOST_TEST(first.transaction.writes.size() == 3U);
+  book.OnCommit(now, first.batch, table.Apply(first.transaction));
+  const auto read = Only<SendRead>(book, now);
+  book.OnRows(now, read.batch, table.Read({read.keys, {}, 0}));
+  now += 3ms;
+  int pending = 0;
+  SendTransaction second;
+  for (auto& action : book.Poll(now)) {
+    if (const auto* answer = std::get_if<ClaimAnswer>(&action)) {
+      pending += answer->kind == ClaimAnswer::Kind::kPending ? 1 : 0;
+    } else {
+      second = std::get<SendTransaction>(action);
+    }
+  }
+  BOOST_TEST(pending == 1);
+  BOOST_TEST(second.transaction.writes.size() == 2U);
+  book.OnCommit(now, second.batch, table.Apply(second.transaction));
+  int granted = 0;
+  for (auto& action : book.Poll(now)) {
+    granted +=
+        std::get<ClaimAnswer>(action).kind == ClaimAnswer::Kind::kRun ? 1 : 0;
+  }
+  BOOST_TEST(granted == 2);
+}
+
+BOOST_AUTO_TEST_CASE(ALateClaimIsFencedAndTheResubmissionRuns) {
+  MemoryTable table;
+  IntentBook book{IntentLimits{}};
+  book.Claim(kStart, "once/a", "f", "r1", kStart + 10ms);
+  Instant now = kStart + 3ms;
+  const auto late = Only<SendTransaction>(book, now);
+  book.OnTransactionLost(now, late.batch);
+  now = kStart + 10ms;
+  BOOST_TEST((Only<ClaimAnswer>(book, now).kind == ClaimAnswer::Kind::kGaveUp));
+  now += 100ms;
+  const auto read = Only<SendRead>(book, now);
+  book.OnRows(now, read.batch, table.Read({read.keys, {}, 0}));
+  const auto mark = Only<SendTransaction>(book, now);
+  book.OnCommit(now, mark.batch, table.Apply(mark.transaction));
+  BOOST_TEST(!table.Apply(late.transaction).committed);
+  IntentBook other{IntentLimits{}};
+  other.Claim(now, "once/a", "f", "r2", now + 1s);
+  now += 3ms;
+  auto claim = Only<SendTransaction>(other, now);
+  other.OnCommit(now, claim.batch, table.Apply(claim.transaction));
+  const auto back = Only<SendRead>(other, now);
+  other.OnRows(now, back.batch, table.Read({back.keys, {}, 0}));
+  claim = Only<SendTransaction>(other, now + 3ms);
+  other.OnCommit(now, claim.batch, table.Apply(claim.transaction));
+  BOOST_TEST((Only<ClaimAnswer>(other, now).kind == ClaimAnswer::Kind::kRun));
+}
+
+BOOST_AUTO_TEST_CASE(AnOutcomeMayBeBinaryAndIsBounded) {
+  IntentRow row;
+  row.phase = IntentPhase::kDone;
+  row.fingerprint = "f";
+  row.request_id = "r";
+  row.outcome.status = 200;
+  for (int size = 0; size < 300; ++size) {
+    row.outcome.body.push_back(static_cast<char>(size));
+    const auto back = DecodeIntentRow(EncodeIntentRow(row));
+    BOOST_TEST_REQUIRE(back.has_value());
+    BOOST_TEST_REQUIRE((back.value().outcome.body == row.outcome.body));
+  }
+  row.outcome.body.assign(kMaxStoredBody + 1, 'x');
+  const StoredOutcome bounded = BoundOutcome(row.outcome);
+  BOOST_TEST(bounded.body_left_out);
+  BOOST_TEST(bounded.body.empty());
+}
+
+BOOST_AUTO_TEST_CASE(RandomHistoriesRunEachCallAtMostOnce) {
+  int ran = 0;
+  int replayed = 0;
+  int refused = 0;
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      OnceWorld world(seed, OnceMutant::kNone);
+      world.Run(1500);
+      world.Resubmit();
+      BOOST_TEST(world.doubled() == 0);
+      BOOST_TEST(world.false_no() == 0);
+      BOOST_TEST(world.lost() == 0);
+      BOOST_TEST(world.open_calls() == 0U);
+      ran += world.ran();
+      replayed += world.replayed();
+      refused += world.refused_no();
+    }
+  }
+  // The histories reach what they are meant to reach.
+  BOOST_TEST(ran > 1000);
+  BOOST_TEST(replayed > 1000);
+  BOOST_TEST(refused > 1000);
+}
+
+BOOST_AUTO_TEST_CASE(EachMutantIsCaught) {
+  for (const auto mutant :
+       {OnceMutant::kDispatchesAfterGivingUp, OnceMutant::kRunsPending,
+        OnceMutant::kTableWithoutChecks,
+        OnceMutant::kDeletesInsteadOfMarking}) {
+    int breaches = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      OnceWorld world(seed, mutant);
+      world.Run(1500);
+      world.Resubmit();
+      breaches += world.doubled() + world.false_no() + world.lost();
+    }
+    BOOST_TEST_CONTEXT("mutant " << static_cast<int>(mutant)) {
+      BOOST_TEST(breaches > 0);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace jackdaw
