--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -65,7 +65,7 @@
   Duty operator_duty{"operators", kRingTasks};
   Decisions decisions{clock, kBudgetShares};
   Relay relay{target_duty, clock};
-  IntentStore intents{platform_duty, clock, settings.platform};
+  IntentStore intents{platform_duty, clock, settings.platform, view};
   RefusalLog refusals{recorder_duty, clock, settings.platform, view,
                       RecordOwner{settings.name, incarnation}};
   InstanceContext context{settings, clock,     run_state, view,    metrics,
@@ -139,6 +139,7 @@
   parts.refusals.Start();
   parts.copies.Start();
   parts.poller.Start();
+  parts.intents.Start();
   parts.decisions.Start();
   for (Duty* duty :
        {&parts.caller_duty, &parts.target_duty, &parts.platform_duty,
