Memory ledger, leases and orders for targets

Orders are recorded in the lease's row before they are sent, so that the next holder counts every order that may still arrive as taken.

--- /dev/null
+++ b/src/lease/target_lease.cc
@@ -0,0 +1,100 @@
+#include "lease/target_lease.h"
+
+#include "core/invariant.h"
+
+namespace jackdaw {
+namespace {
+
+// A lease is renewed once this part of its term has gone by.
+constexpr int kRenewPart = 3;
+
+}  // namespace
+
+// A row that shows the attempted write settles an unknown outcome; any other
+// row that differs from the known one means that the lease is not ours.
+void TargetLease::OnRow(Instant now,
+                        std::uint64_t version,
+                        const LeaseRow& row) {
+  const bool write_under_way = attempted_ && unknown_asked_at_ == Instant{};
+  if (write_under_way || version < version_) {
+    return;
+  }
+  if (row_known_ && version == version_) {
+    if (unknown_asked_at_ != Instant{}) {
+      attempted_.reset();
+      unknown_asked_at_ = Instant{};
+    }
+    return;
+  }
+  CheckInvariant(row.fence >= row_.fence, "fencing numbers only grow");
+  if (attempted_ && unknown_asked_at_ != Instant{} && row.holder == self_ &&
+      row.stamp == attempted_->stamp && row.fence == attempted_->fence) {
+    Adopt(unknown_asked_at_, version);
+    return;
+  }
+  row_known_ = true;
+  version_ = version;
+  row_ = row;
+  unchanged_since_ = now;
+  attempted_.reset();
+  unknown_asked_at_ = Instant{};
+  deadline_ = Instant{};
+}
+
+std::optional<Transaction> TargetLease::Next(Instant now,
+                                             bool wanted,
+                                             const std::vector<Order>& pending,
+                                             bool must_write) {
+  if (!row_known_ || attempted_) {
+    return std::nullopt;
+  }
+  LeaseRow next = row_;
+  if (HeldAt(now)) {
+    const bool due = deadline_ - now < term_ - term_ / kRenewPart;
+    if (wanted && !due && !must_write) {
+      return std::nullopt;
+    }
+    next.pending = pending;
+    if (!wanted) {
+      // A release whose answer is lost may still take effect.
+      next.holder.clear();
+      deadline_ = Instant{};
+    }
+  } else {
+    const bool expired = row_.holder.empty() || now - unchanged_since_ >= term_;
+    if (!wanted || !expired) {
+      return std::nullopt;
+    }
+    next.holder = self_;
+    ++next.fence;
+  }
+  ++next.stamp;
+  Transaction transaction;
+  transaction.checks.push_back({key_, version_});
+  transaction.writes.push_back({key_, EncodeLease(next)});
+  attempted_ = std::move(next);
+  return transaction;
+}
+
+void TargetLease::Adopt(Instant asked_at, std::uint64_t version) {
+  CheckInvariant(attempted_.has_value(), "only an attempted write commits");
+  row_ = std::move(*attempted_);
+  attempted_.reset();
+  unknown_asked_at_ = Instant{};
+  version_ = version;
+  unchanged_since_ = asked_at;
+  deadline_ = row_.holder == self_ ? asked_at + term_ : Instant{};
+  held_fence_ = row_.fence;
+}
+
+void TargetLease::OnCommitted(Instant asked_at, std::uint64_t version) {
+  Adopt(asked_at, version);
+}
+
+void TargetLease::OnConflict() {
+  attempted_.reset();
+  deadline_ = Instant{};
+  row_known_ = false;
+}
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/orders/order.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <boost/json.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+#include "core/error.h"
+
+namespace jackdaw {
+
+/// What occupies accelerator memory.
+enum class ItemKind : std::uint8_t { kModel, kAdapter };
+
+/// One version of a model, or an adapter, at a target.
+struct Item {
+  ItemKind kind = ItemKind::kModel;
+  std::string name;
+  std::int64_t version = 1;
+
+  friend bool operator==(const Item& a, const Item& b) = default;
+  friend bool operator<(const Item& a, const Item& b) {
+    return std::tie(a.kind, a.name, a.version) <
+           std::tie(b.kind, b.name, b.version);
+  }
+};
+
+enum class OrderOp : std::uint8_t { kLoad, kUnload };
+
+/// An order to a model engine. `fence` is the fencing number of the lease
+/// under which it was given; an engine that checks it refuses older ones.
+struct Order {
+  std::string id;
+  std::uint64_t fence = 0;
+  OrderOp op = OrderOp::kLoad;
+  Item item;
+  std::int64_t memory_mb = 0;
+};
+
+/// State of an item as the engine tells it.
+enum class EngineItemState : std::uint8_t { kLoading, kResident, kUnloading };
+
+/// An item in the memory of an engine, in any state.
+struct EngineItem {
+  Item item;
+  std::int64_t memory_mb = 0;
+  EngineItemState state = EngineItemState::kResident;
+};
+
+boost::json::object ToJson(const Order& order);
+Result<Order> ReadOrder(const boost::json::value& value, std::string path);
+std::string EncodeOrder(const Order& order);
+Result<Order> DecodeOrder(std::string_view body);
+
+boost::json::array ToJson(const std::vector<EngineItem>& items);
+Result<std::vector<EngineItem>> ReadEngineItems(
+    const std::vector<boost::json::value>& values,
+    const std::string& path);
+
+/// Text such as `model m@2`, for people.
+std::string ToText(const Item& item);
+
+}  // namespace jackdaw
