Retries under budgets; crashing requests quarantined fleet-wide

Cause: each request was sent to up to three targets whatever failed, so a request that crashes its target brought down three of them, and again at each resend; retries had no bound of their own.

Retries now need the class of the route, time before the deadline and a budget of the workspace and of the target. A request in flight at a crash becomes a suspect: it runs again only alone, under a claim row, once every listed instance has said that it does not run it; a second crash quarantines it.

Tests: four engines with a crash hook, two instances: two engines fall, from whichever instance the request is sent, also when sent to both at once; while the store is down one falls and the request is refused.

--- a/src/decisions/decisions.cc
+++ b/src/decisions/decisions.cc
@@ -59,6 +59,7 @@
   duty_.TryPost([this, config = std::move(config)]() mutable {
     try {
       router_.OnConfig(*config);
+      retries_.OnConfig(*config);
       admission_.OnConfig(clock_.Now(), std::move(config));
     } catch (const InvariantBreach& breach) {
       Log(LogLevel::kError, "configuration not applied",
--- a/src/decisions/decisions.h
+++ b/src/decisions/decisions.h
@@ -8,6 +8,9 @@
 #include "core/clock.h"
 #include "core/duty.h"
 #include "decisions/admission.h"
+#include "decisions/dispatch.h"
+#include "quarantine/crash_ledger.h"
+#include "retry/retry_budget.h"
 #include "routing/router.h"
 
 namespace jackdaw {
@@ -30,6 +33,19 @@
       std::string service,
       std::vector<std::string> excluded);
 
+  /// Picks a target for an attempt where quarantine and retry budget allow it,
+  /// and counts the dispatch.
+  boost::asio::awaitable<Result<DispatchAnswer>> Dispatch(DispatchOrder order);
+  /// The attempt ended: its digest no longer runs at the target.
+  void FinishRun(std::string digest, std::string target);
+  /// Runs `use(ledger, now)` on the thread for decisions.
+  template <typename T, typename F>
+  boost::asio::awaitable<Result<T>> AskLedger(F use) {
+    return Ask<T>(duty_, [this, use = std::move(use)]() mutable -> Result<T> {
+      return use(ledger_, clock_.Now());
+    });
+  }
+
   /// The request left the target. @param failed whether the target failed
   void Finish(std::string target, bool failed);
   /// Gives back what a request was charged and did not use.
@@ -39,10 +55,17 @@
   void OnReportFailure(std::string target);
 
  private:
+  DispatchAnswer DispatchHere(const DispatchOrder& order);
+  bool Charge(Instant now,
+              const DispatchOrder& order,
+              const std::string& target);
+
   const MonotonicClock& clock_;
   Duty duty_;
   Admission<EqualSplit> admission_;
   Router router_;
+  RetryBudget retries_;
+  CrashLedger ledger_;
 };
 
 }  // namespace jackdaw
--- /dev/null
+++ b/src/entry/attempts.cc
@@ -0,0 +1,196 @@
+#include "entry/attempts.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "retry/retry_rule.h"
+
+namespace jackdaw {
+namespace {
+
+namespace asio = boost::asio;
+
+// Wait between two tries to claim a run.
+constexpr auto kClaimWait = std::chrono::milliseconds(250);
+// Time beyond a request's deadline for which its claim stands.
+constexpr Micros kClaimGrace = 5s;
+// Time after which a caller may find a target or the table service again.
+constexpr Micros kComeBack = 1s;
+
+}  // namespace
+
+Attempts::Attempts(InstanceContext& context, AttemptSubject subject)
+    : context_(context), subject_(std::move(subject)) {}
+
+DispatchOrder Attempts::Order() const {
+  DispatchOrder order;
+  order.workspace = subject_.workspace;
+  order.model = subject_.model;
+  order.service = subject_.service;
+  order.digest = subject_.digest;
+  order.excluded = tried_;
+  order.attempt = attempts_;
+  return order;
+}
+
+void Attempts::Refuse(RefusalKind kind, std::string reason, Instant retry_at) {
+  refusal_ = {kind, any_sent_ ? Ran::kUnknown : Ran::kNo, std::move(reason),
+              retry_at};
+}
+
+// An instance that has not read the suspects of the fleet would run one.
+asio::awaitable<bool> Attempts::Ready() {
+  if (context_.crashes.ready()) {
+    co_return true;
+  }
+  Result<bool> ready = co_await context_.crashes.EnsureReady();
+  if (!ready) {
+    Refuse(RefusalKind::kNotReady,
+           "quarantined requests not read yet: " + ready.error().Line(),
+           context_.clock.Now() + kComeBack);
+  }
+  co_return ready.has_value();
+}
+
+asio::awaitable<std::optional<PickedTarget>> Attempts::Next() {
+  const bool ready = co_await Ready();
+  if (!ready) {
+    co_return std::nullopt;
+  }
+  if (attempts_ > 0) {
+    const FailedAttempt failed{subject_.idempotent, last_sent_, attempts_,
+                               subject_.deadline};
+    if (CheckRetry(context_.clock.Now(), failed) != RetryDenial::kNone) {
+      co_return std::nullopt;
+    }
+  }
+  for (;;) {
+    Result<DispatchAnswer> answer =
+        co_await context_.decisions.Dispatch(Order());
+    if (!answer) {
+      Refuse(RefusalKind::kOverloaded, answer.error().message,
+             context_.clock.Now() + kComeBack);
+      co_return std::nullopt;
+    }
+    const DispatchAnswer& given = answer.value();
+    if (given.denial == DispatchDenial::kNone) {
+      co_return Begin(given.target, false);
+    }
+    if (given.denial != DispatchDenial::kNeedsClaim) {
+      Deny(given.denial, given.until);
+      co_return std::nullopt;
+    }
+    Result<ClaimAnswer> claim = co_await context_.crashes.Claim(
+        Order(), subject_.request_id, subject_.deadline + kClaimGrace);
+    if (claim && claim.value().denial == ClaimDenial::kNone) {
+      co_return Begin(claim.value().target, true);
+    }
+    const ClaimDenial denial =
+        claim ? claim.value().denial : ClaimDenial::kStoreDown;
+    const Instant next_try = context_.clock.Now() + kClaimWait;
+    if (denial != ClaimDenial::kBusy ||
+        next_try >= subject_.first_byte_deadline) {
+      DenyClaim(denial, claim ? claim.value().until : Instant{});
+      co_return std::nullopt;
+    }
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(kClaimWait);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+std::optional<PickedTarget> Attempts::Begin(const PickedTarget& target,
+                                            bool claimed) {
+  current_ = target;
+  claimed_ = claimed;
+  context_.events.Add(attempts_ == 0 ? EventKind::kRequestDispatched
+                                     : EventKind::kRequestRetried,
+                      subject_.request_id, subject_.workspace, target.name,
+                      claimed ? "alone" : "");
+  if (attempts_ > 0) {
+    context_.metrics.CountRetry();
+  }
+  ++attempts_;
+  return target;
+}
+
+// After a failed attempt its refusal stands, unless the request is now known
+// to crash targets.
+void Attempts::Deny(DispatchDenial denial, Instant until) {
+  const Instant soon = context_.clock.Now() + kComeBack;
+  if (denial == DispatchDenial::kQuarantined) {
+    Refuse(RefusalKind::kQuarantined,
+           "two targets crashed while this request ran", until);
+  } else if (attempts_ == 0) {
+    Refuse(RefusalKind::kNoTarget,
+           subject_.service.empty()
+               ? "no target can serve model '" + subject_.model + "'"
+               : "no target of service '" + subject_.service + "' is up",
+           soon);
+  } else if (denial == DispatchDenial::kRetryBudget) {
+    refusal_.reason += "; the retry budget is spent";
+  }
+}
+
+void Attempts::DenyClaim(ClaimDenial denial, Instant until) {
+  const Instant soon = context_.clock.Now() + kComeBack;
+  const std::string known = "a target crashed while this request ran; ";
+  switch (denial) {
+    case ClaimDenial::kQuarantined:
+      Deny(DispatchDenial::kQuarantined, until);
+      return;
+    case ClaimDenial::kStoreDown:
+      Refuse(RefusalKind::kStoreUnavailable,
+             known + "whether it may run again cannot be stored", soon);
+      return;
+    case ClaimDenial::kNone:
+    case ClaimDenial::kBusy:
+    case ClaimDenial::kPeersSilent:
+    case ClaimDenial::kNoTarget:
+    case ClaimDenial::kRetryBudget:
+      break;
+  }
+  Refuse(RefusalKind::kNoTarget,
+         known + (denial == ClaimDenial::kPeersSilent
+                      ? "not every instance says that it does not run it"
+                      : "no target is free to run it alone"),
+         soon);
+}
+
+asio::awaitable<void> Attempts::Failed(Error error, bool bytes_sent) {
+  any_sent_ = any_sent_ || bytes_sent;
+  last_sent_ = bytes_sent;
+  const bool unknown = bytes_sent && !subject_.idempotent;
+  Refuse(unknown ? RefusalKind::kOutcomeUnknown : RefusalKind::kTargetFailed,
+         error.Line(), unknown ? Instant{} : context_.clock.Now() + kComeBack);
+  tried_.push_back(current_.name);
+  context_.decisions.Finish(current_.name, true);
+  if (!bytes_sent || error.kind == ErrorKind::kTimeout) {
+    co_await Ended(false);
+    co_return;
+  }
+  BrokenRun broken{subject_.request_id, subject_.digest, current_, claimed_};
+  Result<BreakVerdict> verdict =
+      co_await context_.crashes.OnBroken(std::move(broken));
+  if (!claimed_) {
+    context_.decisions.FinishRun(subject_.digest, current_.name);
+  }
+  if (verdict && verdict.value() != BreakVerdict::kNotCrashed) {
+    const bool quarantined = verdict.value() == BreakVerdict::kQuarantined;
+    context_.events.Add(EventKind::kQuarantined, subject_.request_id,
+                        subject_.workspace, current_.name,
+                        quarantined ? "quarantined" : "suspect");
+  }
+}
+
+asio::awaitable<void> Attempts::Ended(bool whole) {
+  if (!claimed_) {
+    context_.decisions.FinishRun(subject_.digest, current_.name);
+    co_return;
+  }
+  static_cast<void>(co_await context_.crashes.Release(
+      subject_.request_id, subject_.digest, current_.name, whole));
+}
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/entry/attempts.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/refusal.h"
+#include "instance/context.h"
+
+namespace jackdaw {
+
+/// The request whose attempts are made.
+struct AttemptSubject {
+  std::string request_id;
+  std::string workspace;
+  /// Model, empty for a plain service.
+  std::string model;
+  std::string service;
+  /// Digest of the request, the same wherever it is sent again.
+  std::string digest;
+  bool idempotent = false;
+  Instant deadline{};
+  Instant first_byte_deadline{};
+};
+
+/// The attempts of one request at targets: which target comes next, whether
+/// another attempt is allowed, and what the caller is told when none is. For
+/// each target that Next gives, Failed or Ended is called once.
+class Attempts {
+ public:
+  Attempts(InstanceContext& context, AttemptSubject subject);
+
+  /// Picks the target of the next attempt. @returns nothing where the request
+  /// has to be refused; `refusal` then says why
+  boost::asio::awaitable<std::optional<PickedTarget>> Next();
+
+  /// The attempt failed. @param bytes_sent whether any byte may have reached
+  /// the target
+  boost::asio::awaitable<void> Failed(Error error, bool bytes_sent);
+
+  /// The attempt ended without a failure of the target. @param whole whether
+  /// the whole answer came
+  boost::asio::awaitable<void> Ended(bool whole);
+
+  const Refusal& refusal() const { return refusal_; }
+
+ private:
+  boost::asio::awaitable<bool> Ready();
+  boost::asio::awaitable<std::optional<PickedTarget>> ClaimRun();
+  std::optional<PickedTarget> Begin(const PickedTarget& target, bool claimed);
+  void Deny(DispatchDenial denial, Instant until);
+  void DenyClaim(ClaimDenial denial, Instant until);
+  void Refuse(RefusalKind kind, std::string reason, Instant retry_at);
+  DispatchOrder Order() const;
+
+  InstanceContext& context_;
+  AttemptSubject subject_;
+  Refusal refusal_;
+  std::vector<std::string> tried_;
+  PickedTarget current_;
+  bool claimed_ = false;
+  bool any_sent_ = false;
+  bool last_sent_ = false;
+  int attempts_ = 0;
+};
+
+}  // namespace jackdaw
--- a/src/entry/model_service.cc
+++ b/src/entry/model_service.cc
@@ -3,13 +3,13 @@
 #include <boost/asio/this_coro.hpp>
 #include <variant>
 
+#include "core/digest.h"
+
 namespace jackdaw {
 namespace {
 
 namespace asio = boost::asio;
 
-// Targets tried for one request.
-constexpr int kMaxAttempts = 3;
 // Longest wait between two looks at whether a stream's key still lives.
 constexpr auto kKeyCheckTime = std::chrono::milliseconds(250);
 
@@ -28,6 +28,36 @@
   return to;
 }
 
+// What the attempts of a completion are made for. The digest leaves out who
+// asks, so that a crashing request is known whoever sends it.
+AttemptSubject SubjectOf(const HttpRequest& from,
+                         const CallerRequest& request,
+                         const Admitted& admitted,
+                         const std::string& model) {
+  AttemptSubject subject;
+  subject.request_id = request.id;
+  subject.workspace = request.workspace;
+  subject.model = model;
+  subject.digest = Sha256Hex(std::string(from.Path()) + "\n" + from.body);
+  subject.idempotent = true;
+  subject.deadline = admitted.deadline;
+  subject.first_byte_deadline = admitted.first_byte_deadline;
+  return subject;
+}
+
+// A whole answer with a server error is no crash: kTimeout stands for it.
+Error WhyNotOpened(const std::optional<RelayItem>& item) {
+  if (!item) {
+    return {ErrorKind::kTimeout, "no answer before the deadline", "send again"};
+  }
+  if (item->kind == RelayItem::Kind::kFailure) {
+    return item->error;
+  }
+  return {ErrorKind::kTimeout,
+          "target answered " + std::to_string(item->head.status),
+          "check the target"};
+}
+
 Refusal TargetFailed(const Error& error, Ran ran, Instant now) {
   if (error.kind == ErrorKind::kNotFound) {
     return {RefusalKind::kNoTarget, Ran::kNo, error.message, now + 1s};
@@ -78,12 +108,12 @@
   context_.metrics.CountRequest(request.workspace);
   context_.events.Add(EventKind::kRequestAdmitted, request.id,
                       request.workspace, {}, model.model);
-  Result<Opened> opened = co_await Open(from, request, admitted, model.model);
+  Attempts attempts(context_, SubjectOf(from, request, admitted, model.model));
+  std::optional<Opened> opened =
+      co_await Open(from, request, admitted, attempts);
   if (!opened) {
     context_.decisions.Refund(request.workspace, admitted.charged_tokens);
-    Refusal refusal =
-        TargetFailed(opened.error(), Ran::kUnknown, context_.clock.Now());
-    co_await refuser_.Refuse(exchange, request, std::move(refusal));
+    co_await refuser_.Refuse(exchange, request, attempts.refusal());
     co_return;
   }
   context_.metrics.ObserveFirstByte(
@@ -91,11 +121,13 @@
       1000.0);
   std::int64_t tokens = -1;
   const bool whole =
-      model.stream
-          ? co_await PassStream(exchange, request, opened.value(), tokens)
-          : co_await PassWhole(exchange, request, opened.value(), tokens);
-  opened.value().pipe->Close();
-  context_.decisions.Finish(opened.value().target, !whole);
+      model.stream ? co_await PassStream(exchange, request, *opened, tokens)
+                   : co_await PassWhole(exchange, request, *opened, tokens);
+  opened->pipe->Close();
+  if (!opened->failed) {
+    context_.decisions.Finish(opened->target, !whole);
+    co_await attempts.Ended(whole);
+  }
   if (tokens >= 0) {
     const std::int64_t unused =
         admitted.charged_tokens - model.prompt_tokens - tokens;
@@ -103,41 +135,27 @@
                               std::max<std::int64_t>(0, unused));
   }
   context_.events.Add(EventKind::kRequestFinished, request.id,
-                      request.workspace, opened.value().target,
+                      request.workspace, opened->target,
                       whole ? "whole" : "ended early");
 }
 
 // Sends the request to a target and waits for the head of its answer. A
 // completion is idempotent, so a failure before the head allows another try.
-asio::awaitable<Result<ModelService::Opened>> ModelService::Open(
+asio::awaitable<std::optional<ModelService::Opened>> ModelService::Open(
     const HttpRequest& from,
     const CallerRequest& request,
     const Admitted& admitted,
-    const std::string& model) {
+    Attempts& attempts) {
   const auto executor = co_await asio::this_coro::executor;
-  std::vector<std::string> tried;
-  Error last{ErrorKind::kNotFound, "no target can serve model '" + model + "'",
-             "check the targets"};
-  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
-    Result<std::optional<PickedTarget>> picked =
-        co_await context_.decisions.Pick(model, {}, tried);
-    if (!picked) {
-      co_return picked.error();
-    }
-    if (!picked.value()) {
-      co_return last;
-    }
-    const PickedTarget target = *picked.value();
-    context_.events.Add(attempt == 0 ? EventKind::kRequestDispatched
-                                     : EventKind::kRequestRetried,
-                        request.id, request.workspace, target.name, {});
-    if (attempt > 0) {
-      context_.metrics.CountRetry();
+  for (;;) {
+    const std::optional<PickedTarget> target = co_await attempts.Next();
+    if (!target) {
+      co_return std::nullopt;
     }
-    const auto endpoint = ParseEndpoint(target.address);
+    const auto endpoint = ParseEndpoint(target->address);
     if (!endpoint) {
-      context_.decisions.Finish(target.name, true);
-      co_return endpoint.error();
+      co_await attempts.Failed(endpoint.error(), false);
+      continue;
     }
     RelayOrder order;
     order.endpoint = endpoint.value();
@@ -147,29 +165,22 @@
     order.between_bytes = admitted.between_bytes;
     auto pipe = context_.relay.Start(std::move(order), executor);
     if (!pipe) {
-      context_.decisions.Finish(target.name, false);
-      co_return pipe.error();
+      co_await attempts.Failed(pipe.error(), false);
+      continue;
     }
     std::optional<RelayItem> item = co_await pipe.value()->Pop(
         SteadyIn(admitted.deadline - context_.clock.Now()));
     if (item && item->kind == RelayItem::Kind::kHead &&
         item->head.status < 500) {
-      co_return Opened{target.name, pipe.value(), std::move(item->head)};
+      co_return Opened{target->name, pipe.value(), std::move(item->head),
+                       &attempts, false};
     }
     pipe.value()->Close();
-    context_.decisions.Finish(target.name, true);
-    tried.push_back(target.name);
-    last = Error{ErrorKind::kTimeout, "no answer before the deadline",
-                 "send again"};
-    if (item) {
-      last = item->kind == RelayItem::Kind::kFailure
-                 ? item->error
-                 : Error{ErrorKind::kUnavailable,
-                         "target answered " + std::to_string(item->head.status),
-                         "check the target"};
-    }
+    const bool sent =
+        !item || item->kind == RelayItem::Kind::kHead || item->bytes_sent;
+    const Error failure = WhyNotOpened(item);
+    co_await attempts.Failed(failure, sent);
   }
-  co_return last;
 }
 
 asio::awaitable<bool> ModelService::PassWhole(HttpExchange& exchange,
@@ -181,6 +192,8 @@
     std::optional<RelayItem> item =
         co_await opened.pipe->Pop(std::chrono::steady_clock::time_point::max());
     if (item->kind == RelayItem::Kind::kFailure) {
+      opened.failed = true;
+      co_await opened.attempts->Failed(item->error, true);
       Refusal refusal =
           TargetFailed(item->error, Ran::kUnknown, context_.clock.Now());
       co_await refuser_.Refuse(exchange, request, std::move(refusal));
@@ -233,6 +246,8 @@
       tokens = scanner.events();
       co_return co_await exchange.EndStream();
     } else {
+      opened.failed = true;
+      co_await opened.attempts->Failed(item->error, true);
       Refusal refusal{RefusalKind::kTargetFailed, Ran::kUnknown,
                       "the stream broke off: " + item->error.Line(),
                       context_.clock.Now() + 1s};
--- a/src/entry/model_service.h
+++ b/src/entry/model_service.h
@@ -2,9 +2,11 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "entry/attempts.h"
 #include "entry/caller_request.h"
 #include "entry/event_scanner.h"
 #include "entry/model_request.h"
@@ -30,12 +32,16 @@
     std::string target;
     std::shared_ptr<RelayPipe> pipe;
     HttpResponse head;
+    Attempts* attempts = nullptr;
+    /// Set once the target failed during the answer; `attempts` knows it.
+    bool failed = false;
   };
 
-  boost::asio::awaitable<Result<Opened>> Open(const HttpRequest& from,
-                                              const CallerRequest& request,
-                                              const Admitted& admitted,
-                                              const std::string& model);
+  boost::asio::awaitable<std::optional<Opened>> Open(
+      const HttpRequest& from,
+      const CallerRequest& request,
+      const Admitted& admitted,
+      Attempts& attempts);
   boost::asio::awaitable<bool> PassWhole(HttpExchange& exchange,
                                          const CallerRequest& request,
                                          Opened& opened,
--- a/src/entry/plain_service.cc
+++ b/src/entry/plain_service.cc
@@ -11,8 +11,6 @@
 namespace asio = boost::asio;
 
 constexpr std::string_view kCallPath = "/call/";
-// Targets tried for one idempotent call.
-constexpr int kMaxAttempts = 3;
 // Time for the outcome of a call to be stored.
 constexpr Micros kStoreTime = 5s;
 
@@ -50,6 +48,23 @@
 
 }  // namespace
 
+// What the attempts of a call are made for. The digest leaves out who asks, so
+// that a crashing call is known whoever sends it.
+AttemptSubject PlainService::SubjectOf(const HttpRequest& from,
+                                       const CallerRequest& request,
+                                       const Call& call) {
+  AttemptSubject subject;
+  subject.request_id = request.id;
+  subject.workspace = request.workspace;
+  subject.service = call.service;
+  subject.digest =
+      Sha256Hex(from.method + "\n" + from.target + "\n" + from.body);
+  subject.idempotent = call.admitted.idempotent;
+  subject.deadline = call.admitted.deadline;
+  subject.first_byte_deadline = call.admitted.first_byte_deadline;
+  return subject;
+}
+
 asio::awaitable<void> PlainService::Serve(HttpExchange& exchange,
                                           CallerRequest request) {
   const HttpRequest& from = exchange.request();
@@ -151,55 +166,41 @@
 asio::awaitable<void> PlainService::Dispatch(HttpExchange& exchange,
                                              const CallerRequest& request,
                                              const Call& call) {
-  std::vector<std::string> tried;
-  Refusal refusal{RefusalKind::kNoTarget, Ran::kNo,
-                  "no target of service '" + call.service + "' is up",
-                  context_.clock.Now() + 1s};
-  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
-    Result<std::optional<PickedTarget>> picked =
-        co_await context_.decisions.Pick({}, call.service, tried);
-    if (!picked || !picked.value()) {
+  Attempts attempts(context_, SubjectOf(exchange.request(), request, call));
+  for (;;) {
+    const std::optional<PickedTarget> target = co_await attempts.Next();
+    if (!target) {
       break;
     }
-    const PickedTarget target = *picked.value();
-    context_.events.Add(attempt == 0 ? EventKind::kRequestDispatched
-                                     : EventKind::kRequestRetried,
-                        request.id, request.workspace, target.name, {});
     bool bytes_sent = false;
     Result<HttpResponse> answer =
-        co_await Send(exchange.request(), request, call, target, bytes_sent);
-    context_.decisions.Finish(target.name, !answer);
-    if (answer) {
-      if (!call.admitted.idempotent) {
-        StoredOutcome outcome;
-        outcome.status = answer.value().status;
-        outcome.content_type =
-            std::string(FindHeader(answer.value().headers, "Content-Type"));
-        outcome.body = answer.value().body;
-        static_cast<void>(co_await context_.intents.Store(
-            call.intent_key, call.fingerprint, request.id, std::move(outcome),
-            context_.clock.Now() + kStoreTime));
-      }
-      HttpResponse response = ForCaller(answer.value(), request.id);
-      co_await exchange.Respond(std::move(response));
-      context_.events.Add(EventKind::kRequestFinished, request.id,
-                          request.workspace, target.name, "whole");
-      co_return;
+        co_await Send(exchange.request(), request, call, *target, bytes_sent);
+    if (!answer) {
+      co_await attempts.Failed(answer.error(), bytes_sent);
+      continue;
     }
-    tried.push_back(target.name);
-    const bool may_have_run = bytes_sent && !call.admitted.idempotent;
-    refusal = {may_have_run ? RefusalKind::kOutcomeUnknown
-                            : RefusalKind::kTargetFailed,
-               bytes_sent ? Ran::kUnknown : Ran::kNo, answer.error().Line(),
-               Instant{}};
-    if (may_have_run) {
-      break;
+    context_.decisions.Finish(target->name, false);
+    if (!call.admitted.idempotent) {
+      StoredOutcome outcome;
+      outcome.status = answer.value().status;
+      outcome.content_type =
+          std::string(FindHeader(answer.value().headers, "Content-Type"));
+      outcome.body = answer.value().body;
+      static_cast<void>(co_await context_.intents.Store(
+          call.intent_key, call.fingerprint, request.id, std::move(outcome),
+          context_.clock.Now() + kStoreTime));
     }
+    HttpResponse response = ForCaller(answer.value(), request.id);
+    co_await exchange.Respond(std::move(response));
+    co_await attempts.Ended(true);
+    context_.events.Add(EventKind::kRequestFinished, request.id,
+                        request.workspace, target->name, "whole");
+    co_return;
   }
-  if (refusal.ran == Ran::kNo) {
+  if (attempts.refusal().ran == Ran::kNo) {
     context_.decisions.Refund(request.workspace, call.admitted.charged_tokens);
   }
-  co_await refuser_.Refuse(exchange, request, std::move(refusal));
+  co_await refuser_.Refuse(exchange, request, attempts.refusal());
 }
 
 // Sends the call to one target and reads the whole answer.
--- a/src/entry/plain_service.h
+++ b/src/entry/plain_service.h
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <string>
 
+#include "entry/attempts.h"
 #include "entry/caller_request.h"
 #include "entry/refuser.h"
 #include "http/server.h"
@@ -30,6 +31,9 @@
     std::string fingerprint;
   };
 
+  static AttemptSubject SubjectOf(const HttpRequest& from,
+                                  const CallerRequest& request,
+                                  const Call& call);
   boost::asio::awaitable<void> Run(HttpExchange& exchange,
                                    const CallerRequest& request,
                                    Call call);
--- a/src/instance/context.h
+++ b/src/instance/context.h
@@ -5,6 +5,7 @@
 #include "instance/metrics.h"
 #include "instance/run_state.h"
 #include "once/intent_store.h"
+#include "quarantine/crash_guard.h"
 #include "record/refusal_log.h"
 #include "settings/instance_settings.h"
 #include "targets/relay.h"
@@ -24,6 +25,7 @@
   Relay& relay;
   IntentStore& intents;
   RefusalLog& refusals;
+  CrashGuard& crashes;
 };
 
 }  // namespace jackdaw
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -68,8 +68,6 @@
   RefusalLog refusals{
       recorder_duty, clock, settings.platform,
       "refusals/" + settings.name + "-" + std::to_string(incarnation)};
-  InstanceContext context{settings, clock,     run_state, view,    metrics,
-                          events,   decisions, relay,     intents, refusals};
   FleetWatcher watcher{
       platform_duty,
       clock,
@@ -91,6 +89,13 @@
                     [this](std::uint64_t version, std::string document) {
                       watcher.Apply({version, "relayed", std::move(document)});
                     }};
+  TargetProbe probe{target_duty, clock, relay};
+  CrashGuard crashes{platform_duty, clock, settings.platform,
+                     settings.name, view,  decisions,
+                     peers,         probe};
+  InstanceContext context{settings, clock,    run_state, view,
+                          metrics,  events,   decisions, relay,
+                          intents,  refusals, crashes};
   ReportPoller poller{target_duty, clock, relay, view, decisions};
   CallerService callers{context, settings.name + "-" + RandomHex(4) + "-"};
   std::function<void()> begin_drain;
@@ -135,6 +140,7 @@
   BoundAddresses bound{ToText(entry), ToText(operators), peer};
   parts.watcher.Start(parts.SelfEntry(bound));
   parts.refusals.Start();
+  parts.crashes.Start();
   parts.poller.Start();
   parts.decisions.Start();
   for (Duty* duty :
--- /dev/null
+++ b/src/quarantine/suspect.cc
@@ -0,0 +1,28 @@
+#include "quarantine/suspect.h"
+
+#include <algorithm>
+
+namespace jackdaw {
+namespace {
+
+// Targets that a request may bring down before it is quarantined.
+constexpr std::size_t kMostCrashes = 2;
+
+}  // namespace
+
+void Suspect::Merge(const Suspect& other) {
+  for (const auto& target : other.targets) {
+    AddCrash(target, false);
+  }
+  until = std::max(until, other.until);
+  quarantined = quarantined || other.quarantined;
+}
+
+void Suspect::AddCrash(std::string target, bool claimed) {
+  if (std::find(targets.begin(), targets.end(), target) == targets.end()) {
+    targets.push_back(std::move(target));
+  }
+  quarantined = quarantined || claimed || targets.size() >= kMostCrashes;
+}
+
+}  // namespace jackdaw
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -54,6 +54,7 @@
   state.reported = true;
   state.reported_work = report.running + report.waiting;
   state.leaving = report.leaving;
+  state.incarnation = report.incarnation;
   state.models = report.models;
 }
 
@@ -85,8 +86,11 @@
       continue;
     }
     const std::int64_t work = std::max(state.outstanding, state.reported_work);
+    if (name == need.preferred) {
+      return PickedTarget{name, state.address, state.incarnation};
+    }
     if (!best || work < best_work) {
-      best = PickedTarget{name, state.address};
+      best = PickedTarget{name, state.address, state.incarnation};
       best_work = work;
     }
   }
@@ -109,7 +113,7 @@
 std::vector<PickedTarget> Router::Targets() const {
   std::vector<PickedTarget> all;
   for (const auto& [name, state] : targets_) {
-    all.push_back({name, state.address});
+    all.push_back({name, state.address, state.incarnation});
   }
   return all;
 }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -22,12 +22,16 @@
   std::string_view service;
   /// Targets already tried for this request.
   std::span<const std::string> excluded;
+  /// Target to take where it can serve the request; empty for none.
+  std::string_view preferred = {};
 };
 
 /// A target picked for a request.
 struct PickedTarget {
   std::string name;
   std::string address;
+  /// Incarnation that the target last reported, 0 where not known.
+  std::int64_t incarnation = 0;
 };
 
 /// Chooses the target of each request: the one with the least expected work
@@ -56,6 +60,7 @@
     TargetKind kind = TargetKind::kEngine;
     std::int64_t outstanding = 0;
     std::int64_t reported_work = 0;
+    std::int64_t incarnation = 0;
     Instant down_until{};
     bool leaving = false;
     bool reported = false;
--- a/src/routing/target_report.cc
+++ b/src/routing/target_report.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::int64_t kMaxCount = 1'000'000'000;
+constexpr std::int64_t kMaxIncarnation = 1LL << 60;
 
 }  // namespace
 
@@ -18,6 +19,7 @@
       {"memory_mb", report.memory_mb},
       {"used_mb", report.used_mb},
       {"leaving", report.leaving},
+      {"incarnation", report.incarnation},
       {"models", boost::json::value_from(report.models)},
       {"adapters", boost::json::value_from(report.adapters)}});
 }
@@ -31,6 +33,7 @@
   report.memory_mb = reader.IntegerOr("memory_mb", 0, kMaxCount, 0);
   report.used_mb = reader.IntegerOr("used_mb", 0, kMaxCount, 0);
   report.leaving = reader.FlagOr("leaving", false);
+  report.incarnation = reader.IntegerOr("incarnation", 0, kMaxIncarnation, 0);
   report.models = reader.TextsOr("models");
   report.adapters = reader.TextsOr("adapters");
   BOOST_OUTCOME_TRY(reader.Finish());
--- a/src/routing/target_report.h
+++ b/src/routing/target_report.h
@@ -16,6 +16,8 @@
   std::int64_t memory_mb = 0;
   std::int64_t used_mb = 0;
   bool leaving = false;
+  /// Number that differs after each start of the target; 0 where not told.
+  std::int64_t incarnation = 0;
   std::vector<std::string> models;
   std::vector<std::string> adapters;
 };
--- a/src/standin/engine_standin.cc
+++ b/src/standin/engine_standin.cc
@@ -139,7 +139,13 @@
   if (!faults_.crash_on.empty() &&
       request.body.find(faults_.crash_on) != std::string::npos) {
     std::fprintf(stderr, "%s: crash on request\n", shape_.name.c_str());
-    std::_Exit(3);
+    if (!shape_.crash) {
+      std::_Exit(3);
+    }
+    shape_.crash();
+    ++shape_.incarnation;
+    exchange.CloseAfter();
+    co_return;
   }
   if (faults_.silent > 0) {
     --faults_.silent;
@@ -224,6 +230,7 @@
   report.running = running_;
   report.memory_mb = shape_.memory_mb;
   report.leaving = faults_.leaving;
+  report.incarnation = shape_.incarnation;
   report.models = shape_.models;
   return report;
 }
--- a/src/standin/engine_standin.h
+++ b/src/standin/engine_standin.h
@@ -20,6 +20,11 @@
   /// Time to the first token and between two tokens, in microseconds.
   std::int64_t first_token_us = 20'000;
   std::int64_t token_us = 10'000;
+  /// Differs after each start of the stand-in.
+  std::int64_t incarnation = 1;
+  /// What a crash does; ends the process where not set. Once it returns, the
+  /// stand-in drops the connection and reports a new incarnation.
+  std::function<void()> crash = {};
 };
 
 /// Faults of the stand-in, switched on over HTTP.
