--- a/src/entry/attempts.cc
+++ b/src/entry/attempts.cc
@@ -81,15 +81,15 @@
       Deny(given.denial, given.until);
       co_return std::nullopt;
     }
-    Result<ClaimAnswer> claim = co_await context_.crashes.Claim(
+    Result<RunClaimAnswer> claim = co_await context_.crashes.Claim(
         Order(), subject_.request_id, subject_.deadline + kClaimGrace);
-    if (claim && claim.value().denial == ClaimDenial::kNone) {
+    if (claim && claim.value().denial == RunClaimDenial::kNone) {
       co_return Begin(claim.value().target, true);
     }
-    const ClaimDenial denial =
-        claim ? claim.value().denial : ClaimDenial::kStoreDown;
+    const RunClaimDenial denial =
+        claim ? claim.value().denial : RunClaimDenial::kStoreDown;
     const Instant next_try = context_.clock.Now() + kClaimWait;
-    if (denial != ClaimDenial::kBusy ||
+    if (denial != RunClaimDenial::kBusy ||
         next_try >= subject_.first_byte_deadline) {
       DenyClaim(denial, claim ? claim.value().until : Instant{});
       co_return std::nullopt;
@@ -133,26 +133,26 @@
   }
 }
 
-void Attempts::DenyClaim(ClaimDenial denial, Instant until) {
+void Attempts::DenyClaim(RunClaimDenial denial, Instant until) {
   const Instant soon = context_.clock.Now() + kComeBack;
   const std::string known = "a target crashed while this request ran; ";
   switch (denial) {
-    case ClaimDenial::kQuarantined:
+    case RunClaimDenial::kQuarantined:
       Deny(DispatchDenial::kQuarantined, until);
       return;
-    case ClaimDenial::kStoreDown:
+    case RunClaimDenial::kStoreDown:
       Refuse(RefusalKind::kStoreUnavailable,
              known + "whether it may run again cannot be stored", soon);
       return;
-    case ClaimDenial::kNone:
-    case ClaimDenial::kBusy:
-    case ClaimDenial::kPeersSilent:
-    case ClaimDenial::kNoTarget:
-    case ClaimDenial::kRetryBudget:
+    case RunClaimDenial::kNone:
+    case RunClaimDenial::kBusy:
+    case RunClaimDenial::kPeersSilent:
+    case RunClaimDenial::kNoTarget:
+    case RunClaimDenial::kRetryBudget:
       break;
   }
   Refuse(RefusalKind::kNoTarget,
-         known + (denial == ClaimDenial::kPeersSilent
+         known + (denial == RunClaimDenial::kPeersSilent
                       ? "not every instance says that it does not run it"
                       : "no target is free to run it alone"),
          soon);
--- a/src/quarantine/crash_guard.cc
+++ b/src/quarantine/crash_guard.cc
@@ -19,22 +19,22 @@
 // Targets tried for one claim.
 constexpr int kClaimTries = 3;
 
-ClaimDenial DenialOf(DispatchDenial denial) {
+RunClaimDenial DenialOf(DispatchDenial denial) {
   switch (denial) {
     case DispatchDenial::kNoTarget:
-      return ClaimDenial::kNoTarget;
+      return RunClaimDenial::kNoTarget;
     case DispatchDenial::kRetryBudget:
-      return ClaimDenial::kRetryBudget;
+      return RunClaimDenial::kRetryBudget;
     case DispatchDenial::kQuarantined:
-      return ClaimDenial::kQuarantined;
+      return RunClaimDenial::kQuarantined;
     case DispatchDenial::kNone:
     case DispatchDenial::kNeedsClaim:
       break;
   }
-  return ClaimDenial::kBusy;
+  return RunClaimDenial::kBusy;
 }
 
-ClaimAnswer Denied(ClaimDenial denial, Instant until = {}) {
+RunClaimAnswer Denied(RunClaimDenial denial, Instant until = {}) {
   return {denial, {}, until};
 }
 
@@ -175,7 +175,7 @@
     co_return suspect.error();
   }
   if (run.claimed) {
-    const ClaimOrder order{run.digest, run.request_id, run.target.name, {}};
+    const RunClaim order{run.digest, run.request_id, run.target.name, {}};
     co_await ReleaseHere(order, crashed ? RunEnd::kCrashed : RunEnd::kFailed);
   }
   if (!crashed) {
@@ -211,23 +211,24 @@
   co_return held.value();
 }
 
-asio::awaitable<Result<ClaimAnswer>> CrashGuard::Claim(DispatchOrder order,
-                                                       std::string holder,
-                                                       Instant until) {
+asio::awaitable<Result<RunClaimAnswer>> CrashGuard::Claim(DispatchOrder order,
+                                                          std::string holder,
+                                                          Instant until) {
   order.claimed = true;
-  ClaimOrder claim{order.digest, std::move(holder), {}, until};
-  auto run = [this, order = std::move(order),
-              claim =
-                  std::move(claim)]() -> asio::awaitable<Result<ClaimAnswer>> {
+  RunClaim claim{order.digest, std::move(holder), {}, until};
+  auto run =
+      [this, order = std::move(order),
+       claim = std::move(claim)]() -> asio::awaitable<Result<RunClaimAnswer>> {
     return ClaimHere(order, claim);
   };
-  co_return co_await AskAsync<ClaimAnswer>(duty_, std::move(run));
+  co_return co_await AskAsync<RunClaimAnswer>(duty_, std::move(run));
 }
 
 // Claims the row and a target's slot first, so that only the one holder asks
 // the other instances.
-asio::awaitable<Result<ClaimAnswer>> CrashGuard::ClaimHere(DispatchOrder order,
-                                                           ClaimOrder claim) {
+asio::awaitable<Result<RunClaimAnswer>> CrashGuard::ClaimHere(
+    DispatchOrder order,
+    RunClaim claim) {
   for (int i = 0; i < kClaimTries; ++i) {
     auto look = [digest = order.digest](
                     CrashLedger& ledger,
@@ -237,7 +238,7 @@
     Result<std::optional<Suspect>> suspect =
         co_await decisions_.AskLedger<std::optional<Suspect>>(std::move(look));
     if (!suspect || !suspect.value()) {
-      co_return Denied(ClaimDenial::kBusy);
+      co_return Denied(RunClaimDenial::kBusy);
     }
     Result<DispatchAnswer> picked = co_await decisions_.Dispatch(order);
     if (!picked) {
@@ -247,55 +248,55 @@
       co_return Denied(DenialOf(picked.value().denial), picked.value().until);
     }
     claim.target = picked.value().target.name;
-    Result<ClaimOutcome> outcome =
+    Result<RunClaimOutcome> outcome =
         co_await store_.Claim(claim, *suspect.value());
-    if (outcome && outcome.value() == ClaimOutcome::kGranted) {
+    if (outcome && outcome.value() == RunClaimOutcome::kGranted) {
       co_return co_await Confirm(claim, *suspect.value(),
                                  picked.value().target);
     }
     Undo(claim.digest, claim.target);
     if (!outcome) {
-      co_return Denied(ClaimDenial::kStoreDown);
+      co_return Denied(RunClaimDenial::kStoreDown);
     }
-    if (outcome.value() == ClaimOutcome::kQuarantined) {
-      co_return Denied(ClaimDenial::kQuarantined, suspect.value()->until);
+    if (outcome.value() == RunClaimOutcome::kQuarantined) {
+      co_return Denied(RunClaimDenial::kQuarantined, suspect.value()->until);
     }
-    if (outcome.value() == ClaimOutcome::kLapsed) {
+    if (outcome.value() == RunClaimOutcome::kLapsed) {
       co_return co_await EndLapsed(claim, *suspect.value());
     }
-    if (outcome.value() == ClaimOutcome::kBusy) {
+    if (outcome.value() == RunClaimOutcome::kBusy) {
       break;
     }
     order.excluded.push_back(claim.target);
   }
-  co_return Denied(ClaimDenial::kBusy);
+  co_return Denied(RunClaimDenial::kBusy);
 }
 
 // Every listed instance must say that the suspect does not run there: a run
 // that began before the first crash was known holds no claim.
-asio::awaitable<ClaimAnswer> CrashGuard::Confirm(ClaimOrder claim,
-                                                 Suspect suspect,
-                                                 PickedTarget target) {
+asio::awaitable<RunClaimAnswer> CrashGuard::Confirm(RunClaim claim,
+                                                    Suspect suspect,
+                                                    PickedTarget target) {
   const PeerAnswers answers =
       co_await peers_.Tell(claim.digest, suspect, kPeerTime);
   if (answers.all_answered && !answers.running) {
-    co_return ClaimAnswer{ClaimDenial::kNone, std::move(target), {}};
+    co_return RunClaimAnswer{RunClaimDenial::kNone, std::move(target), {}};
   }
   decisions_.Finish(claim.target, false);
   co_await ReleaseHere(claim, RunEnd::kFailed);
-  co_return Denied(answers.running ? ClaimDenial::kBusy
-                                   : ClaimDenial::kPeersSilent);
+  co_return Denied(answers.running ? RunClaimDenial::kBusy
+                                   : RunClaimDenial::kPeersSilent);
 }
 
 // The holder of a lapsed claim may have died before it could tell of a crash.
 // Where no instance runs the suspect any more it counts as one.
-asio::awaitable<ClaimAnswer> CrashGuard::EndLapsed(ClaimOrder claim,
-                                                   Suspect suspect) {
+asio::awaitable<RunClaimAnswer> CrashGuard::EndLapsed(RunClaim claim,
+                                                      Suspect suspect) {
   const PeerAnswers answers =
       co_await peers_.Tell(claim.digest, suspect, kPeerTime);
   if (!answers.all_answered || answers.running) {
-    co_return Denied(answers.running ? ClaimDenial::kBusy
-                                     : ClaimDenial::kPeersSilent);
+    co_return Denied(answers.running ? RunClaimDenial::kBusy
+                                     : RunClaimDenial::kPeersSilent);
   }
   suspect.quarantined = true;
   const Suspect known = co_await Spread(claim.digest, suspect);
@@ -305,14 +306,14 @@
     return true;
   };
   static_cast<void>(co_await decisions_.AskLedger<bool>(std::move(take)));
-  co_return Denied(ClaimDenial::kQuarantined, known.until);
+  co_return Denied(RunClaimDenial::kQuarantined, known.until);
 }
 
 asio::awaitable<Result<bool>> CrashGuard::Release(std::string holder,
                                                   std::string digest,
                                                   std::string target,
                                                   bool whole) {
-  ClaimOrder order{std::move(digest), std::move(holder), std::move(target), {}};
+  RunClaim order{std::move(digest), std::move(holder), std::move(target), {}};
   auto release = [this, order = std::move(order),
                   whole]() -> asio::awaitable<Result<bool>> {
     if (whole) {
@@ -332,7 +333,7 @@
 
 // The run counts as running until the row says that it ended, so that no
 // other instance takes the claim for a lapsed one.
-asio::awaitable<void> CrashGuard::ReleaseHere(ClaimOrder order, RunEnd end) {
+asio::awaitable<void> CrashGuard::ReleaseHere(RunClaim order, RunEnd end) {
   Result<void> released = co_await store_.Release(order, end);
   if (released || unreleased_.size() >= kMaxWaiting) {
     decisions_.FinishRun(order.digest, order.target);
--- a/src/quarantine/crash_guard.h
+++ b/src/quarantine/crash_guard.h
@@ -25,7 +25,7 @@
 enum class BreakVerdict : std::uint8_t { kNotCrashed, kSuspect, kQuarantined };
 
 /// Why a suspect may not run now.
-enum class ClaimDenial : std::uint8_t {
+enum class RunClaimDenial : std::uint8_t {
   kNone,
   /// It runs elsewhere, or each target has another suspect; worth waiting.
   kBusy,
@@ -38,8 +38,8 @@
 };
 
 /// A target at which a suspect may run, or why not.
-struct ClaimAnswer {
-  ClaimDenial denial = ClaimDenial::kNone;
+struct RunClaimAnswer {
+  RunClaimDenial denial = RunClaimDenial::kNone;
   PickedTarget target;
   /// For kQuarantined, its end.
   Instant until{};
@@ -73,9 +73,9 @@
 
   /// Picks a target for a suspect and claims the run.
   /// @param holder id of the request @param until end of the run at latest
-  boost::asio::awaitable<Result<ClaimAnswer>> Claim(DispatchOrder order,
-                                                    std::string holder,
-                                                    Instant until);
+  boost::asio::awaitable<Result<RunClaimAnswer>> Claim(DispatchOrder order,
+                                                       std::string holder,
+                                                       Instant until);
   /// Ends a claimed run that did not crash its target.
   boost::asio::awaitable<Result<bool>> Release(std::string holder,
                                                std::string digest,
@@ -85,7 +85,7 @@
  private:
   // A release that the table service has not taken yet.
   struct Unreleased {
-    ClaimOrder order;
+    RunClaim order;
     RunEnd end = RunEnd::kFailed;
   };
 
@@ -95,14 +95,14 @@
   boost::asio::awaitable<bool> HasCrashed(const PickedTarget& target);
   boost::asio::awaitable<Result<BreakVerdict>> Judge(BrokenRun run);
   boost::asio::awaitable<Suspect> Spread(std::string digest, Suspect suspect);
-  boost::asio::awaitable<Result<ClaimAnswer>> ClaimHere(DispatchOrder order,
-                                                        ClaimOrder claim);
-  boost::asio::awaitable<ClaimAnswer> Confirm(ClaimOrder claim,
-                                              Suspect suspect,
-                                              PickedTarget target);
-  boost::asio::awaitable<ClaimAnswer> EndLapsed(ClaimOrder claim,
-                                                Suspect suspect);
-  boost::asio::awaitable<void> ReleaseHere(ClaimOrder order, RunEnd end);
+  boost::asio::awaitable<Result<RunClaimAnswer>> ClaimHere(DispatchOrder order,
+                                                           RunClaim claim);
+  boost::asio::awaitable<RunClaimAnswer> Confirm(RunClaim claim,
+                                                 Suspect suspect,
+                                                 PickedTarget target);
+  boost::asio::awaitable<RunClaimAnswer> EndLapsed(RunClaim claim,
+                                                   Suspect suspect);
+  boost::asio::awaitable<void> ReleaseHere(RunClaim order, RunEnd end);
   void Undo(const std::string& digest, const std::string& target);
   Instant QuarantineEnd() const;
 
--- a/src/quarantine/crash_store.cc
+++ b/src/quarantine/crash_store.cc
@@ -35,7 +35,7 @@
 }
 
 // Writes the row, and the slot where `slot` says what it becomes.
-Transaction WriteBoth(const ClaimOrder& order,
+Transaction WriteBoth(const RunClaim& order,
                       std::uint64_t version,
                       std::uint64_t slot_version,
                       std::optional<std::string> row,
@@ -69,7 +69,7 @@
 }
 
 asio::awaitable<Result<CrashStore::Found>> CrashStore::ReadBoth(
-    const ClaimOrder& order) {
+    const RunClaim& order) {
   ReadQuery query;
   query.keys.push_back(RowKey(order.digest));
   query.keys.push_back(SlotKey(order.target));
@@ -97,7 +97,7 @@
 
 asio::awaitable<Result<Suspect>> CrashStore::Publish(std::string digest,
                                                      Suspect suspect) {
-  const ClaimOrder order{digest, {}, {}, {}};
+  const RunClaim order{digest, {}, {}, {}};
   for (int i = 0; i < kWriteTries; ++i) {
     Result<Found> found = co_await ReadBoth(order);
     if (!found) {
@@ -118,8 +118,8 @@
 }
 
 // An answer that was lost is resolved by reading the holder back.
-asio::awaitable<Result<ClaimOutcome>> CrashStore::Claim(ClaimOrder order,
-                                                        Suspect suspect) {
+asio::awaitable<Result<RunClaimOutcome>> CrashStore::Claim(RunClaim order,
+                                                           Suspect suspect) {
   Result<Found> read = co_await ReadBoth(order);
   if (!read) {
     co_return read.error();
@@ -128,14 +128,14 @@
   const Instant now = clock_.Now();
   found.row.suspect.Merge(suspect);
   if (found.row.suspect.quarantined) {
-    co_return ClaimOutcome::kQuarantined;
+    co_return RunClaimOutcome::kQuarantined;
   }
   if (!found.row.claim.holder.empty()) {
-    co_return found.row.claim.until > now ? ClaimOutcome::kBusy
-                                          : ClaimOutcome::kLapsed;
+    co_return found.row.claim.until > now ? RunClaimOutcome::kBusy
+                                          : RunClaimOutcome::kLapsed;
   }
   if (found.slot_version != 0 && found.slot_until > now) {
-    co_return ClaimOutcome::kTargetTaken;
+    co_return RunClaimOutcome::kTargetTaken;
   }
   found.row.claim = CrashClaim{order.holder, order.target, order.until};
   Result<Commit> commit = co_await platform_.Transact(
@@ -143,20 +143,19 @@
                 EncodeCrashRow(found.row), EncodeCrashSlot(order.until)),
       Limit());
   if (commit) {
-    co_return commit.value().committed ? ClaimOutcome::kGranted
-                                       : ClaimOutcome::kBusy;
+    co_return commit.value().committed ? RunClaimOutcome::kGranted
+                                       : RunClaimOutcome::kBusy;
   }
   Result<Found> again = co_await ReadBoth(order);
   if (!again) {
     co_return again.error();
   }
   co_return again.value().row.claim.holder == order.holder
-      ? ClaimOutcome::kGranted
-      : ClaimOutcome::kBusy;
+      ? RunClaimOutcome::kGranted
+      : RunClaimOutcome::kBusy;
 }
 
-asio::awaitable<Result<void>> CrashStore::Release(ClaimOrder order,
-                                                  RunEnd end) {
+asio::awaitable<Result<void>> CrashStore::Release(RunClaim order, RunEnd end) {
   for (int i = 0; i < kWriteTries; ++i) {
     Result<Found> read = co_await ReadBoth(order);
     if (!read) {
--- a/src/quarantine/crash_store.h
+++ b/src/quarantine/crash_store.h
@@ -12,7 +12,7 @@
 namespace jackdaw {
 
 /// What became of the wish to run a suspect.
-enum class ClaimOutcome : std::uint8_t {
+enum class RunClaimOutcome : std::uint8_t {
   kGranted,
   /// It runs elsewhere, or its row was changed meanwhile.
   kBusy,
@@ -27,7 +27,7 @@
 enum class RunEnd : std::uint8_t { kWhole, kFailed, kCrashed };
 
 /// A claim on a run: which request runs which suspect at which target.
-struct ClaimOrder {
+struct RunClaim {
   std::string digest;
   std::string holder;
   std::string target;
@@ -52,10 +52,10 @@
   boost::asio::awaitable<Result<Suspect>> Publish(std::string digest,
                                                   Suspect suspect);
   /// Claims a run. @param suspect what is known here, for a row that is absent
-  boost::asio::awaitable<Result<ClaimOutcome>> Claim(ClaimOrder order,
-                                                     Suspect suspect);
+  boost::asio::awaitable<Result<RunClaimOutcome>> Claim(RunClaim order,
+                                                        Suspect suspect);
   /// Ends a claimed run; a whole one deletes the row.
-  boost::asio::awaitable<Result<void>> Release(ClaimOrder order, RunEnd end);
+  boost::asio::awaitable<Result<void>> Release(RunClaim order, RunEnd end);
   /// Rows written since the last call; all rows on the first.
   boost::asio::awaitable<Result<std::vector<SuspectRow>>> ReadNewer();
   /// Deletes rows that have expired.
@@ -69,7 +69,7 @@
     std::uint64_t slot_version = 0;
   };
 
-  boost::asio::awaitable<Result<Found>> ReadBoth(const ClaimOrder& order);
+  boost::asio::awaitable<Result<Found>> ReadBoth(const RunClaim& order);
   Instant Limit() const;
 
   const MonotonicClock& clock_;
