Stop keys on a view that cannot be confirmed; check changes of the configuration

Cause: an instance cut from the store went on with keys that might have been withdrawn, whole answers ignored a withdrawal, a full ring lost a configuration for the decisions for good, and an exception that ended stayed with the budgets. A view is now confirmed by a read of the store, by a peer whose view is, or by all other writers vouching; without it keys stop after 4.5 s with stale-view. PUT /v1/config checks operation ids, reads back after a lost answer or a conflict of its own repeat, and refuses what breaks a promise: keys, digests, routes and exceptions that stand twice, unknown scopes, exceptions that have ended, a workspace left out with live keys, a withdrawn key that comes back.

The test of expiring exceptions named a workspace that it did not define; the document is refused now, so the workspace was added and nothing else changed.

--- a/src/config/parse.cc
+++ b/src/config/parse.cc
@@ -1,5 +1,6 @@
 #include <set>
 
+#include "config/check.h"
 #include "config/fleet_config.h"
 #include "core/object_reader.h"
 
@@ -241,6 +242,7 @@
   BOOST_OUTCOME_TRY(config.services, ReadList<Service>(reader, "services"));
   BOOST_OUTCOME_TRY(reader.Finish());
   BOOST_OUTCOME_TRY(CheckReferences(config));
+  BOOST_OUTCOME_TRY(CheckConsistency(config));
   return config;
 }
 
--- a/src/config/tests/fleet_config_test.cc
+++ b/src/config/tests/fleet_config_test.cc
@@ -16,6 +16,7 @@
 BOOST_AUTO_TEST_CASE(ExceptionStandsBeforeDefaultUntilItExpires) {
   const auto config = ParseFleetConfig(
       R"({"defaults":{"rate_tokens_per_s":10},
+          "workspaces":[{"name":"a"}],
           "exceptions":[{"scope":"workspace/a","setting":"rate_tokens_per_s",
                          "value":20,"reason":"term","expires_ms":5000}]})",
       1);
--- a/src/core/refusal.cc
+++ b/src/core/refusal.cc
@@ -48,6 +48,9 @@
                   "use a new Idempotency-Key for a different request"},
     RefusalTraits{Kind::kOverloaded, "overloaded", 503,
                   "wait until Retry-After"},
+    RefusalTraits{Kind::kStaleView, "stale-view", 503,
+                  "wait until Retry-After, or ask GET /v1/entry for another "
+                  "address; operators: check the platform and the peers"},
     RefusalTraits{Kind::kInternal, "internal", 500,
                   "report the request id to the operator"},
 };
--- a/src/core/refusal.h
+++ b/src/core/refusal.h
@@ -30,6 +30,7 @@
   kOutcomeUnknown,
   kIdempotencyConflict,
   kOverloaded,
+  kStaleView,
   kInternal,
 };
 
--- a/src/decisions/admission.h
+++ b/src/decisions/admission.h
@@ -109,6 +109,11 @@
     if (info.key_digest.empty()) {
       return refuse(RefusalKind::kMissingKey, "the route needs a key");
     }
+    if (now > info.keys_valid_until) {
+      return refuse(RefusalKind::kStaleView,
+                    "it cannot be confirmed that keys still stand", {},
+                    now + 1s);
+    }
     const auto found = keys_.find(info.key_digest);
     if (found == keys_.end()) {
       return refuse(RefusalKind::kUnknownKey, "the key was never granted");
--- a/src/decisions/decisions.cc
+++ b/src/decisions/decisions.cc
@@ -55,8 +55,8 @@
   });
 }
 
-void Decisions::OnConfig(FleetConfigPtr config) {
-  duty_.TryPost([this, config = std::move(config)]() mutable {
+bool Decisions::OnConfig(FleetConfigPtr config) {
+  return duty_.TryPost([this, config = std::move(config)]() mutable {
     try {
       router_.OnConfig(*config);
       admission_.OnConfig(clock_.Now(), std::move(config));
--- a/src/decisions/decisions.h
+++ b/src/decisions/decisions.h
@@ -34,7 +34,8 @@
   void Finish(std::string target, bool failed);
   /// Gives back what a request was charged and did not use.
   void Refund(std::string workspace, std::int64_t tokens);
-  void OnConfig(FleetConfigPtr config);
+  /// Puts a configuration in force. @returns false when the ring is full
+  bool OnConfig(FleetConfigPtr config);
   void OnReport(std::string target, TargetReport report);
   void OnReportFailure(std::string target);
 
--- a/src/decisions/request.h
+++ b/src/decisions/request.h
@@ -14,6 +14,8 @@
   std::string request_id;
   /// Digest of the key, empty where none was sent.
   std::string key_digest;
+  /// Moment until which the view of the keys may be used.
+  Instant keys_valid_until = Instant::max();
   /// Model, empty for a plain service.
   std::string model;
   std::string service;
--- a/src/entry/model_service.cc
+++ b/src/entry/model_service.cc
@@ -3,6 +3,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <variant>
 
+#include "entry/key_check.h"
+
 namespace jackdaw {
 namespace {
 
@@ -40,10 +42,6 @@
 
 }  // namespace
 
-bool ModelService::KeyLives(const CallerRequest& request) const {
-  return context_.view.Get()->live_keys.contains(request.key_digest);
-}
-
 asio::awaitable<void> ModelService::Serve(HttpExchange& exchange,
                                           CallerRequest request) {
   const HttpRequest& from = exchange.request();
@@ -58,6 +56,7 @@
   RequestInfo info;
   info.request_id = request.id;
   info.key_digest = request.key_digest;
+  info.keys_valid_until = KeysValidUntil(context_);
   info.model = model.model;
   info.prompt_tokens = model.prompt_tokens;
   info.max_output_tokens = model.max_tokens;
@@ -179,7 +178,15 @@
   std::string body;
   for (;;) {
     std::optional<RelayItem> item =
-        co_await opened.pipe->Pop(std::chrono::steady_clock::time_point::max());
+        co_await opened.pipe->Pop(SteadyIn(kKeyCheckTime));
+    std::optional<Refusal> ended = KeyEnded(context_, request.key_digest);
+    if (ended) {
+      co_await refuser_.Refuse(exchange, request, std::move(*ended));
+      co_return true;
+    }
+    if (!item) {
+      continue;
+    }
     if (item->kind == RelayItem::Kind::kFailure) {
       Refusal refusal =
           TargetFailed(item->error, Ran::kUnknown, context_.clock.Now());
@@ -214,10 +221,9 @@
     std::optional<RelayItem> item =
         co_await opened.pipe->Pop(SteadyIn(kKeyCheckTime));
     tokens = scanner.events();
-    if (!KeyLives(request)) {
-      Refusal refusal{RefusalKind::kWithdrawnKey, Ran::kUnknown,
-                      "the key was withdrawn during the stream", Instant{}};
-      co_await refuser_.RefuseStream(exchange, request, std::move(refusal));
+    std::optional<Refusal> ended = KeyEnded(context_, request.key_digest);
+    if (ended) {
+      co_await refuser_.RefuseStream(exchange, request, std::move(*ended));
       co_return true;
     }
     if (!item) {
--- a/src/entry/model_service.h
+++ b/src/entry/model_service.h
@@ -44,7 +44,6 @@
                                           const CallerRequest& request,
                                           Opened& opened,
                                           std::int64_t& tokens);
-  bool KeyLives(const CallerRequest& request) const;
 
   InstanceContext& context_;
   Refuser& refuser_;
--- a/src/entry/plain_service.cc
+++ b/src/entry/plain_service.cc
@@ -3,6 +3,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <variant>
 
+#include "entry/key_check.h"
+
 namespace jackdaw {
 namespace {
 
@@ -52,6 +54,7 @@
   RequestInfo info;
   info.request_id = request.id;
   info.key_digest = request.key_digest;
+  info.keys_valid_until = KeysValidUntil(context_);
   info.service = call.service;
   info.method = from.method;
   info.path = call.path;
--- a/src/instance/fleet_watcher.cc
+++ b/src/instance/fleet_watcher.cc
@@ -5,8 +5,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 
+#include "config/expiry.h"
 #include "core/log.h"
 #include "core/object_reader.h"
+#include "membership/freshness_exchange.h"
 
 namespace jackdaw {
 namespace {
@@ -49,6 +51,7 @@
                            FleetViewHolder& view,
                            RunState& run_state,
                            EventLog& events,
+                           ViewFreshness& freshness,
                            OnConfig on_config)
     : duty_(duty),
       clock_(clock),
@@ -56,18 +59,31 @@
       view_(view),
       run_state_(run_state),
       events_(events),
+      freshness_(freshness),
       on_config_(std::move(on_config)) {}
 
 void FleetWatcher::Start(InstanceEntry self) {
   self_ = std::move(self);
-  asio::co_spawn(duty_.context(), Run(), asio::detached);
+  asio::co_spawn(duty_.context(), RunConfig(), asio::detached);
+  asio::co_spawn(duty_.context(), RunInstances(), asio::detached);
 }
 
-asio::awaitable<void> FleetWatcher::Run() {
+// Reads of the configuration have a loop of their own, so that a slow list of
+// instances never makes the view old.
+asio::awaitable<void> FleetWatcher::RunConfig() {
   asio::steady_timer timer(duty_.context());
   for (;;) {
-    static_cast<void>(co_await AnnounceNow());
     co_await PollConfig();
+    HandOver();
+    timer.expires_after(kPollTime);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<void> FleetWatcher::RunInstances() {
+  asio::steady_timer timer(duty_.context());
+  for (;;) {
+    static_cast<void>(co_await AnnounceNow());
     co_await PollInstances();
     timer.expires_after(kPollTime);
     co_await timer.async_wait(asio::use_awaitable);
@@ -95,10 +111,16 @@
   ReadQuery query;
   query.keys.emplace_back(kConfigRow);
   query.newer_than = row_version_;
+  const Instant asked_at = clock_.Now();
   Result<std::vector<Row>> rows =
       co_await platform_.Read(std::move(query), clock_.Now() + kAnswerTime);
   NoteStore(rows.has_value());
-  if (!rows || rows.value().empty()) {
+  if (!rows) {
+    co_return;
+  }
+  if (rows.value().empty()) {
+    freshness_.OnStoreRead(asked_at, store_version_);
+    PublishFreshness(freshness_, run_state_);
     co_return;
   }
   const Row& row = rows.value().front();
@@ -109,7 +131,22 @@
     co_return;
   }
   row_version_ = row.version;
+  store_version_ = head.value().version;
   Apply(head.value());
+  freshness_.OnStoreRead(asked_at, store_version_);
+  PublishFreshness(freshness_, run_state_);
+}
+
+// Gives the configuration to the decisions: when it is new, when they had no
+// room for it, and when an exception in it has ended.
+void FleetWatcher::HandOver() {
+  const FleetConfigPtr config = view_.Get()->config;
+  const std::int64_t now_ms = ToMillis(clock_.Now());
+  const bool expired = next_expiry_ms_ != 0 && now_ms >= next_expiry_ms_;
+  if (config && (hand_over_ || expired)) {
+    hand_over_ = !on_config_(config);
+    next_expiry_ms_ = NextExpiry(*config, now_ms);
+  }
 }
 
 void FleetWatcher::Apply(const ConfigHead& head) {
@@ -131,8 +168,10 @@
       view->live_keys.insert(key.digest);
     }
   }
-  on_config_(view->config);
   view_.Set(std::move(view));
+  freshness_.OnVersion(head.version);
+  hand_over_ = true;
+  HandOver();
   events_.Add(EventKind::kConfigApplied, {}, {}, {},
               "version " + std::to_string(head.version));
   Log(LogLevel::kInfo, "configuration in force",
@@ -142,12 +181,23 @@
   }
 }
 
+std::vector<std::string> FleetWatcher::OtherNames(const FleetView& view) const {
+  std::vector<std::string> names;
+  for (const auto& instance : view.instances) {
+    if (instance.name != self_.name) {
+      names.push_back(instance.name);
+    }
+  }
+  return names;
+}
+
 asio::awaitable<void> FleetWatcher::PollInstances() {
   Result<std::vector<InstanceEntry>> entries =
       co_await platform_.Instances(clock_.Now() + kAnswerTime);
   if (entries) {
     auto view = CopyOf(view_);
     view->instances = std::move(entries.value());
+    freshness_.OnMembers(OtherNames(*view));
     view_.Set(std::move(view));
   }
 }
--- a/src/instance/fleet_watcher.h
+++ b/src/instance/fleet_watcher.h
@@ -7,6 +7,7 @@
 #include "core/duty.h"
 #include "instance/fleet_view.h"
 #include "instance/run_state.h"
+#include "membership/view_freshness.h"
 #include "platform/client.h"
 #include "settings/instance_settings.h"
 #include "timeline/event_log.h"
@@ -30,7 +31,8 @@
 /// list of instances, and announces this instance there.
 class FleetWatcher {
  public:
-  using OnConfig = std::function<void(FleetConfigPtr)>;
+  /// Takes a configuration; asked again later when it returns false.
+  using OnConfig = std::function<bool(FleetConfigPtr)>;
 
   FleetWatcher(Duty& duty,
                const MonotonicClock& clock,
@@ -38,6 +40,7 @@
                FleetViewHolder& view,
                RunState& run_state,
                EventLog& events,
+               ViewFreshness& freshness,
                OnConfig on_config);
 
   /// Starts polling. @param self entry to announce
@@ -50,10 +53,13 @@
   void Apply(const ConfigHead& head);
 
  private:
-  boost::asio::awaitable<void> Run();
+  boost::asio::awaitable<void> RunConfig();
+  boost::asio::awaitable<void> RunInstances();
   boost::asio::awaitable<void> PollConfig();
   boost::asio::awaitable<void> PollInstances();
   void NoteStore(bool reachable);
+  void HandOver();
+  std::vector<std::string> OtherNames(const FleetView& view) const;
 
   Duty& duty_;
   const MonotonicClock& clock_;
@@ -61,9 +67,15 @@
   FleetViewHolder& view_;
   RunState& run_state_;
   EventLog& events_;
+  ViewFreshness& freshness_;
   OnConfig on_config_;
   InstanceEntry self_;
   std::uint64_t row_version_ = 0;
+  std::uint64_t store_version_ = 0;
+  /// Whether the configuration in force is still to be taken.
+  bool hand_over_ = false;
+  /// When the next exception ends, in milliseconds since the Unix epoch.
+  std::int64_t next_expiry_ms_ = 0;
 };
 
 }  // namespace jackdaw
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -11,6 +11,7 @@
 #include "entry/caller_service.h"
 #include "instance/context.h"
 #include "instance/fleet_watcher.h"
+#include "membership/freshness_exchange.h"
 #include "operator/operator_service.h"
 #include "peer/peer_service.h"
 #include "record/copy_exchange.h"
@@ -70,6 +71,7 @@
                       RecordOwner{settings.name, incarnation}};
   InstanceContext context{settings, clock,     run_state, view,    metrics,
                           events,   decisions, relay,     intents, refusals};
+  ViewFreshness freshness;
   FleetWatcher watcher{
       platform_duty,
       clock,
@@ -77,9 +79,10 @@
       view,
       run_state,
       events,
+      freshness,
       [this](FleetConfigPtr config) {
         metrics.SetConfigVersion(static_cast<double>(config->version));
-        decisions.OnConfig(std::move(config));
+        return decisions.OnConfig(std::move(config));
       }};
   PeerService peers{platform_duty,
                     clock,
@@ -91,6 +94,8 @@
                     [this](std::uint64_t version, std::string document) {
                       watcher.Apply({version, "relayed", std::move(document)});
                     }};
+  FreshnessExchange confirmations{platform_duty, clock, peers, run_state,
+                                  freshness};
   CopyExchange copies{recorder_duty, clock, settings, view,
                       run_state,     peers, refusals};
   ReportPoller poller{target_duty, clock, relay, view, decisions};
@@ -138,6 +143,7 @@
   parts.watcher.Start(parts.SelfEntry(bound));
   parts.refusals.Start();
   parts.copies.Start();
+  parts.confirmations.Start();
   parts.poller.Start();
   parts.intents.Start();
   parts.decisions.Start();
--- a/src/instance/tests/fleet_fixture.h
+++ b/src/instance/tests/fleet_fixture.h
@@ -42,13 +42,17 @@
         desk_(desk_duty_.context(), DeskShape()) {
     const Endpoint any = ParseEndpoint("127.0.0.1:0").value();
     platform_address_ = platform_.Listen(any).value();
+    cuttable_address_ = platform_.ListenCuttable(any).value();
     engine_address_ = engine_.Listen(any).value();
     desk_address_ = desk_.Listen(any).value();
     for (Duty* duty : {&platform_duty_, &engine_duty_, &desk_duty_}) {
       duty->Start();
     }
     for (int i = 0; i < instances; ++i) {
-      StartInstance("entry-" + std::to_string(i));
+      // The last of several instances can be cut off from the platform.
+      const bool cuttable = i > 0 && i + 1 == instances;
+      StartInstance("entry-" + std::to_string(i),
+                    cuttable ? cuttable_address_ : platform_address_);
     }
     Apply(DefaultConfig());
   }
@@ -182,13 +186,13 @@
     return shape;
   }
 
-  void StartInstance(const std::string& name) {
+  void StartInstance(const std::string& name, const Endpoint& platform) {
     InstanceSettings settings;
     settings.name = name;
     settings.failure_domain = "domain-" + name;
     settings.entry = settings.operators = settings.peer =
         ParseEndpoint("127.0.0.1:0").value();
-    settings.platform = platform_address_;
+    settings.platform = platform;
     settings.body_bytes = 64 * 1024;
     settings.connections = 256;
     instances_.push_back(std::make_unique<Instance>(settings));
@@ -202,6 +206,7 @@
   EngineStandin engine_;
   EngineStandin desk_;
   Endpoint platform_address_;
+  Endpoint cuttable_address_;
   Endpoint engine_address_;
   Endpoint desk_address_;
   std::vector<std::unique_ptr<Instance>> instances_;
--- /dev/null
+++ b/src/instance/tests/stale_view_test.cc
@@ -0,0 +1,102 @@
+#include <future>
+
+#include "instance/tests/fleet_fixture.h"
+#include "membership/view_freshness.h"
+
+namespace jackdaw {
+namespace {
+
+bool Has(const std::string& text, std::string_view part) {
+  return text.find(part) != std::string::npos;
+}
+
+std::int64_t ValidUntil(const FleetFixture& fleet, std::size_t i) {
+  const auto status =
+      OperatorClient(fleet.Operators(i)).Call("GET", "/v1/status");
+  return status ? status.value().at("keys_valid_until_ms").to_number<int64_t>()
+                : 0;
+}
+
+bool Refused(const FleetFixture& fleet,
+             std::size_t i,
+             std::string_view kind,
+             bool stream = false) {
+  const auto answer =
+      fleet.Send(i, FleetFixture::Completion(FleetFixture::kKey, 2000, stream));
+  return Has(answer.body, kind);
+}
+
+void Withdraw(const FleetFixture& fleet) {
+  const OperatorClient client(fleet.Operators(0));
+  ConfigDocument document = client.GetConfig().value();
+  document.content["keys"].as_array()[0].as_object()["withdrawn"] = true;
+  BOOST_TEST_REQUIRE(client.PutConfig(document).has_value());
+}
+
+void WaitVouched(const FleetFixture& fleet, std::size_t i) {
+  const std::int64_t before = ValidUntil(fleet, i);
+  BOOST_TEST_REQUIRE(WaitFor([&] {
+    return ValidUntil(fleet, i) > before + ToMillis(Instant(kFreshnessBound));
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(AWithdrawnKeyEndsAnOpenStream) {
+  const FleetFixture fleet(2);
+  fleet.WaitServing(1);
+  auto stream = std::async(std::launch::async, [&] {
+    return fleet.Send(
+        1, FleetFixture::Completion(FleetFixture::kKey, 15'000, true));
+  });
+  BOOST_TEST_REQUIRE(WaitFor([&] {
+    const auto status =
+        OperatorClient(fleet.Operators(1)).Call("GET", "/v1/status");
+    return status.value().at("requests_in_flight").to_number<int>() > 0;
+  }));
+  Withdraw(fleet);
+  BOOST_TEST(Has(stream.get().body, R"("kind":"withdrawn-key")"));
+  BOOST_TEST_REQUIRE(
+      WaitFor([&] { return Refused(fleet, 1, "withdrawn-key"); }));
+}
+
+BOOST_AUTO_TEST_CASE(AnInstanceCutFromTheStoreIsToldByPeers) {
+  const FleetFixture fleet(3);
+  fleet.WaitServing(2);
+  fleet.SetPlatformFaults(R"({"cut":true})");
+  WaitVouched(fleet, 2);
+  BOOST_TEST(!Refused(fleet, 2, "stale-view"));
+  Withdraw(fleet);
+  BOOST_TEST_REQUIRE(
+      WaitFor([&] { return Refused(fleet, 2, "withdrawn-key"); }));
+}
+
+BOOST_AUTO_TEST_CASE(AnOutageForAllStopsNobody) {
+  const FleetFixture fleet(3);
+  fleet.WaitServing(0);
+  fleet.SetPlatformFaults(R"({"outage":true})");
+  WaitVouched(fleet, 0);
+  WaitVouched(fleet, 2);
+  BOOST_TEST(!Refused(fleet, 0, "stale-view"));
+  fleet.SetPlatformFaults("{}");
+}
+
+BOOST_AUTO_TEST_CASE(AnInstanceCutFromStoreAndPeersStops) {
+  FleetFixture fleet(2);
+  fleet.WaitServing(1);
+  auto stream = std::async(std::launch::async, [&] {
+    return fleet.Send(
+        1, FleetFixture::Completion(FleetFixture::kKey, 15'000, true));
+  });
+  fleet.SetPlatformFaults(R"({"cut":true})");
+  fleet.Kill(0);
+  BOOST_TEST(Has(stream.get().body, R"("kind":"stale-view")"));
+  const auto answer =
+      fleet.Send(1, FleetFixture::Completion(FleetFixture::kKey, 1, false));
+  BOOST_TEST(answer.status == 503);
+  BOOST_TEST(Has(answer.body, R"("ran":"no")"));
+  BOOST_TEST(!FindHeader(answer.headers, "Retry-After").empty());
+  fleet.SetPlatformFaults("{}");
+  BOOST_TEST_REQUIRE(WaitFor([&] { return !Refused(fleet, 1, "stale-view"); }));
+}
+
+}  // namespace
+}  // namespace jackdaw
--- a/src/operator/operator_service.cc
+++ b/src/operator/operator_service.cc
@@ -1,7 +1,6 @@
 #include "operator/operator_service.h"
 
 #include <boost/json.hpp>
-#include <charconv>
 
 #include "core/log.h"
 #include "platform/codec.h"
@@ -36,12 +35,6 @@
                                                    {"remedy", error.remedy}}));
 }
 
-std::uint64_t ToNumber(std::string_view text) {
-  std::uint64_t number = 0;
-  std::from_chars(text.data(), text.data() + text.size(), number);
-  return number;
-}
-
 HttpResponse ConfigResponse(std::uint64_t version) {
   return JsonResponse(200, json::serialize(json::object{{"version", version}}));
 }
@@ -59,6 +52,7 @@
                                  std::function<void()> begin_drain)
     : context_(context),
       platform_(duty.context(), context.clock, context.settings.platform),
+      writer_(duty.context(), context),
       refusals_(duty.context(),
                 context.clock,
                 context.settings.platform,
@@ -118,7 +112,17 @@
   }
   if (!context_.run_state.ready) {
     return JsonResponse(
-        503, R"({"ready":false,"reason":"no configuration read yet"})");
+        503, context_.run_state.store_reachable
+                 ? R"({"ready":false,"reason":"no configuration read yet"})"
+                 : R"({"ready":false,"reason":"the platform was not reached )"
+                   R"(yet, and no peer gave a configuration"})");
+  }
+  if (ToMillis(context_.clock.Now()) * 1000 >
+      context_.run_state.keys_valid_until_us) {
+    return JsonResponse(
+        503,
+        R"({"ready":false,"reason":"neither the platform nor peers confirm )"
+        R"(the configuration"})");
   }
   return JsonResponse(200, R"({"ready":true})");
 }
@@ -134,6 +138,8 @@
                {"leaving", context_.run_state.leaving.load()},
                {"store_reachable", context_.run_state.store_reachable.load()},
                {"requests_in_flight", context_.run_state.in_flight.load()},
+               {"keys_valid_until_ms",
+                context_.run_state.keys_valid_until_us.load() / 1000},
                {"refused_total", context_.refusals.added()},
                {"records_made", context_.run_state.records_made.load()},
                {"records_safe", context_.run_state.records_safe.load()},
@@ -159,63 +165,16 @@
       : DocumentResponse(0, "{}");
 }
 
-// Writes a configuration if the version before it is the expected one. The
-// operation id in the row tells after a lost answer whether it took effect.
 asio::awaitable<HttpResponse> OperatorService::PutConfig(
     const HttpRequest& request) {
-  const std::uint64_t expected = ToNumber(request.Query("expect"));
-  const std::string operation = request.Query("operation");
-  const auto parsed = ParseFleetConfig(request.body, expected + 1);
-  if (!parsed) {
-    co_return ErrorResponse(parsed.error());
-  }
-  ReadQuery query;
-  query.keys.emplace_back(kConfigRow);
-  Result<std::vector<Row>> rows =
-      co_await platform_.Read(query, context_.clock.Now() + kAnswerTime);
-  if (!rows) {
-    co_return ErrorResponse(rows.error());
-  }
-  std::uint64_t row_version = 0;
-  std::uint64_t found = 0;
-  if (!rows.value().empty()) {
-    const auto head = DecodeConfigHead(rows.value().front().value);
-    row_version = rows.value().front().version;
-    found = head ? head.value().version : 0;
-    if (head && head.value().operation == operation) {
-      co_return ConfigResponse(found);
-    }
-  }
-  if (found != expected) {
-    co_return ErrorResponse(
-        {ErrorKind::kConflict,
-         "version " + std::to_string(found) + " is in force, not " +
-             std::to_string(expected),
-         "read the configuration again and repeat the change"});
-  }
-  Transaction transaction;
-  transaction.checks.push_back({std::string(kConfigRow), row_version});
-  transaction.writes.push_back(
-      {std::string(kConfigRow),
-       EncodeConfigHead({expected + 1, operation, request.body})});
-  Result<Commit> commit = co_await platform_.Transact(
-      std::move(transaction), context_.clock.Now() + kAnswerTime);
-  if (!commit) {
-    rows = co_await platform_.Read(query, context_.clock.Now() + kAnswerTime);
-    if (rows && !rows.value().empty()) {
-      const auto head = DecodeConfigHead(rows.value().front().value);
-      if (head && head.value().operation == operation) {
-        co_return ConfigResponse(head.value().version);
-      }
-    }
-    co_return ErrorResponse(commit.error());
-  }
-  if (!commit.value().committed) {
-    co_return ErrorResponse({ErrorKind::kConflict,
-                             "another operator changed the configuration",
-                             "read it again and repeat the change"});
-  }
-  co_return ConfigResponse(expected + 1);
+  Result<ConfigWrite> write = ParseConfigWrite(request);
+  if (!write) {
+    co_return ErrorResponse(write.error());
+  }
+  Result<std::uint64_t> version =
+      co_await writer_.Write(std::move(write.value()));
+  co_return version ? ConfigResponse(version.value())
+                    : ErrorResponse(version.error());
 }
 
 asio::awaitable<HttpResponse> OperatorService::Refusals(
--- a/src/operator/operator_service.h
+++ b/src/operator/operator_service.h
@@ -7,6 +7,7 @@
 #include "http/server.h"
 #include "instance/context.h"
 #include "instance/fleet_watcher.h"
+#include "operator/config_writer.h"
 #include "operator/refusal_reader.h"
 #include "platform/client.h"
 
@@ -32,6 +33,7 @@
 
   InstanceContext& context_;
   PlatformClient platform_;
+  ConfigWriter writer_;
   RefusalReader refusals_;
   std::function<void()> begin_drain_;
 };
--- a/src/peer/peer_service.cc
+++ b/src/peer/peer_service.cc
@@ -85,6 +85,14 @@
          link_.TrySend({std::move(address), envelope.SerializeAsString()});
 }
 
+void PeerService::AskForConfig(std::string_view peer) {
+  const FleetViewPtr view = view_.Get();
+  peer::Envelope envelope;
+  envelope.mutable_config_request()->set_have_version(
+      view->config ? view->config->version : 0);
+  Send(peer, std::move(envelope));
+}
+
 std::string PeerService::AddressOf(std::string_view peer) const {
   const FleetViewPtr view = view_.Get();
   for (const auto& instance : view->instances) {
--- a/src/peer/peer_service.h
+++ b/src/peer/peer_service.h
@@ -53,6 +53,9 @@
   /// not known or the ring is full; a true says nothing about its arrival
   bool Send(std::string_view peer, peer::Envelope envelope);
 
+  /// Asks a peer for its configuration; on the service's thread.
+  void AskForConfig(std::string_view peer);
+
  private:
   boost::asio::awaitable<void> Run();
   void Receive(const std::string& bytes);
--- a/src/standin/platform_standin.cc
+++ b/src/standin/platform_standin.cc
@@ -30,14 +30,31 @@
 
 PlatformStandin::PlatformStandin(asio::io_context& context)
     : context_(context),
-      server_(context, StandinLimits(), [this](HttpExchange& exchange) {
-        return Handle(exchange);
-      }) {}
+      server_(context,
+              StandinLimits(),
+              [this](HttpExchange& exchange) { return Handle(exchange); }),
+      cuttable_server_(
+          context,
+          StandinLimits(),
+          [this](HttpExchange& exchange) { return HandleCuttable(exchange); }) {
+}
 
 Result<Endpoint> PlatformStandin::Listen(const Endpoint& endpoint) {
   return server_.Listen(endpoint);
 }
 
+Result<Endpoint> PlatformStandin::ListenCuttable(const Endpoint& endpoint) {
+  return cuttable_server_.Listen(endpoint);
+}
+
+asio::awaitable<void> PlatformStandin::HandleCuttable(HttpExchange& exchange) {
+  if (faults_.cut) {
+    co_await exchange.Respond(Failure(503, "cut"));
+  } else {
+    co_await Handle(exchange);
+  }
+}
+
 asio::awaitable<void> PlatformStandin::Handle(HttpExchange& exchange) {
   const HttpRequest& request = exchange.request();
   if (request.Path() == "/standin/faults") {
@@ -146,6 +163,7 @@
   faults.delay_ms = reader.IntegerOr("delay_ms", 0, kMaxDelayMs, 0);
   faults.lose_answers = reader.IntegerOr("lose_answers", 0, 1'000'000, 0);
   faults.outage = reader.FlagOr("outage", false);
+  faults.cut = reader.FlagOr("cut", false);
   if (const auto checked = reader.Finish(); !checked) {
     return Failure(400, checked.error().Line());
   }
--- a/src/standin/platform_standin.h
+++ b/src/standin/platform_standin.h
@@ -17,6 +17,8 @@
   std::int64_t lose_answers = 0;
   /// Every request fails while set.
   bool outage = false;
+  /// Every request on the second address fails while set.
+  bool cut = false;
 };
 
 /// Stand-in for the platform: table service, object store and instance list.
@@ -27,10 +29,15 @@
   /// @returns the bound endpoint, or kAddressInUse
   Result<Endpoint> Listen(const Endpoint& endpoint);
 
+  /// Binds a second address, on which every request fails while the fault
+  /// `cut` is set: the platform as seen by instances that are cut off.
+  Result<Endpoint> ListenCuttable(const Endpoint& endpoint);
+
   MemoryTable& table() { return table_; }
 
  private:
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
+  boost::asio::awaitable<void> HandleCuttable(HttpExchange& exchange);
   HttpResponse Answer(const HttpRequest& request);
   HttpResponse AnswerTable(const HttpRequest& request);
   HttpResponse AnswerObjects(const HttpRequest& request);
@@ -39,6 +46,7 @@
 
   boost::asio::io_context& context_;
   HttpServer server_;
+  HttpServer cuttable_server_;
   MemoryTable table_;
   std::map<std::string, std::string, std::less<>> objects_;
   std::map<std::string, InstanceEntry, std::less<>> instances_;
