Membership by watchers and passed-on news; withdrawals reported soundly

Cause: heartbeats in turn to three of 370 let each instance hear of one other only once a minute, so a dead one stayed in GET /v1/entry; key withdraw ended with success when an instance could not be asked; a lost answer was not resolved by the command line. Each instance is now watched by the two that follow it in the ring of names, and news travels over distances that double each round.

--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -1,7 +1,7 @@
 #include "ctl/commands.h"
 
-#include <thread>
-
+#include "config/check.h"
+#include "core/clock.h"
 #include "core/digest.h"
 #include "core/object_reader.h"
 #include "core/time.h"
@@ -9,6 +9,7 @@
 #include "ctl/refusals_command.h"
 #include "ctl/resource.h"
 #include "ctl/timeline.h"
+#include "ctl/withdraw_command.h"
 
 namespace jackdaw {
 namespace {
@@ -16,9 +17,6 @@
 namespace json = boost::json;
 
 constexpr std::size_t kKeyBytes = 24;
-// Time for a withdrawal to be in force at every instance.
-constexpr auto kWithdrawTime = std::chrono::seconds(10);
-constexpr auto kWithdrawPollTime = std::chrono::milliseconds(100);
 
 Error Usage(std::string what) {
   return {ErrorKind::kInvalidSetting, std::move(what), "see jackdawctl --help"};
@@ -43,6 +41,18 @@
   return line.words[index];
 }
 
+// Checks a change as the instance will, without writing it.
+Result<void> CheckHere(const ConfigDocument& before,
+                       const ConfigDocument& after) {
+  BOOST_OUTCOME_TRY(
+      const auto wanted,
+      ParseFleetConfig(json::serialize(after.content), before.version + 1));
+  BOOST_OUTCOME_TRY(
+      const auto found,
+      ParseFleetConfig(json::serialize(before.content), before.version));
+  return CheckChange(found, wanted, ToMillis(MonotonicClock().Now()));
+}
+
 // Writes an edited document, or shows what would change.
 Result<std::string> Commit(const OperatorClient& client,
                            const CommandLine& line,
@@ -50,6 +60,7 @@
                            const ConfigDocument& after,
                            const json::object& shown) {
   if (line.dry_run) {
+    BOOST_OUTCOME_TRY(CheckHere(before, after));
     const std::string change =
         Difference(json::value(before.content), json::value(after.content));
     return change.empty() ? "no change\n" : change;
@@ -60,53 +71,6 @@
   return Printed(result, line.json);
 }
 
-// Calls a path at every instance that is live or leaving.
-Result<std::vector<json::value>> CallAll(const OperatorClient& client,
-                                         std::string_view path,
-                                         json::array* unreachable) {
-  BOOST_OUTCOME_TRY(const auto instances, client.Instances());
-  std::vector<json::value> answers;
-  for (const auto& instance : instances) {
-    const auto endpoint = ParseEndpoint(instance.operator_address);
-    const auto answer = endpoint
-                            ? OperatorClient(endpoint.value()).Call("GET", path)
-                            : Result<json::value>(endpoint.error());
-    if (answer) {
-      answers.push_back(answer.value());
-    } else if (unreachable != nullptr) {
-      unreachable->emplace_back(instance.name);
-    }
-  }
-  return answers;
-}
-
-// Waits until every instance reports a configuration version.
-Result<json::array> WaitInForce(const OperatorClient& client,
-                                std::uint64_t version) {
-  const auto until = std::chrono::steady_clock::now() + kWithdrawTime;
-  for (;;) {
-    json::array unreachable;
-    BOOST_OUTCOME_TRY(const auto answers,
-                      CallAll(client, "/v1/status", &unreachable));
-    json::array report;
-    bool all = unreachable.empty();
-    for (const auto& answer : answers) {
-      const auto has = answer.at("config_version").to_number<std::uint64_t>();
-      all = all && has >= version;
-      report.push_back(json::object{{"instance", answer.at("instance")},
-                                    {"in_force", has >= version}});
-    }
-    for (const auto& name : unreachable) {
-      report.push_back(
-          json::object{{"instance", name}, {"in_force", "unreachable"}});
-    }
-    if (all || std::chrono::steady_clock::now() >= until) {
-      return report;
-    }
-    std::this_thread::sleep_for(kWithdrawPollTime);
-  }
-}
-
 Result<std::string> CreateKey(const OperatorClient& client,
                               const CommandLine& line) {
   BOOST_OUTCOME_TRY(const auto id, Word(line, 2, "the key's id"));
@@ -125,19 +89,6 @@
       json::object{{"id", id}, {"workspace", line.workspace}, {"key", key}});
 }
 
-Result<std::string> WithdrawKey(const OperatorClient& client,
-                                const CommandLine& line) {
-  BOOST_OUTCOME_TRY(const auto id, Word(line, 2, "the key's id"));
-  BOOST_OUTCOME_TRY(auto document, client.GetConfig());
-  const Resource& keys = *FindResource("key");
-  BOOST_OUTCOME_TRY(auto item, FindItem(document.content, keys, id));
-  item["withdrawn"] = true;
-  PutItem(document.content, keys, std::move(item));
-  BOOST_OUTCOME_TRY(const auto version, client.PutConfig(document));
-  BOOST_OUTCOME_TRY(const auto report, WaitInForce(client, version));
-  return Printed(report, line.json);
-}
-
 Result<std::string> SetLimit(const OperatorClient& client,
                              const CommandLine& line) {
   BOOST_OUTCOME_TRY(const auto workspace, Word(line, 2, "the workspace"));
@@ -202,7 +153,8 @@
     return Commit(client, line, before, after, shown);
   }
   if (verb == "delete") {
-    BOOST_OUTCOME_TRY(RemoveItem(after.content, resource, name));
+    const std::string setting = line.words.size() > 3 ? line.words[3] : "";
+    BOOST_OUTCOME_TRY(RemoveItem(after.content, resource, name, setting));
     return Commit(client, line, before, after, json::object{{"deleted", name}});
   }
   return Usage("unknown verb '" + verb + "'");
@@ -268,6 +220,25 @@
 
 }  // namespace
 
+Result<std::vector<json::value>> CallAll(const OperatorClient& client,
+                                         std::string_view path,
+                                         json::array* unreachable) {
+  BOOST_OUTCOME_TRY(const auto instances, client.Instances());
+  std::vector<json::value> answers;
+  for (const auto& instance : instances) {
+    const auto endpoint = ParseEndpoint(instance.operator_address);
+    const auto answer = endpoint
+                            ? OperatorClient(endpoint.value()).Call("GET", path)
+                            : Result<json::value>(endpoint.error());
+    if (answer) {
+      answers.push_back(answer.value());
+    } else if (unreachable != nullptr) {
+      unreachable->emplace_back(instance.name);
+    }
+  }
+  return answers;
+}
+
 Result<std::string> RunCommand(const OperatorClient& client,
                                const CommandLine& line) {
   BOOST_OUTCOME_TRY(const auto command, Word(line, 0, "the command"));
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -29,6 +29,13 @@
   bool dry_run = false;
 };
 
+/// Calls a path at every instance that is live or leaving.
+/// @param unreachable names of those that did not answer; null to leave out
+Result<std::vector<boost::json::value>> CallAll(
+    const OperatorClient& client,
+    std::string_view path,
+    boost::json::array* unreachable);
+
 /// Runs one command. @returns the text to print, or the error
 Result<std::string> RunCommand(const OperatorClient& client,
                                const CommandLine& line);
--- a/src/ctl/operator_client.cc
+++ b/src/ctl/operator_client.cc
@@ -14,6 +14,14 @@
 // Time for one answer of an instance.
 constexpr Micros kAnswerTime = 10s;
 constexpr std::size_t kOperationBytes = 12;
+// Times that a write is sent while its outcome is open.
+constexpr int kPutTries = 3;
+
+// Whether a write that failed so may have taken effect.
+bool IsOpen(ErrorKind kind) {
+  return kind == ErrorKind::kTimeout || kind == ErrorKind::kTruncated ||
+         kind == ErrorKind::kUnavailable;
+}
 
 ErrorKind KindOfStatus(int status) {
   switch (status) {
@@ -70,8 +78,14 @@
   const std::string target =
       "/v1/config?expect=" + std::to_string(document.version) +
       "&operation=" + RandomHex(kOperationBytes);
-  BOOST_OUTCOME_TRY(const auto value,
-                    Call("PUT", target, json::serialize(document.content)));
+  const std::string body = json::serialize(document.content);
+  // The operation id makes it safe to repeat a write whose answer was lost.
+  Result<json::value> answer = Call("PUT", target, body);
+  for (int i = 1; i < kPutTries && !answer && IsOpen(answer.error().kind);
+       ++i) {
+    answer = Call("PUT", target, body);
+  }
+  BOOST_OUTCOME_TRY(const auto value, answer);
   return value.at("version").to_number<std::uint64_t>();
 }
 
--- a/src/ctl/resource.cc
+++ b/src/ctl/resource.cc
@@ -1,5 +1,7 @@
 #include "ctl/resource.h"
 
+#include <algorithm>
+
 #include "core/object_reader.h"
 
 namespace jackdaw {
@@ -96,15 +98,25 @@
 
 Result<void> RemoveItem(json::object& document,
                         const Resource& resource,
-                        std::string_view name) {
+                        std::string_view name,
+                        std::string_view setting) {
   json::array& list = MutableList(document, resource);
-  for (auto item = list.begin(); item != list.end(); ++item) {
-    if (MemberOf(*item, resource.id) == name) {
-      list.erase(item);
-      return success();
-    }
+  const auto matches = [&](const json::value& item) {
+    return MemberOf(item, resource.id) == name &&
+           (setting.empty() || MemberOf(item, "setting") == setting);
+  };
+  const auto count = std::count_if(list.begin(), list.end(), matches);
+  if (count > 1) {
+    return Error{ErrorKind::kConflict,
+                 "'" + std::string(name) + "' has several exceptions",
+                 "name the setting too: exception delete SCOPE SETTING"};
   }
-  return NotFound(resource, name);
+  const auto found = std::find_if(list.begin(), list.end(), matches);
+  if (found == list.end()) {
+    return NotFound(resource, name);
+  }
+  list.erase(found);
+  return success();
 }
 
 Result<json::object> BuildItem(const Resource& resource,
--- a/src/ctl/resource.h
+++ b/src/ctl/resource.h
@@ -54,10 +54,12 @@
              const Resource& resource,
              boost::json::object item);
 
-/// Removes an item by name, or kNotFound.
+/// Removes an item by name, or kNotFound. @param setting tells exceptions of
+/// one scope apart; kConflict when it is left out and several match
 Result<void> RemoveItem(boost::json::object& document,
                         const Resource& resource,
-                        std::string_view name);
+                        std::string_view name,
+                        std::string_view setting);
 
 /// Builds an item from `member=value` words; a value that is JSON is taken as
 /// such, any other as a string.
--- a/src/daemons/jackdawctl.cc
+++ b/src/daemons/jackdawctl.cc
@@ -10,6 +10,7 @@
 Commands:
   workspace|target|deployment|model|adapter|service|exception
             create NAME [--set member=value ...] | list | show NAME | delete NAME
+  exception delete SCOPE SETTING
   key       create ID --workspace W | list | show ID | withdraw ID | delete ID
   limit     set WORKSPACE --rate N --burst N --reason TEXT
   default   set SETTING VALUE | list
--- a/src/entry/caller_service.cc
+++ b/src/entry/caller_service.cc
@@ -98,7 +98,8 @@
     const bool self = instance.name == context_.settings.name;
     const bool leaving = instance.state == InstanceState::kLeaving ||
                          (self && context_.run_state.leaving);
-    if (!leaving) {
+    const bool offered = self || view->offered.contains(instance.name);
+    if (!leaving && offered) {
       addresses.push_back(
           json::object{{"address", instance.entry_address},
                        {"failure_domain", instance.failure_domain},
--- a/src/instance/fleet_view.h
+++ b/src/instance/fleet_view.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -18,6 +19,8 @@
   /// The configuration document as stored.
   std::string document;
   std::vector<InstanceEntry> instances;
+  /// Names of the instances to give to callers: neither leaving nor silent.
+  std::set<std::string, std::less<>> offered;
   /// Digests of the keys that may be used.
   std::unordered_set<std::string> live_keys;
 };
--- /dev/null
+++ b/src/membership/membership.cc
@@ -0,0 +1,229 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+
+#include "core/invariant.h"
+
+namespace jackdaw {
+namespace {
+
+// Instances that watch each instance.
+constexpr std::size_t kWatchers = 2;
+// Shortest distance along the ring that no watcher stands at.
+constexpr std::size_t kFirstDistance = 4;
+// Time without a heartbeat after which a watched instance is suspect.
+constexpr Micros kSuspectTime = 2500ms;
+// Rounds in which a change is passed on, and news in one message.
+constexpr int kNewsRounds = 12;
+constexpr std::size_t kNewsPerMessage = 4;
+
+}  // namespace
+
+std::string_view Name(MemberState state) {
+  switch (state) {
+    case MemberState::kLive:
+      return "live";
+    case MemberState::kSuspect:
+      return "suspect";
+    case MemberState::kLeaving:
+      return "leaving";
+    case MemberState::kGone:
+      return "gone";
+  }
+  return "gone";
+}
+
+Membership::Membership(std::string self, std::uint64_t incarnation)
+    : self_(std::move(self)), incarnation_(incarnation) {}
+
+void Membership::OnList(Instant now, std::span<const InstanceEntry> entries) {
+  for (const auto& entry : entries) {
+    Member& member = members_[entry.name];
+    if (entry.incarnation > member.incarnation) {
+      member = Member{};
+      member.incarnation = entry.incarnation;
+      member.heard = now;
+    }
+    member.listed_leaving = entry.state == InstanceState::kLeaving;
+  }
+  std::erase_if(members_, [&](const auto& item) {
+    return std::none_of(
+        entries.begin(), entries.end(),
+        [&](const InstanceEntry& entry) { return entry.name == item.first; });
+  });
+}
+
+void Membership::OnHeartbeat(Instant now,
+                             std::string_view name,
+                             std::uint64_t incarnation,
+                             bool leaving,
+                             std::uint64_t beat) {
+  const auto found = members_.find(name);
+  if (found == members_.end() || incarnation < found->second.incarnation) {
+    return;
+  }
+  Member& member = found->second;
+  if (incarnation > member.incarnation) {
+    member = Member{};
+    member.incarnation = incarnation;
+  }
+  member.said_leaving = leaving;
+  Revive(member, beat, now);
+}
+
+// A sign of life ends a suspicion that rests on an older one.
+void Membership::Revive(Member& member, std::uint64_t beat, Instant now) {
+  member.heard = std::max(member.heard, now);
+  if (member.suspect) {
+    member.suspect = false;
+    member.news_rounds = kNewsRounds;
+  }
+  member.beat = std::max(member.beat, beat);
+}
+
+void Membership::Suspect(Member& member) {
+  if (!member.suspect) {
+    member.suspect = true;
+    member.news_rounds = kNewsRounds;
+  }
+}
+
+void Membership::OnRumor(Instant now, const MemberRumor& rumor) {
+  if (rumor.name == self_) {
+    // Its own next heartbeats carry a higher beat and refute it.
+    if (rumor.suspect && rumor.incarnation == incarnation_) {
+      beat_ = std::max(beat_, rumor.beat);
+      members_[self_].news_rounds = kNewsRounds;
+    }
+    return;
+  }
+  const auto found = members_.find(rumor.name);
+  if (found == members_.end() ||
+      found->second.incarnation != rumor.incarnation) {
+    return;
+  }
+  Member& member = found->second;
+  if (rumor.suspect && rumor.beat >= member.beat) {
+    member.beat = rumor.beat;
+    Suspect(member);
+  } else if (!rumor.suspect && rumor.beat > member.beat) {
+    Revive(member, rumor.beat, now);
+  }
+}
+
+// The instances that follow this one in the order of names, as a ring.
+std::vector<std::string> Membership::Successors() const {
+  std::vector<std::string> successors;
+  auto it = members_.upper_bound(self_);
+  while (successors.size() < std::min(kWatchers, members_.size())) {
+    it = it == members_.end() ? members_.begin() : it;
+    if (it->first == self_ || successors.size() >= members_.size() - 1) {
+      break;
+    }
+    successors.push_back(it->first);
+    ++it;
+  }
+  return successors;
+}
+
+bool Membership::WatchedHere(std::string_view name) const {
+  auto it = members_.find(name);
+  for (std::size_t i = 0; i < kWatchers && it != members_.end(); ++i) {
+    ++it;
+    it = it == members_.end() ? members_.begin() : it;
+    if (it->first == self_) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::vector<std::string> Membership::NextRound(Instant now) {
+  ++beat_;
+  for (auto& [name, member] : members_) {
+    if (name != self_ && now - member.heard >= kSuspectTime &&
+        WatchedHere(name)) {
+      Suspect(member);
+    }
+  }
+  std::vector<std::string> peers = Successors();
+  if (std::string distant = DistantPeer(); !distant.empty()) {
+    peers.push_back(std::move(distant));
+  }
+  CheckInvariant(peers.size() <= kWatchers + 1,
+                 "the peers of a round do not grow with the fleet");
+  return peers;
+}
+
+// The instance at a distance of 4, 8, 16 and so on along the ring, one distance
+// a round: news reaches everyone in a number of rounds that grows with the
+// logarithm of the fleet.
+std::string Membership::DistantPeer() {
+  const std::size_t count = members_.size();
+  const auto self = members_.find(self_);
+  if (self == members_.end() || count <= kFirstDistance) {
+    return {};
+  }
+  distance_ = distance_ * 2 >= count ? kFirstDistance : distance_ * 2;
+  const auto at =
+      static_cast<std::size_t>(std::distance(members_.begin(), self));
+  return std::next(members_.begin(),
+                   static_cast<std::ptrdiff_t>((at + distance_) % count))
+      ->first;
+}
+
+std::vector<MemberRumor> Membership::NewsToSend() {
+  std::vector<std::pair<std::string, Member*>> fresh;
+  for (auto& [name, member] : members_) {
+    if (member.news_rounds > 0) {
+      fresh.emplace_back(name, &member);
+    }
+  }
+  std::stable_sort(fresh.begin(), fresh.end(),
+                   [](const auto& a, const auto& b) {
+                     return a.second->news_rounds > b.second->news_rounds;
+                   });
+  fresh.resize(std::min(fresh.size(), kNewsPerMessage));
+  std::vector<MemberRumor> news;
+  for (auto& [name, member] : fresh) {
+    --member->news_rounds;
+    news.push_back(name == self_
+                       ? MemberRumor{self_, incarnation_, false, beat_}
+                       : MemberRumor{name, member->incarnation, member->suspect,
+                                     member->beat});
+  }
+  return news;
+}
+
+MemberState Membership::StateOf(std::string_view name) const {
+  const auto found = members_.find(name);
+  if (found == members_.end()) {
+    return MemberState::kGone;
+  }
+  const Member& member = found->second;
+  if (member.listed_leaving || member.said_leaving) {
+    return MemberState::kLeaving;
+  }
+  return member.suspect && name != self_ ? MemberState::kSuspect
+                                         : MemberState::kLive;
+}
+
+bool Membership::IsGone(std::string_view name,
+                        std::uint64_t incarnation) const {
+  const auto found = members_.find(name);
+  return !members_.empty() &&
+         (found == members_.end() || found->second.incarnation > incarnation);
+}
+
+bool Membership::IsOffered(std::string_view name) const {
+  const MemberState state = StateOf(name);
+  if (state != MemberState::kSuspect) {
+    return state == MemberState::kLive;
+  }
+  const auto suspects =
+      std::count_if(members_.begin(), members_.end(),
+                    [](const auto& item) { return item.second.suspect; });
+  return static_cast<std::size_t>(suspects) * 2 > members_.size();
+}
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/membership/tests/membership_test.cc
@@ -0,0 +1,85 @@
+#include "membership/membership.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jackdaw {
+namespace {
+
+constexpr Instant kNow{Micros(1'700'000'000'000'000)};
+
+std::vector<InstanceEntry> ListOf(int count) {
+  std::vector<InstanceEntry> entries;
+  for (int i = 0; i < count; ++i) {
+    InstanceEntry entry;
+    entry.name = std::string(1, static_cast<char>('a' + i));
+    entry.incarnation = 1;
+    entries.push_back(entry);
+  }
+  return entries;
+}
+
+BOOST_AUTO_TEST_CASE(ASilentInstanceIsSuspectAndASignOfLifeClearsIt) {
+  Membership b("b", 1);
+  b.OnList(kNow, ListOf(5));
+  b.NextRound(kNow + 3s);
+  BOOST_TEST((b.StateOf("a") == MemberState::kSuspect));
+  // Not one of those that this instance watches.
+  BOOST_TEST((b.StateOf("c") == MemberState::kLive));
+  BOOST_TEST(!b.IsOffered("a"));
+  b.OnHeartbeat(kNow + 3s, "a", 1, false, 9);
+  BOOST_TEST(b.IsOffered("a"));
+  // A suspicion that rests on an older beat is too late.
+  b.OnRumor(kNow + 3s, {"a", 1, true, 8});
+  BOOST_TEST(b.IsOffered("a"));
+  b.OnRumor(kNow + 3s, {"a", 1, true, 9});
+  BOOST_TEST(!b.IsOffered("a"));
+}
+
+BOOST_AUTO_TEST_CASE(ASuspectRefutesWithAHigherBeat) {
+  Membership a("a", 1);
+  a.OnList(kNow, ListOf(5));
+  a.OnRumor(kNow, {"a", 1, true, 40});
+  a.NextRound(kNow);
+  const auto news = a.NewsToSend();
+  BOOST_TEST_REQUIRE(news.size() == 1U);
+  BOOST_TEST(!news[0].suspect);
+  BOOST_TEST(news[0].beat == 41U);
+}
+
+BOOST_AUTO_TEST_CASE(OnlyThePlatformMakesAnInstanceGone) {
+  Membership b("b", 1);
+  b.OnList(kNow, ListOf(3));
+  b.NextRound(kNow + 60s);
+  BOOST_TEST(!b.IsGone("a", 1));
+  auto entries = ListOf(3);
+  entries[0].incarnation = 2;
+  b.OnList(kNow + 60s, entries);
+  BOOST_TEST(b.IsGone("a", 1));
+  BOOST_TEST(!b.IsGone("a", 2));
+  entries.erase(entries.begin());
+  b.OnList(kNow + 60s, entries);
+  BOOST_TEST(b.IsGone("a", 2));
+  BOOST_TEST((b.StateOf("a") == MemberState::kGone));
+}
+
+BOOST_AUTO_TEST_CASE(ALeavingInstanceIsNeverOffered) {
+  Membership b("b", 1);
+  b.OnList(kNow, ListOf(3));
+  b.OnHeartbeat(kNow, "a", 1, true, 1);
+  BOOST_TEST(!b.IsOffered("a"));
+  // The list lags behind what the instance itself said.
+  b.OnList(kNow + 1s, ListOf(3));
+  BOOST_TEST((b.StateOf("a") == MemberState::kLeaving));
+}
+
+BOOST_AUTO_TEST_CASE(OneThatIsCutOffItselfOffersAll) {
+  Membership b("b", 1);
+  b.OnList(kNow, ListOf(3));
+  b.NextRound(kNow + 10s);
+  BOOST_TEST((b.StateOf("a") == MemberState::kSuspect));
+  BOOST_TEST((b.StateOf("c") == MemberState::kSuspect));
+  BOOST_TEST(b.IsOffered("a"));
+}
+
+}  // namespace
+}  // namespace jackdaw
--- a/src/peer/peer_service.cc
+++ b/src/peer/peer_service.cc
@@ -13,8 +13,6 @@
 
 // Time between two rounds of heartbeats.
 constexpr auto kRoundTime = std::chrono::milliseconds(500);
-// Peers written to in each round; constant however many instances there are.
-constexpr std::size_t kPeersPerRound = 3;
 
 }  // namespace
 
@@ -36,7 +34,8 @@
       apply_(std::move(apply)),
       link_([this](std::string bytes) {
         duty_.TryPost([this, bytes = std::move(bytes)] { Receive(bytes); });
-      }) {}
+      }),
+      membership_(name_, incarnation) {}
 
 Result<std::string> PeerService::Start(std::string_view address) {
   auto bound = link_.Start(address);
@@ -57,18 +56,61 @@
 
 void PeerService::SendHeartbeats() {
   const FleetViewPtr view = view_.Get();
+  membership_.OnList(clock_.Now(), view->instances);
+  const std::vector<std::string> peers = membership_.NextRound(clock_.Now());
   peer::Envelope envelope;
   auto& heartbeat = *envelope.mutable_heartbeat();
   heartbeat.set_config_version(view->config ? view->config->version : 0);
   heartbeat.set_leaving(run_state_.leaving);
   heartbeat.set_store_reachable(run_state_.store_reachable);
   heartbeat.set_requests_in_flight(run_state_.in_flight);
-  const std::size_t count = view->instances.size();
-  for (std::size_t i = 0; i < std::min(count, kPeersPerRound); ++i) {
-    const auto& instance = view->instances[next_peer_++ % count];
-    if (instance.name != name_) {
-      Send(instance.name, envelope);
+  heartbeat.set_beat(membership_.beat());
+  for (const auto& rumor : membership_.NewsToSend()) {
+    auto& news = *heartbeat.add_news();
+    news.set_name(rumor.name);
+    news.set_incarnation(rumor.incarnation);
+    news.set_suspect(rumor.suspect);
+    news.set_beat(rumor.beat);
+  }
+  for (const auto& peer : peers) {
+    Send(peer, envelope);
+  }
+  PublishOffered();
+}
+
+// Puts what changed into the time line, and the instances for callers into
+// the view. The thread is that of all other writers of the view.
+void PeerService::PublishOffered() {
+  const FleetViewPtr view = view_.Get();
+  std::set<std::string, std::less<>> offered;
+  for (const auto& instance : view->instances) {
+    if (membership_.IsOffered(instance.name)) {
+      offered.insert(instance.name);
     }
+    const MemberState state = membership_.StateOf(instance.name);
+    const auto known = states_.find(instance.name);
+    if (known == states_.end() || known->second != state) {
+      states_[instance.name] = state;
+      events_.Add(state == MemberState::kLive ? EventKind::kPeerSeen
+                                              : EventKind::kPeerLost,
+                  {}, {}, {}, instance.name + " " + std::string(Name(state)));
+    }
+  }
+  if (offered != view->offered) {
+    auto next = std::make_shared<FleetView>(*view);
+    next->offered = std::move(offered);
+    view_.Set(std::move(next));
+  }
+}
+
+void PeerService::ReceiveHeartbeat(const peer::Envelope& envelope) {
+  const auto& heartbeat = envelope.heartbeat();
+  membership_.OnHeartbeat(clock_.Now(), envelope.sender(),
+                          envelope.incarnation(), heartbeat.leaving(),
+                          heartbeat.beat());
+  for (const auto& news : heartbeat.news()) {
+    membership_.OnRumor(clock_.Now(), {news.name(), news.incarnation(),
+                                       news.suspect(), news.beat()});
   }
 }
 
@@ -109,8 +151,8 @@
     return;
   }
   events_.Observe(envelope.hlc());
-  if (heard_.insert_or_assign(envelope.sender(), clock_.Now()).second) {
-    events_.Add(EventKind::kPeerSeen, {}, {}, {}, envelope.sender());
+  if (envelope.has_heartbeat()) {
+    ReceiveHeartbeat(envelope);
   }
   const auto handler = handlers_.find(envelope.body_case());
   if (handler != handlers_.end()) {
--- a/src/peer/peer_service.h
+++ b/src/peer/peer_service.h
@@ -10,6 +10,7 @@
 #include "core/duty.h"
 #include "instance/fleet_view.h"
 #include "instance/run_state.h"
+#include "membership/membership.h"
 #include "peer/peer_link.h"
 #include "settings/instance_settings.h"
 #include "timeline/event_log.h"
@@ -61,6 +62,8 @@
   void Receive(const std::string& bytes);
   void SendHeartbeats();
   std::string AddressOf(std::string_view peer) const;
+  void ReceiveHeartbeat(const peer::Envelope& envelope);
+  void PublishOffered();
   void ReceiveConfig(const peer::Envelope& envelope);
 
   Duty& duty_;
@@ -73,8 +76,8 @@
   ApplyConfig apply_;
   PeerLink link_;
   std::map<int, Handler> handlers_;
-  std::size_t next_peer_ = 0;
-  std::map<std::string, Instant, std::less<>> heard_;
+  Membership membership_;
+  std::map<std::string, MemberState, std::less<>> states_;
 };
 
 }  // namespace jackdaw
--- /dev/null
+++ b/src/replay/membership_command.cc
@@ -0,0 +1,303 @@
+#include <algorithm>
+#include <boost/json.hpp>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/random.h"
+#include "membership/membership.h"
+#include "membership/view_freshness.h"
+#include "proto/peer.pb.h"
+#include "replay/command.h"
+
+namespace jackdaw {
+namespace {
+
+namespace json = boost::json;
+
+constexpr Instant kStart{Micros(1'700'000'000'000'000)};
+constexpr Micros kTick = 10ms;
+constexpr Micros kRound = 500ms;
+constexpr Micros kTransit = 10ms;
+// Frame of ZeroMQ and headers of TCP and IP for one message.
+constexpr std::size_t kFrameBytes = 54;
+constexpr std::uint64_t kLoseOneIn = 100;
+constexpr Micros kSpan = 120s;
+
+struct Node {
+  Node(std::string given, Instant phase)
+      : name(std::move(given)), members(name, 1), next_round(phase) {}
+  std::string name;
+  Membership members;
+  ViewFreshness freshness;
+  std::uint64_t version = 1;
+  Instant next_round;
+  Instant next_read;
+  bool alive = true;
+  bool cut = false;
+};
+
+struct Message {
+  std::size_t to = 0;
+  peer::Envelope envelope;
+};
+
+// The messages of a fleet of instances under a virtual clock: heartbeats with
+// news, questions for freshness, and relayed configurations.
+class FleetRun {
+ public:
+  FleetRun(int count, bool cut_third)
+      : random_(static_cast<std::uint64_t>(count)), clock_(kStart) {
+    for (int i = 0; i < count; ++i) {
+      InstanceEntry entry;
+      entry.name = "entry-" + std::to_string(1000 + i);
+      entry.incarnation = 1;
+      list_.push_back(entry);
+      const auto phase = Micros(static_cast<std::int64_t>(
+          random_.Below(static_cast<std::uint64_t>(kRound.count()))));
+      nodes_.push_back(std::make_unique<Node>(entry.name, kStart + phase));
+      Node& node = *nodes_.back();
+      node.next_read = kStart + phase;
+      node.cut = cut_third && i % 3 == 0;
+      node.freshness.OnVersion(1);
+      index_[entry.name] = static_cast<std::size_t>(i);
+    }
+    for (auto& node : nodes_) {
+      node->members.OnList(kStart, list_);
+      std::vector<std::string> others;
+      for (const auto& entry : list_) {
+        if (entry.name != node->name) {
+          others.push_back(entry.name);
+        }
+      }
+      node->freshness.OnMembers(std::move(others));
+    }
+  }
+
+  json::object Go() {
+    const Instant change_at = kStart + 40s;
+    const Instant crash_at = kStart + 80s;
+    Instant all_changed{};
+    Instant all_know{};
+    Micros oldest{};
+    while (clock_.Now() < kStart + kSpan) {
+      clock_.Advance(kTick);
+      const Instant now = clock_.Now();
+      if (now == change_at) {
+        store_version_ = 2;
+      }
+      if (now == crash_at) {
+        nodes_[1]->alive = false;
+      }
+      Deliver(now);
+      for (auto& node : nodes_) {
+        if (node->alive) {
+          Step(now, *node);
+        }
+      }
+      if (now >= change_at && all_changed == Instant{} && AllChanged()) {
+        all_changed = now;
+      }
+      if (now >= crash_at && all_know == Instant{} && AllKnow()) {
+        all_know = now;
+      }
+      if (now > kStart + 20s) {
+        oldest = std::max(oldest, OldestView(now));
+      }
+    }
+    const double node_seconds =
+        static_cast<double>(nodes_.size()) * static_cast<double>(kSpan / 1s);
+    const auto took = [](Instant at, Instant since) -> json::value {
+      return at == Instant{} ? json::value()
+                             : json::value((at - since) / Micros(1ms));
+    };
+    return {{"instances", nodes_.size()},
+            {"bytes_per_node_second",
+             2 * static_cast<double>(bytes_) / node_seconds},
+            {"messages_per_node_second",
+             2 * static_cast<double>(messages_) / node_seconds},
+            {"change_in_force_everywhere_ms", took(all_changed, change_at)},
+            {"dead_known_everywhere_ms", took(all_know, crash_at)},
+            {"wrong_suspicions", wrong_suspicions_},
+            {"oldest_view_ms", oldest / Micros(1ms)}};
+  }
+
+ private:
+  void Send(Instant now,
+            const Node& from,
+            std::string_view to,
+            peer::Envelope envelope) {
+    envelope.set_sender(from.name);
+    envelope.set_incarnation(1);
+    envelope.set_hlc(1'700'000'000'000ULL << 16U);
+    ++messages_;
+    bytes_ += envelope.ByteSizeLong() + kFrameBytes;
+    const auto found = index_.find(to);
+    if (!random_.OneIn(kLoseOneIn) && found != index_.end()) {
+      in_flight_.emplace(now + kTransit,
+                         Message{found->second, std::move(envelope)});
+    }
+  }
+
+  void Step(Instant now, Node& node) {
+    if (now >= node.next_read) {
+      node.next_read = now + kRound;
+      if (!node.cut) {
+        SetVersion(node, store_version_);
+        node.freshness.OnStoreRead(now, store_version_);
+      }
+    }
+    if (now < node.next_round) {
+      return;
+    }
+    node.next_round = now + kRound;
+    const auto peers = node.members.NextRound(now);
+    peer::Envelope envelope;
+    auto& heartbeat = *envelope.mutable_heartbeat();
+    heartbeat.set_config_version(node.version);
+    heartbeat.set_store_reachable(!node.cut);
+    heartbeat.set_requests_in_flight(24);
+    heartbeat.set_beat(node.members.beat());
+    for (const auto& rumor : node.members.NewsToSend()) {
+      auto& news = *heartbeat.add_news();
+      news.set_name(rumor.name);
+      news.set_incarnation(rumor.incarnation);
+      news.set_suspect(rumor.suspect);
+      news.set_beat(rumor.beat);
+    }
+    for (const auto& peer : peers) {
+      Send(now, node, peer, envelope);
+    }
+    for (const auto& peer : node.freshness.PeersToAsk(now)) {
+      peer::Envelope question;
+      question.mutable_freshness_request()->set_asked_us(
+          now.time_since_epoch().count());
+      Send(now, node, peer, std::move(question));
+    }
+  }
+
+  static void SetVersion(Node& node, std::uint64_t version) {
+    node.version = std::max(node.version, version);
+    node.freshness.OnVersion(node.version);
+  }
+
+  void Deliver(Instant now) {
+    while (!in_flight_.empty() && in_flight_.begin()->first <= now) {
+      const Message message = std::move(in_flight_.begin()->second);
+      in_flight_.erase(in_flight_.begin());
+      if (nodes_[message.to]->alive) {
+        Receive(now, *nodes_[message.to], message.envelope);
+      }
+    }
+  }
+
+  void Receive(Instant now, Node& node, const peer::Envelope& envelope) {
+    if (envelope.has_heartbeat()) {
+      const auto& heartbeat = envelope.heartbeat();
+      node.members.OnHeartbeat(now, envelope.sender(), 1, false,
+                               heartbeat.beat());
+      for (const auto& news : heartbeat.news()) {
+        node.members.OnRumor(now, {news.name(), news.incarnation(),
+                                   news.suspect(), news.beat()});
+        const bool dead = !nodes_[index_.find(news.name())->second]->alive;
+        wrong_suspicions_ += news.suspect() && !dead ? 1 : 0;
+      }
+      Ask(now, node, envelope.sender(), heartbeat.config_version());
+    } else if (envelope.has_config_request()) {
+      peer::Envelope answer;
+      answer.mutable_config_reply()->set_version(node.version);
+      Send(now, node, envelope.sender(), std::move(answer));
+    } else if (envelope.has_config_reply()) {
+      SetVersion(node, envelope.config_reply().version());
+    } else if (envelope.has_freshness_request()) {
+      Answer(now, node, envelope);
+    } else if (envelope.has_freshness_reply()) {
+      const auto& reply = envelope.freshness_reply();
+      PeerEvidence evidence;
+      evidence.version = reply.version();
+      evidence.confirmed = reply.confirmed();
+      evidence.confirmed_age =
+          Micros(static_cast<std::int64_t>(reply.confirmed_age_us()));
+      evidence.writes_settled = reply.writes_settled();
+      node.freshness.OnPeerAnswer(envelope.sender(),
+                                  Instant(Micros(reply.asked_us())), evidence);
+      Ask(now, node, envelope.sender(), evidence.version);
+    }
+  }
+
+  void Ask(Instant now,
+           const Node& node,
+           const std::string& peer,
+           std::uint64_t version) {
+    if (version > node.version) {
+      peer::Envelope request;
+      request.mutable_config_request()->set_have_version(node.version);
+      Send(now, node, peer, std::move(request));
+    }
+  }
+
+  void Answer(Instant now, const Node& node, const peer::Envelope& envelope) {
+    const PeerEvidence evidence = node.freshness.Evidence(now);
+    peer::Envelope answer;
+    auto& reply = *answer.mutable_freshness_reply();
+    reply.set_asked_us(envelope.freshness_request().asked_us());
+    reply.set_version(evidence.version);
+    reply.set_confirmed(evidence.confirmed);
+    reply.set_confirmed_age_us(
+        static_cast<std::uint64_t>(evidence.confirmed_age.count()));
+    reply.set_writes_settled(evidence.writes_settled);
+    Send(now, node, envelope.sender(), std::move(answer));
+  }
+
+  bool AllChanged() const {
+    return std::all_of(nodes_.begin(), nodes_.end(), [](const auto& node) {
+      return !node->alive || node->version == 2;
+    });
+  }
+
+  bool AllKnow() const {
+    return std::all_of(nodes_.begin(), nodes_.end(), [&](const auto& node) {
+      return !node->alive || !node->members.IsOffered(nodes_[1]->name);
+    });
+  }
+
+  Micros OldestView(Instant now) const {
+    Micros oldest{};
+    for (const auto& node : nodes_) {
+      if (node->alive) {
+        oldest = std::max(oldest, now - node->freshness.ConfirmedAt());
+      }
+    }
+    return oldest;
+  }
+
+  Random random_;
+  VirtualClock clock_;
+  std::vector<InstanceEntry> list_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::map<std::string, std::size_t, std::less<>> index_;
+  std::multimap<Instant, Message> in_flight_;
+  std::uint64_t store_version_ = 1;
+  std::uint64_t messages_ = 0;
+  std::uint64_t bytes_ = 0;
+  std::uint64_t wrong_suspicions_ = 0;
+};
+
+}  // namespace
+
+// Cost of membership and time until a change and a death are known, with the
+// store up and with a third of the instances cut from it.
+int MembershipCommand(std::span<const std::string> /*arguments*/) {
+  for (const bool cut_third : {false, true}) {
+    for (const int count : {8, 64, 370}) {
+      json::object row = FleetRun(count, cut_third).Go();
+      row["cut_from_store"] = cut_third ? "a third" : "none";
+      std::cout << json::serialize(row) << "\n";
+    }
+  }
+  return 0;
+}
+
+}  // namespace jackdaw
