--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -11,6 +11,7 @@
 #include "entry/caller_service.h"
 #include "instance/context.h"
 #include "instance/fleet_watcher.h"
+#include "membership/freshness_exchange.h"
 #include "operator/operator_service.h"
 #include "peer/peer_service.h"
 #include "record/copy_exchange.h"
@@ -68,6 +69,7 @@
   IntentStore intents{platform_duty, clock, settings.platform, view};
   RefusalLog refusals{recorder_duty, clock, settings.platform, view,
                       RecordOwner{settings.name, incarnation}};
+  ViewFreshness freshness;
   FleetWatcher watcher{
       platform_duty,
       clock,
@@ -75,9 +77,10 @@
       view,
       run_state,
       events,
+      freshness,
       [this](FleetConfigPtr config) {
         metrics.SetConfigVersion(static_cast<double>(config->version));
-        decisions.OnConfig(std::move(config));
+        return decisions.OnConfig(std::move(config));
       }};
   PeerService peers{platform_duty,
                     clock,
@@ -89,6 +92,8 @@
                     [this](std::uint64_t version, std::string document) {
                       watcher.Apply({version, "relayed", std::move(document)});
                     }};
+  FreshnessExchange confirmations{platform_duty, clock, peers, run_state,
+                                  freshness};
   CopyExchange copies{recorder_duty, clock, settings, view,
                       run_state,     peers, refusals};
   TargetProbe probe{target_duty, clock, relay};
@@ -144,6 +149,7 @@
   parts.refusals.Start();
   parts.copies.Start();
   parts.crashes.Start();
+  parts.confirmations.Start();
   parts.poller.Start();
   parts.intents.Start();
   parts.decisions.Start();
