Place models from the daemon: leases, orders, loads on demand

A placement thread takes the leases of its share of the targets, plans from what all instances publish and sends fenced orders to engines. Loads queue in one row of the table for the weight store. A model's last copy is kept by a row that two holders cannot both shrink. Callers of a model without a copy wait while it is loaded, up to their deadline. The engine stand-in keeps its memory, carries out orders with their faults, and ends when it is overcommitted.

--- a/src/config/fleet_config.cc
+++ b/src/config/fleet_config.cc
@@ -19,6 +19,18 @@
     SettingRow{"plain_call_tokens", 0, kMillion, 1},
     SettingRow{"queue_requests", 0, 100'000, 64},
     SettingRow{"quarantine_ms", 1000, kDayMs, 600'000},
+    SettingRow{"lease_term_ms", 500, 600'000, 15'000},
+    SettingRow{"order_flight_ms", 10, 600'000, 3000},
+    SettingRow{"order_pause_ms", 0, kDayMs, 120'000},
+    SettingRow{"kv_reserve_percent", 0, 90, 20},
+    SettingRow{"adapter_memory_percent", 0, 50, 5},
+    SettingRow{"engine_tokens_per_s", 1, 100 * kMillion, 2000},
+    SettingRow{"model_load_ms", 1, 3'600'000, 5000},
+    SettingRow{"weight_store_slots", 1, 1000, 2},
+    SettingRow{"weight_store_loads_per_s", 1, 1000, 2},
+    SettingRow{"adapter_loads", 1, 100'000, 16},
+    SettingRow{"pinned", 0, 1, 0},
+    SettingRow{"excluded", 0, 1, 0},
     SettingRow{"outcome_keep_ms", 1000, 30 * kDayMs, kDayMs},
 };
 
--- a/src/daemons/jackdaw-standin.cc
+++ b/src/daemons/jackdaw-standin.cc
@@ -47,7 +47,12 @@
       cxxopts::value<std::int64_t>()->default_value("20000"))(
       "token-us", "Time between two tokens",
       cxxopts::value<std::int64_t>()->default_value("10000"))(
-      "help", "Print this help");
+      "ignore-fence", "Carry out orders with an old fencing number")(
+      "load-ms", "Time of a load without a weight store",
+      cxxopts::value<std::int64_t>()->default_value("200"))(
+      "weights", "Platform address to fetch weights from",
+      cxxopts::value<std::string>()->default_value(""))("help",
+                                                        "Print this help");
   options.parse_positional({"role"});
   try {
     const auto parsed = options.parse(argc, argv);
@@ -69,6 +74,13 @@
     shape.memory_mb = parsed["memory-mb"].as<std::int64_t>();
     shape.first_token_us = parsed["first-token-us"].as<std::int64_t>();
     shape.token_us = parsed["token-us"].as<std::int64_t>();
+    shape.checks_fence = parsed.count("ignore-fence") == 0;
+    shape.load_ms = parsed["load-ms"].as<std::int64_t>();
+    const auto weights =
+        jackdaw::ParseEndpoint(parsed["weights"].as<std::string>());
+    if (weights) {
+      shape.weights = weights.value();
+    }
     jackdaw::EngineStandin standin(context, shape);
     return Serve(context, standin, address);
   } catch (const cxxopts::exceptions::exception& failure) {
--- a/src/instance/context.h
+++ b/src/instance/context.h
@@ -5,6 +5,8 @@
 #include "instance/metrics.h"
 #include "instance/run_state.h"
 #include "once/intent_store.h"
+#include "placement/demand_board.h"
+#include "placement/placement_duty.h"
 #include "record/refusal_log.h"
 #include "settings/instance_settings.h"
 #include "targets/relay.h"
@@ -24,6 +26,8 @@
   Relay& relay;
   IntentStore& intents;
   RefusalLog& refusals;
+  DemandBoard& demand;
+  PlacementDuty& placement;
 };
 
 }  // namespace jackdaw
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -68,8 +68,12 @@
   IntentStore intents{platform_duty, clock, settings.platform, view};
   RefusalLog refusals{recorder_duty, clock, settings.platform, view,
                       RecordOwner{settings.name, incarnation}};
-  InstanceContext context{settings, clock,     run_state, view,    metrics,
-                          events,   decisions, relay,     intents, refusals};
+  DemandBoard demand;
+  PlacementDuty placement{settings.name, incarnation, clock,  settings.platform,
+                          view,          run_state,   demand, events};
+  InstanceContext context{settings, clock,    run_state, view,
+                          metrics,  events,   decisions, relay,
+                          intents,  refusals, demand,    placement};
   FleetWatcher watcher{
       platform_duty,
       clock,
@@ -118,6 +122,7 @@
         &parts_->platform_duty, &parts_->recorder_duty}) {
     duty->Stop();
   }
+  parts_->placement.Stop();
   parts_->decisions.Stop();
 }
 
@@ -140,6 +145,7 @@
   parts.copies.Start();
   parts.poller.Start();
   parts.intents.Start();
+  parts.placement.Start();
   parts.decisions.Start();
   for (Duty* duty :
        {&parts.caller_duty, &parts.target_duty, &parts.platform_duty,
--- a/src/operator/operator_service.cc
+++ b/src/operator/operator_service.cc
@@ -91,6 +91,9 @@
     co_return JsonResponse(
         200, EncodeEvents(context_.settings.name, context_.events));
   }
+  if (path == "/v1/placement") {
+    co_return JsonResponse(200, context_.placement.StatusJson());
+  }
   if (path == "/v1/instances") {
     co_return JsonResponse(200,
                            EncodeInstances(context_.view.Get()->instances));
--- /dev/null
+++ b/src/placement/demand_board.cc
@@ -0,0 +1,54 @@
+#include "placement/demand_board.h"
+
+#include <utility>
+
+namespace jackdaw {
+
+void DemandBoard::OnRequest(std::string_view model, std::int64_t tokens) {
+  const std::scoped_lock lock(mutex_);
+  const auto found = tokens_.find(model);
+  if (found != tokens_.end()) {
+    found->second += tokens;
+  } else {
+    tokens_.emplace(model, tokens);
+  }
+}
+
+void DemandBoard::OnWaiting(std::string_view model, int change) {
+  const std::scoped_lock lock(mutex_);
+  const auto found = waiting_.emplace(std::string(model), 0).first;
+  found->second += change;
+  if (found->second <= 0) {
+    waiting_.erase(found);
+  }
+}
+
+TokensByModel DemandBoard::TakeTokens() {
+  const std::scoped_lock lock(mutex_);
+  return std::exchange(tokens_, {});
+}
+
+std::vector<std::string> DemandBoard::Waiting() const {
+  const std::scoped_lock lock(mutex_);
+  std::vector<std::string> names;
+  names.reserve(waiting_.size());
+  for (const auto& [name, count] : waiting_) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+void DemandBoard::SetExpected(
+    std::map<std::string, Instant, std::less<>> expected) {
+  const std::scoped_lock lock(mutex_);
+  expected_ = std::move(expected);
+}
+
+Instant DemandBoard::ExpectedAt(std::string_view model,
+                                Instant otherwise) const {
+  const std::scoped_lock lock(mutex_);
+  const auto found = expected_.find(model);
+  return found == expected_.end() ? otherwise : found->second;
+}
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/placement/demand_estimate.cc
@@ -0,0 +1,42 @@
+#include "placement/demand_estimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jackdaw {
+namespace {
+
+constexpr double kRiseSeconds = 8;
+constexpr double kFallSeconds = 60;
+constexpr double kPeakSeconds = 900;
+
+double Seconds(Micros span) {
+  return std::chrono::duration<double>(span).count();
+}
+
+}  // namespace
+
+void DemandEstimate::OnRate(Instant now,
+                            std::string_view model,
+                            double tokens_per_s) {
+  auto found = values_.find(model);
+  if (found == values_.end()) {
+    values_.emplace(model, Value{tokens_per_s, tokens_per_s, now});
+    return;
+  }
+  Value& value = found->second;
+  const double passed = std::max(0.0, Seconds(now - value.at));
+  const double time = tokens_per_s > value.demand ? kRiseSeconds : kFallSeconds;
+  const double weight = 1 - std::exp(-passed / time);
+  value.demand += weight * (tokens_per_s - value.demand);
+  value.peak *= std::exp(-passed / kPeakSeconds);
+  value.peak = std::max(value.peak, value.demand);
+  value.at = now;
+}
+
+DemandEstimate::Value DemandEstimate::Of(std::string_view model) const {
+  const auto found = values_.find(model);
+  return found == values_.end() ? Value{} : found->second;
+}
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/placement/load_queue.cc
@@ -0,0 +1,128 @@
+#include "placement/load_queue.h"
+
+#include <algorithm>
+
+#include "core/object_reader.h"
+
+namespace jackdaw {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::int64_t kMaxMicros = 1LL << 60;
+// Time for which a ticket lives without being renewed.
+constexpr Micros kTicketTime = 10s;
+
+Instant ReadInstant(ObjectReader& reader, std::string_view name) {
+  return Instant{Micros(reader.IntegerOr(name, 0, kMaxMicros, 0))};
+}
+
+std::int64_t ToNumber(Instant moment) {
+  return moment.time_since_epoch().count();
+}
+
+}  // namespace
+
+// A waiting ticket begins when a slot is free, the rate allows it and no
+// other waiting ticket goes before it.
+bool LoadQueue::MayBegin(Instant now,
+                         const LoadTicket& ticket,
+                         int slots,
+                         int per_second) const {
+  int running = 0;
+  for (const auto& other : tickets_) {
+    if (other.begun_at != Instant{}) {
+      ++running;
+    } else if (other.priority > ticket.priority ||
+               (other.priority == ticket.priority &&
+                other.asked_at < ticket.asked_at)) {
+      return false;
+    }
+  }
+  const Micros spacing = Micros(1s) / per_second;
+  return running < slots && now >= last_begun_at_ + spacing;
+}
+
+bool LoadQueue::Ask(Instant now,
+                    const LoadTicket& ticket,
+                    int slots,
+                    int per_second) {
+  Expire(now);
+  auto found = std::find_if(
+      tickets_.begin(), tickets_.end(), [&](const LoadTicket& other) {
+        return other.target == ticket.target && other.model == ticket.model;
+      });
+  if (found == tickets_.end()) {
+    tickets_.push_back(ticket);
+    found = std::prev(tickets_.end());
+    found->asked_at = now;
+    found->begun_at = Instant{};
+  }
+  found->priority = ticket.priority;
+  found->expires_at = now + kTicketTime;
+  if (found->begun_at == Instant{} &&
+      MayBegin(now, *found, slots, per_second)) {
+    found->begun_at = now;
+    last_begun_at_ = now;
+  }
+  return found->begun_at != Instant{};
+}
+
+bool LoadQueue::Remove(std::string_view target, std::string_view model) {
+  return std::erase_if(tickets_, [&](const LoadTicket& ticket) {
+           return ticket.target == target && ticket.model == model;
+         }) > 0;
+}
+
+void LoadQueue::Expire(Instant now) {
+  std::erase_if(tickets_, [&](const LoadTicket& ticket) {
+    return ticket.expires_at <= now;
+  });
+}
+
+int LoadQueue::Ahead(LoadPriority priority) const {
+  return static_cast<int>(std::count_if(
+      tickets_.begin(), tickets_.end(), [&](const LoadTicket& ticket) {
+        return ticket.begun_at != Instant{} || ticket.priority >= priority;
+      }));
+}
+
+std::string LoadQueue::Encode() const {
+  json::array tickets;
+  for (const auto& ticket : tickets_) {
+    tickets.push_back(
+        json::object{{"target", ticket.target},
+                     {"model", ticket.model},
+                     {"priority", static_cast<int>(ticket.priority)},
+                     {"asked_at_us", ToNumber(ticket.asked_at)},
+                     {"begun_at_us", ToNumber(ticket.begun_at)},
+                     {"expires_at_us", ToNumber(ticket.expires_at)}});
+  }
+  return json::serialize(
+      json::object{{"tickets", std::move(tickets)},
+                   {"last_begun_at_us", ToNumber(last_begun_at_)}});
+}
+
+Result<LoadQueue> LoadQueue::Decode(std::string_view value) {
+  BOOST_OUTCOME_TRY(const auto parsed, ParseJson(value));
+  ObjectReader reader(parsed, "");
+  LoadQueue queue;
+  queue.last_begun_at_ = ReadInstant(reader, "last_begun_at_us");
+  for (const auto& item : reader.ItemsOr("tickets")) {
+    ObjectReader one(item, reader.PathOf("tickets"));
+    LoadTicket ticket;
+    ticket.target = one.Text("target");
+    ticket.model = one.Text("model");
+    ticket.priority = static_cast<LoadPriority>(one.Integer(
+        "priority", 0, static_cast<int>(LoadPriority::kNoCopyCallersWait)));
+    ticket.asked_at = ReadInstant(one, "asked_at_us");
+    ticket.begun_at = ReadInstant(one, "begun_at_us");
+    ticket.expires_at = ReadInstant(one, "expires_at_us");
+    BOOST_OUTCOME_TRY(one.Finish());
+    queue.tickets_.push_back(std::move(ticket));
+  }
+  BOOST_OUTCOME_TRY(reader.Finish());
+  return queue;
+}
+
+}  // namespace jackdaw
--- a/src/placement/target_controller.h
+++ b/src/placement/target_controller.h
@@ -17,6 +17,8 @@
   std::int64_t capacity_mb = 0;
   std::int64_t reserve_mb = 0;
   bool checks_fence = true;
+
+  bool operator==(const ControlledTarget& other) const = default;
 };
 
 /// How a call that carried an order ended.
--- a/src/routing/target_report.cc
+++ b/src/routing/target_report.cc
@@ -19,7 +19,8 @@
       {"used_mb", report.used_mb},
       {"leaving", report.leaving},
       {"models", boost::json::value_from(report.models)},
-      {"adapters", boost::json::value_from(report.adapters)}});
+      {"adapters", boost::json::value_from(report.adapters)},
+      {"items", ToJson(report.items)}});
 }
 
 Result<TargetReport> DecodeReport(std::string_view body) {
@@ -33,6 +34,8 @@
   report.leaving = reader.FlagOr("leaving", false);
   report.models = reader.TextsOr("models");
   report.adapters = reader.TextsOr("adapters");
+  BOOST_OUTCOME_TRY(report.items, ReadEngineItems(reader.ItemsOr("items"),
+                                                  reader.PathOf("items")));
   BOOST_OUTCOME_TRY(reader.Finish());
   return report;
 }
--- a/src/routing/target_report.h
+++ b/src/routing/target_report.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/error.h"
+#include "orders/order.h"
 
 namespace jackdaw {
 
@@ -18,6 +19,8 @@
   bool leaving = false;
   std::vector<std::string> models;
   std::vector<std::string> adapters;
+  /// All that the memory holds, in any state.
+  std::vector<EngineItem> items;
 };
 
 std::string EncodeReport(const TargetReport& report);
--- a/src/standin/engine_standin.cc
+++ b/src/standin/engine_standin.cc
@@ -53,6 +53,22 @@
   return prompt;
 }
 
+// Keeps a model from being unloaded while a request runs.
+class ResidentUse {
+ public:
+  ResidentUse(EngineMemory& memory, std::string model)
+      : memory_(memory), model_(std::move(model)) {
+    memory_.OnRequest(model_, 1);
+  }
+  ~ResidentUse() { memory_.OnRequest(model_, -1); }
+  ResidentUse(const ResidentUse&) = delete;
+  ResidentUse& operator=(const ResidentUse&) = delete;
+
+ private:
+  EngineMemory& memory_;
+  std::string model_;
+};
+
 std::string EncodeAnswer(const HttpRequest& request,
                          const Prompt& prompt,
                          const std::string& text) {
@@ -79,6 +95,17 @@
          "\n\n";
 }
 
+EngineMemoryShape MemoryOf(const EngineShape& shape) {
+  EngineMemoryShape memory;
+  memory.name = shape.name;
+  memory.memory_mb = shape.memory_mb;
+  memory.checks_fence = shape.checks_fence;
+  memory.models = shape.models;
+  memory.load_ms = shape.load_ms;
+  memory.weights = shape.weights;
+  return memory;
+}
+
 HttpResponse EventStreamHead() {
   return {200, {{"Content-Type", "text/event-stream"}}, {}};
 }
@@ -92,9 +119,10 @@
 EngineStandin::EngineStandin(asio::io_context& context, EngineShape shape)
     : context_(context),
       shape_(std::move(shape)),
-      server_(context, HttpLimits{}, [this](HttpExchange& exchange) {
-        return Handle(exchange);
-      }) {}
+      server_(context,
+              HttpLimits{},
+              [this](HttpExchange& exchange) { return Handle(exchange); }),
+      memory_(context, MemoryOf(shape_)) {}
 
 Result<Endpoint> EngineStandin::Listen(const Endpoint& endpoint) {
   return server_.Listen(endpoint);
@@ -136,6 +164,15 @@
     co_await exchange.Respond(JsonResponse(200, EncodeReport(Report())));
     co_return;
   }
+  if (path == "/engine/orders") {
+    auto answer = memory_.OnOrder(request);
+    if (answer) {
+      co_await exchange.Respond(std::move(*answer));
+    } else {
+      exchange.CloseAfter();
+    }
+    co_return;
+  }
   if (!faults_.crash_on.empty() &&
       request.body.find(faults_.crash_on) != std::string::npos) {
     std::fprintf(stderr, "%s: crash on request\n", shape_.name.c_str());
@@ -176,6 +213,12 @@
     co_return;
   }
   const Prompt prompt = ReadPrompt(parsed.value());
+  if (!memory_.Serves(prompt.model)) {
+    co_await exchange.Respond(
+        JsonResponse(503, R"({"error":"model not resident"})"));
+    co_return;
+  }
+  const ResidentUse use(memory_, prompt.model);
   ++runs_[std::string(request.Header("X-Request-Id"))];
   const std::string stem = Sha256Hex(prompt.text).substr(0, kStemDigits);
   co_await Wait(shape_.first_token_us);
@@ -224,7 +267,15 @@
   report.running = running_;
   report.memory_mb = shape_.memory_mb;
   report.leaving = faults_.leaving;
-  report.models = shape_.models;
+  report.items = memory_.Items();
+  report.used_mb = memory_.used_mb();
+  for (const auto& entry : report.items) {
+    if (entry.state == EngineItemState::kResident) {
+      auto& names =
+          entry.item.kind == ItemKind::kModel ? report.models : report.adapters;
+      names.push_back(entry.item.name);
+    }
+  }
   return report;
 }
 
@@ -250,11 +301,13 @@
       reader.IntegerOr("cut_after_tokens", 0, kMaxTokens, 3);
   faults.crash_on = reader.TextOr("crash_on", "");
   faults.leaving = reader.FlagOr("leaving", false);
+  const OrderFaults order_faults = memory_.ReadFaults(reader);
   if (const auto checked = reader.Finish(); !checked) {
     return JsonResponse(
         400, json::serialize(json::object{{"error", checked.error().Line()}}));
   }
   faults_ = std::move(faults);
+  memory_.SetFaults(order_faults);
   return JsonResponse(200, "{}");
 }
 
--- a/src/standin/engine_standin.h
+++ b/src/standin/engine_standin.h
@@ -8,6 +8,7 @@
 
 #include "http/server.h"
 #include "routing/target_report.h"
+#include "standin/engine_memory.h"
 
 namespace jackdaw {
 
@@ -17,6 +18,11 @@
   bool plain = false;
   std::int64_t memory_mb = 80'000;
   std::vector<std::string> models;
+  /// Whether orders with an old fencing number are refused.
+  bool checks_fence = true;
+  /// Time of a load, in milliseconds, where no weight store is given.
+  std::int64_t load_ms = 200;
+  std::optional<Endpoint> weights;
   /// Time to the first token and between two tokens, in microseconds.
   std::int64_t first_token_us = 20'000;
   std::int64_t token_us = 10'000;
@@ -67,6 +73,7 @@
   EngineShape shape_;
   HttpServer server_;
   EngineFaults faults_;
+  EngineMemory memory_;
   std::int64_t running_ = 0;
   std::map<std::string, std::int64_t> runs_;
 };
--- a/src/standin/platform_standin.cc
+++ b/src/standin/platform_standin.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include "core/clock.h"
 #include "core/object_reader.h"
 #include "platform/codec.h"
 
@@ -53,6 +54,11 @@
     co_await exchange.Respond(Failure(503, "outage"));
     co_return;
   }
+  if (request.Path().starts_with("/v1/weights/")) {
+    HttpResponse weights = co_await FetchWeights(request);
+    co_await exchange.Respond(std::move(weights));
+    co_return;
+  }
   HttpResponse answer = Answer(request);
   const bool write =
       request.method == "PUT" || request.Path() == "/v1/table/transact";
@@ -64,6 +70,21 @@
   co_await exchange.Respond(std::move(answer));
 }
 
+// Answers once the weights have come at the pace of the store.
+asio::awaitable<HttpResponse> PlatformStandin::FetchWeights(
+    const HttpRequest& request) {
+  const bool adapter = request.Query("kind") == "adapter";
+  const MonotonicClock clock;
+  const Instant now = clock.Now();
+  const Instant done =
+      adapter ? weights_.BeginAdapter(now) : weights_.BeginModel(now);
+  asio::steady_timer timer(context_);
+  timer.expires_after(done - now);
+  co_await timer.async_wait(asio::use_awaitable);
+  weights_.End(adapter);
+  co_return JsonResponse(200, "{}");
+}
+
 HttpResponse PlatformStandin::Answer(const HttpRequest& request) {
   if (request.Path().starts_with("/v1/table/")) {
     return AnswerTable(request);
--- a/src/standin/platform_standin.h
+++ b/src/standin/platform_standin.h
@@ -6,6 +6,7 @@
 
 #include "http/server.h"
 #include "platform/memory_table.h"
+#include "standin/weight_store.h"
 
 namespace jackdaw {
 
@@ -35,6 +36,7 @@
   HttpResponse AnswerTable(const HttpRequest& request);
   HttpResponse AnswerObjects(const HttpRequest& request);
   HttpResponse AnswerInstances(const HttpRequest& request);
+  boost::asio::awaitable<HttpResponse> FetchWeights(const HttpRequest& request);
   HttpResponse SetFaults(const HttpRequest& request);
 
   boost::asio::io_context& context_;
@@ -43,6 +45,7 @@
   std::map<std::string, std::string, std::less<>> objects_;
   std::map<std::string, InstanceEntry, std::less<>> instances_;
   PlatformFaults faults_;
+  WeightStore weights_{WeightStoreShape{}};
 };
 
 }  // namespace jackdaw
