--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -10,8 +10,8 @@
 
 /// How eager a planner is.
 struct PlannerShape {
-  /// Part of a target's capacity that a plan may use; the rest is headroom.
-  double use = 0.8;
+  /// Part of a target's capacity that a plan may use.
+  double use = 1.0;
   /// Least gain of a move, as a part of its target's capacity.
   double least_gain = 0.04;
   /// An eviction is worth it when the gain is this many times the loss.
--- a/src/replay/command.cc
+++ b/src/replay/command.cc
@@ -8,6 +8,8 @@
   static constexpr std::array kCommands{
       ReplayCommand{"bench", "one deterministic signature over all decisions",
                     BenchCommand},
+      ReplayCommand{"placement", "ways to place models, compared in figures",
+                    PlacementCommand},
       ReplayCommand{"refusals", "refusal records: puts, bytes, losses",
                     RefusalsCommand},
   };
