--- a/src/entry/load_wait.cc
+++ b/src/entry/load_wait.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace jackdaw {
 namespace {
@@ -29,31 +30,30 @@
 
 }  // namespace
 
-asio::awaitable<Result<std::optional<PickedTarget>>> PickOrWait(
-    InstanceContext& context,
-    std::string model,
-    std::vector<std::string> tried,
-    Instant deadline,
-    Instant& retry_at) {
-  Result<std::optional<PickedTarget>> picked =
-      co_await context.decisions.Pick(model, {}, tried);
-  if (!picked || picked.value() || !tried.empty()) {
-    co_return picked;
+asio::awaitable<Result<DispatchAnswer>> DispatchOrWait(InstanceContext& context,
+                                                       DispatchOrder order,
+                                                       Instant deadline,
+                                                       Instant& retry_at) {
+  Result<DispatchAnswer> answer = co_await context.decisions.Dispatch(order);
+  const bool may_wait = order.attempt == 0 && !order.model.empty();
+  if (!answer || answer.value().denial != DispatchDenial::kNoTarget ||
+      !may_wait) {
+    co_return answer;
   }
-  const Waiting waiting(context.demand, model);
+  const Waiting waiting(context.demand, order.model);
   asio::steady_timer timer(co_await asio::this_coro::executor);
   for (;;) {
     const Instant now = context.clock.Now();
-    const Instant expected = context.demand.ExpectedAt(model, now);
+    const Instant expected = context.demand.ExpectedAt(order.model, now);
     if (now >= deadline || expected > deadline) {
       retry_at = expected;
-      co_return picked;
+      co_return answer;
     }
     timer.expires_after(kPollTime);
     co_await timer.async_wait(asio::use_awaitable);
-    picked = co_await context.decisions.Pick(model, {}, tried);
-    if (!picked || picked.value()) {
-      co_return picked;
+    answer = co_await context.decisions.Dispatch(order);
+    if (!answer || answer.value().denial != DispatchDenial::kNoTarget) {
+      co_return answer;
     }
   }
 }
--- a/src/entry/load_wait.h
+++ b/src/entry/load_wait.h
@@ -1,26 +1,21 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
-#include <optional>
-#include <string>
-#include <vector>
 
 #include "core/error.h"
 #include "core/time.h"
 #include "instance/context.h"
-#include "routing/router.h"
 
 namespace jackdaw {
 
-/// Picks a target for a model. Where none holds it, says so to the placement
-/// thread and waits while the model is loaded; gives up at once when the load
-/// is expected after the deadline.
-/// @param retry_at set to the expected moment when there is none in time
-/// @returns the target, or nothing
-boost::asio::awaitable<Result<std::optional<PickedTarget>>> PickOrWait(
+/// Asks for a target. Where none holds the model, says so to the placement
+/// thread and waits while it is loaded; gives up at once when the load is
+/// expected after the deadline.
+/// @param retry_at set to the expected moment when that is too late
+/// @returns the answer; kNoTarget where there is none in time
+boost::asio::awaitable<Result<DispatchAnswer>> DispatchOrWait(
     InstanceContext& context,
-    std::string model,
-    std::vector<std::string> tried,
+    DispatchOrder order,
     Instant deadline,
     Instant& retry_at);
 
--- a/src/instance/context.h
+++ b/src/instance/context.h
@@ -7,6 +7,7 @@
 #include "once/intent_store.h"
 #include "placement/demand_board.h"
 #include "placement/placement_duty.h"
+#include "quarantine/crash_guard.h"
 #include "record/refusal_log.h"
 #include "settings/instance_settings.h"
 #include "targets/relay.h"
@@ -26,6 +27,7 @@
   Relay& relay;
   IntentStore& intents;
   RefusalLog& refusals;
+  CrashGuard& crashes;
   DemandBoard& demand;
   PlacementDuty& placement;
 };
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -68,12 +68,6 @@
   IntentStore intents{platform_duty, clock, settings.platform, view};
   RefusalLog refusals{recorder_duty, clock, settings.platform, view,
                       RecordOwner{settings.name, incarnation}};
-  DemandBoard demand;
-  PlacementDuty placement{settings.name, incarnation, clock,  settings.platform,
-                          view,          run_state,   demand, events};
-  InstanceContext context{settings, clock,    run_state, view,
-                          metrics,  events,   decisions, relay,
-                          intents,  refusals, demand,    placement};
   FleetWatcher watcher{
       platform_duty,
       clock,
@@ -97,6 +91,16 @@
                     }};
   CopyExchange copies{recorder_duty, clock, settings, view,
                       run_state,     peers, refusals};
+  TargetProbe probe{target_duty, clock, relay};
+  CrashGuard crashes{platform_duty, clock, settings.platform,
+                     settings.name, view,  decisions,
+                     peers,         probe};
+  DemandBoard demand;
+  PlacementDuty placement{settings.name, incarnation, clock,  settings.platform,
+                          view,          run_state,   demand, events};
+  InstanceContext context{settings, clock,     run_state, view,    metrics,
+                          events,   decisions, relay,     intents, refusals,
+                          crashes,  demand,    placement};
   ReportPoller poller{target_duty, clock, relay, view, decisions};
   CallerService callers{context, settings.name + "-" + RandomHex(4) + "-"};
   std::function<void()> begin_drain;
@@ -143,6 +147,7 @@
   parts.watcher.Start(parts.SelfEntry(bound));
   parts.refusals.Start();
   parts.copies.Start();
+  parts.crashes.Start();
   parts.poller.Start();
   parts.intents.Start();
   parts.placement.Start();
--- a/src/replay/tests/placement_run_test.cc
+++ b/src/replay/tests/placement_run_test.cc
@@ -25,8 +25,7 @@
           Run(deployment, PlacementPolicy::kPlanner, seed, false);
       const auto oracle =
           Run(deployment, PlacementPolicy::kOracle, seed, false);
-      const auto fixed =
-          Run(deployment, PlacementPolicy::kStatic, seed, false);
+      const auto fixed = Run(deployment, PlacementPolicy::kStatic, seed, false);
       BOOST_TEST(planner.attainment >= kLeastOfOracle * oracle.attainment);
       BOOST_TEST(planner.moves <= kMostOfMoves * oracle.moves);
       BOOST_TEST(planner.attainment > fixed.attainment);
--- a/src/standin/engine_standin.cc
+++ b/src/standin/engine_standin.cc
@@ -176,7 +176,13 @@
   if (!faults_.crash_on.empty() &&
       request.body.find(faults_.crash_on) != std::string::npos) {
     std::fprintf(stderr, "%s: crash on request\n", shape_.name.c_str());
-    std::_Exit(3);
+    if (!shape_.crash) {
+      std::_Exit(3);
+    }
+    shape_.crash();
+    ++shape_.incarnation;
+    exchange.CloseAfter();
+    co_return;
   }
   if (faults_.silent > 0) {
     --faults_.silent;
@@ -276,6 +282,7 @@
       names.push_back(entry.item.name);
     }
   }
+  report.incarnation = shape_.incarnation;
   return report;
 }
 
