--- a/src/entry/attempts.cc
+++ b/src/entry/attempts.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "entry/load_wait.h"
 #include "retry/retry_rule.h"
 
 namespace jackdaw {
@@ -66,8 +67,10 @@
     }
   }
   for (;;) {
-    Result<DispatchAnswer> answer =
-        co_await context_.decisions.Dispatch(Order());
+    const Instant asked_at = context_.clock.Now();
+    Result<DispatchAnswer> answer = co_await DispatchOrWait(
+        context_, Order(), subject_.deadline, load_expected_at_);
+    waited_ += context_.clock.Now() - asked_at;
     if (!answer) {
       Refuse(RefusalKind::kOverloaded, answer.error().message,
              context_.clock.Now() + kComeBack);
@@ -127,7 +130,7 @@
            subject_.service.empty()
                ? "no target can serve model '" + subject_.model + "'"
                : "no target of service '" + subject_.service + "' is up",
-           soon);
+           std::max(soon, load_expected_at_));
   } else if (denial == DispatchDenial::kRetryBudget) {
     refusal_.reason += "; the retry budget is spent";
   }
--- a/src/entry/model_service.cc
+++ b/src/entry/model_service.cc
@@ -106,6 +106,7 @@
   context_.metrics.CountRequest(request.workspace);
   context_.events.Add(EventKind::kRequestAdmitted, request.id,
                       request.workspace, {}, model.model);
+  context_.demand.OnRequest(model.model, admitted.charged_tokens);
   Attempts attempts(context_, SubjectOf(from, request, admitted, model.model));
   std::optional<Opened> opened =
       co_await Open(from, request, admitted, attempts);
@@ -158,8 +159,8 @@
     RelayOrder order;
     order.endpoint = endpoint.value();
     order.request = ForTarget(from, request);
-    order.first_byte_deadline =
-        std::min(admitted.deadline, admitted.first_byte_deadline);
+    order.first_byte_deadline = std::min(
+        admitted.deadline, admitted.first_byte_deadline + attempts.waited());
     order.between_bytes = admitted.between_bytes;
     auto pipe = context_.relay.Start(std::move(order), executor);
     if (!pipe) {
--- a/src/instance/context.h
+++ b/src/instance/context.h
@@ -5,6 +5,8 @@
 #include "instance/metrics.h"
 #include "instance/run_state.h"
 #include "once/intent_store.h"
+#include "placement/demand_board.h"
+#include "placement/placement_duty.h"
 #include "quarantine/crash_guard.h"
 #include "record/refusal_log.h"
 #include "settings/instance_settings.h"
@@ -26,6 +28,8 @@
   IntentStore& intents;
   RefusalLog& refusals;
   CrashGuard& crashes;
+  DemandBoard& demand;
+  PlacementDuty& placement;
 };
 
 }  // namespace jackdaw
--- a/src/replay/command.cc
+++ b/src/replay/command.cc
@@ -10,6 +10,8 @@
                     BenchCommand},
       ReplayCommand{"membership", "membership: cost, detection, propagation",
                     MembershipCommand},
+      ReplayCommand{"placement", "ways to place models, compared in figures",
+                    PlacementCommand},
       ReplayCommand{"refusals", "refusal records: puts, bytes, losses",
                     RefusalsCommand},
   };
