Route by expected time to first token; engines' priorities; fairness measured

Cause: the target with the least reported work was chosen, so instances that saw the same lagged report chose the same one. Restarted targets are warmed. The model field may be model:adapter.

The weighted queue at the entry, which long prompts need, is measured and not yet wired in.

--- a/src/decisions/admission.h
+++ b/src/decisions/admission.h
@@ -7,6 +7,7 @@
 
 #include "budget/equal_split.h"
 #include "config/fleet_config.h"
+#include "config/model_name.h"
 #include "core/invariant.h"
 #include "decisions/request.h"
 
@@ -52,7 +53,7 @@
 
  private:
   const Route* FindRoute(const RequestInfo& info) const;
-  bool OffersModel(std::string_view model) const;
+  bool OffersModel(std::string_view full_name) const;
 
   Budget budget_;
   FleetConfigPtr config_;
@@ -75,7 +76,15 @@
 }
 
 template <BudgetScheme Budget>
-bool Admission<Budget>::OffersModel(std::string_view model) const {
+bool Admission<Budget>::OffersModel(std::string_view full_name) const {
+  const auto [model, adapter] = SplitModelName(full_name);
+  bool known = adapter.empty();
+  for (const auto& offered : config_->adapters) {
+    known = known || (offered.name == adapter && offered.model == model);
+  }
+  if (!known) {
+    return false;
+  }
   for (const auto& deployment : config_->deployments) {
     for (const auto& name : deployment.models) {
       if (name == model) {
--- a/src/decisions/decisions.cc
+++ b/src/decisions/decisions.cc
@@ -12,10 +12,13 @@
 
 }  // namespace
 
-Decisions::Decisions(const MonotonicClock& clock, std::int64_t budget_shares)
+Decisions::Decisions(const MonotonicClock& clock,
+                     std::int64_t budget_shares,
+                     RouterSetup routing)
     : clock_(clock),
       duty_("decisions", kRingTasks),
-      admission_(EqualSplit(budget_shares)) {}
+      admission_(EqualSplit(budget_shares)),
+      router_(std::move(routing)) {}
 
 asio::awaitable<Result<AdmitResult>> Decisions::Admit(RequestInfo info) {
   auto admit = [this, info = std::move(info)]() -> Result<AdmitResult> {
@@ -31,9 +34,13 @@
   auto pick = [this, model = std::move(model), service = std::move(service),
                excluded = std::move(
                    excluded)]() -> Result<std::optional<PickedTarget>> {
-    auto target = router_.Pick(clock_.Now(), {model, service, excluded});
+    RouteNeed need;
+    need.model = model;
+    need.service = service;
+    need.excluded = excluded;
+    auto target = router_.Pick(clock_.Now(), need);
     if (target) {
-      router_.OnDispatched(target->name);
+      router_.OnDispatched(clock_.Now(), target->name, need);
     }
     return target;
   };
@@ -58,7 +65,7 @@
 void Decisions::OnConfig(FleetConfigPtr config) {
   duty_.TryPost([this, config = std::move(config)]() mutable {
     try {
-      router_.OnConfig(*config);
+      router_.OnConfig(clock_.Now(), *config);
       retries_.OnConfig(*config);
       admission_.OnConfig(clock_.Now(), std::move(config));
     } catch (const InvariantBreach& breach) {
@@ -68,6 +75,10 @@
   });
 }
 
+void Decisions::OnInstances(std::int64_t instances) {
+  duty_.TryPost([this, instances] { router_.OnInstances(instances); });
+}
+
 void Decisions::OnReport(std::string target, TargetReport report) {
   duty_.TryPost([this, target = std::move(target), report = std::move(report)] {
     router_.OnReport(clock_.Now(), target, report);
--- a/src/decisions/decisions.h
+++ b/src/decisions/decisions.h
@@ -9,6 +9,7 @@
 #include "core/duty.h"
 #include "decisions/admission.h"
 #include "decisions/dispatch.h"
+#include "fairness/usage_priority.h"
 #include "quarantine/crash_ledger.h"
 #include "retry/retry_budget.h"
 #include "routing/router.h"
@@ -20,7 +21,10 @@
 class Decisions {
  public:
   /// @param budget_shares parts that each budget is cut into
-  Decisions(const MonotonicClock& clock, std::int64_t budget_shares);
+  /// @param routing failure domain of this instance, and seed of its choices
+  Decisions(const MonotonicClock& clock,
+            std::int64_t budget_shares,
+            RouterSetup routing = {});
 
   void Start() { duty_.Start(); }
   void Stop() { duty_.Stop(); }
@@ -51,11 +55,14 @@
   /// Gives back what a request was charged and did not use.
   void Refund(std::string workspace, std::int64_t tokens);
   void OnConfig(FleetConfigPtr config);
+  /// Number of instances that route to the same targets.
+  void OnInstances(std::int64_t instances);
   void OnReport(std::string target, TargetReport report);
   void OnReportFailure(std::string target);
 
  private:
   DispatchAnswer DispatchHere(const DispatchOrder& order);
+  std::int32_t PriorityOf(Instant now, const DispatchOrder& order);
   bool Charge(Instant now,
               const DispatchOrder& order,
               const std::string& target);
@@ -66,6 +73,7 @@
   Router router_;
   RetryBudget retries_;
   CrashLedger ledger_;
+  UsagePriority usage_;
 };
 
 }  // namespace jackdaw
--- a/src/decisions/dispatch.cc
+++ b/src/decisions/dispatch.cc
@@ -1,5 +1,6 @@
 #include "decisions/dispatch.h"
 
+#include "config/model_name.h"
 #include "decisions/decisions.h"
 
 namespace jackdaw {
@@ -27,6 +28,17 @@
   if (permit == RunPermit::kNeedsClaim && !order.claimed) {
     return {DispatchDenial::kNeedsClaim, {}, {}};
   }
+  const ModelName name = SplitModelName(order.model);
+  RouteNeed need;
+  need.model = name.model;
+  need.adapter = name.adapter;
+  need.service = order.service;
+  need.excluded = order.excluded;
+  need.prompt_tokens = order.prompt_tokens;
+  need.prefixes = &order.prefixes;
+  if (!order.claimed) {
+    need.preferred = ledger_.RunningAt(order.digest);
+  }
   const auto target = router_.Pick(
       now,
       {order.model, order.service, order.excluded,
@@ -37,9 +49,25 @@
   if (!Charge(now, order, target->name)) {
     return {DispatchDenial::kRetryBudget, {}, {}};
   }
-  router_.OnDispatched(target->name);
+  DispatchAnswer answer{DispatchDenial::kNone, *target, {}};
+  answer.target.priority = PriorityOf(now, order);
+  router_.OnDispatched(now, target->name, need);
   ledger_.OnDispatched(order.digest, target->name);
-  return {DispatchDenial::kNone, *target, {}};
+  return answer;
+}
+
+// A workspace that uses more than its part of its rate at this instance waits
+// behind the others in the engines' own queues.
+std::int32_t Decisions::PriorityOf(Instant now, const DispatchOrder& order) {
+  const FleetConfigPtr& config = admission_.config();
+  if (!config || order.workspace.empty() || order.attempt > 0) {
+    return UsagePriority::kWithinRate;
+  }
+  const std::int64_t rate =
+      SettingFor(*config, "rate_tokens_per_s", "workspace/" + order.workspace,
+                 ToMillis(now));
+  return usage_.OnRequest(now, order.workspace, order.charged_tokens,
+                          rate / router_.instances());
 }
 
 // Claimed runs are charged nothing: claims allow one at each target.
--- a/src/decisions/dispatch.h
+++ b/src/decisions/dispatch.h
@@ -13,12 +13,16 @@
 /// An attempt that wants a target.
 struct DispatchOrder {
   std::string workspace;
-  /// Model, empty for a plain service.
+  /// `model` or `model:adapter`, empty for a plain service.
   std::string model;
   std::string service;
   /// Digest of the request, for the quarantine; empty for none.
   std::string digest;
   std::vector<std::string> excluded;
+  std::int64_t prompt_tokens = 0;
+  /// Tokens that the request was charged.
+  std::int64_t charged_tokens = 0;
+  PrefixChain prefixes;
   /// 0 for the first attempt.
   int attempt = 0;
   /// Whether a claim lets a suspect run.
--- a/src/entry/attempts.cc
+++ b/src/entry/attempts.cc
@@ -30,6 +30,9 @@
   order.service = subject_.service;
   order.digest = subject_.digest;
   order.excluded = tried_;
+  order.prompt_tokens = subject_.prompt_tokens;
+  order.charged_tokens = subject_.charged_tokens;
+  order.prefixes = subject_.prefixes;
   order.attempt = attempts_;
   return order;
 }
--- a/src/entry/attempts.h
+++ b/src/entry/attempts.h
@@ -19,6 +19,9 @@
   std::string service;
   /// Digest of the request, the same wherever it is sent again.
   std::string digest;
+  std::int64_t prompt_tokens = 0;
+  std::int64_t charged_tokens = 0;
+  PrefixChain prefixes;
   bool idempotent = false;
   Instant deadline{};
   Instant first_byte_deadline{};
--- a/src/entry/model_request.cc
+++ b/src/entry/model_request.cc
@@ -1,6 +1,7 @@
 #include "entry/model_request.h"
 
 #include <boost/json.hpp>
+#include <optional>
 
 #include "core/object_reader.h"
 
@@ -18,27 +19,27 @@
                                    kBytesPerToken);
 }
 
-// Bytes of prompt text, or -1 where neither form of prompt is there.
-std::int64_t PromptBytes(const json::object& object) {
+// Text of the prompt; nothing where neither form of prompt is there.
+std::optional<std::string> PromptText(const json::object& object) {
   if (const auto* prompt = object.if_contains("prompt");
       prompt != nullptr && prompt->is_string()) {
-    return static_cast<std::int64_t>(prompt->get_string().size());
+    return std::string(prompt->get_string());
   }
   const auto* messages = object.if_contains("messages");
   if (messages == nullptr || !messages->is_array()) {
-    return -1;
+    return std::nullopt;
   }
-  std::size_t bytes = 0;
+  std::string text;
   for (const auto& message : messages->get_array()) {
     const auto* content = message.is_object()
                               ? message.get_object().if_contains("content")
                               : nullptr;
     if (content == nullptr || !content->is_string()) {
-      return -1;
+      return std::nullopt;
     }
-    bytes += content->get_string().size();
+    text += std::string_view(content->get_string());
   }
-  return static_cast<std::int64_t>(bytes);
+  return text;
 }
 
 Error Malformed(std::string what) {
@@ -59,11 +60,12 @@
     return Malformed("/model must be a string");
   }
   request.model = std::string(model->get_string());
-  const std::int64_t bytes = PromptBytes(*object);
-  if (bytes < 0) {
+  const std::optional<std::string> prompt = PromptText(*object);
+  if (!prompt) {
     return Malformed("/prompt or /messages with string contents is needed");
   }
-  request.prompt_tokens = TokensOf(static_cast<std::size_t>(bytes));
+  request.prompt_tokens = TokensOf(prompt->size());
+  request.prefixes = ChainOf(request.model, *prompt);
   if (const auto* tokens = object->if_contains("max_tokens")) {
     if (!tokens->is_int64() || tokens->get_int64() < 1 ||
         tokens->get_int64() > kMaxTokens) {
--- a/src/entry/model_request.h
+++ b/src/entry/model_request.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "core/error.h"
+#include "routing/prefix_history.h"
 
 namespace jackdaw {
 
@@ -16,6 +17,8 @@
   /// 0 where the caller set none.
   std::int64_t max_tokens = 0;
   bool stream = false;
+  /// Digests of the beginnings of the prompt.
+  PrefixChain prefixes;
 };
 
 /// Reads a body of /v1/completions or /v1/chat/completions.
--- a/src/entry/model_service.cc
+++ b/src/entry/model_service.cc
@@ -33,11 +33,14 @@
 AttemptSubject SubjectOf(const HttpRequest& from,
                          const CallerRequest& request,
                          const Admitted& admitted,
-                         const std::string& model) {
+                         const ModelRequest& model) {
   AttemptSubject subject;
   subject.request_id = request.id;
   subject.workspace = request.workspace;
-  subject.model = model;
+  subject.model = model.model;
+  subject.prompt_tokens = model.prompt_tokens;
+  subject.charged_tokens = admitted.charged_tokens;
+  subject.prefixes = model.prefixes;
   subject.digest = Sha256Hex(std::string(from.Path()) + "\n" + from.body);
   subject.idempotent = true;
   subject.deadline = admitted.deadline;
@@ -108,7 +111,7 @@
   context_.metrics.CountRequest(request.workspace);
   context_.events.Add(EventKind::kRequestAdmitted, request.id,
                       request.workspace, {}, model.model);
-  Attempts attempts(context_, SubjectOf(from, request, admitted, model.model));
+  Attempts attempts(context_, SubjectOf(from, request, admitted, model));
   std::optional<Opened> opened =
       co_await Open(from, request, admitted, attempts);
   if (!opened) {
@@ -160,6 +163,8 @@
     RelayOrder order;
     order.endpoint = endpoint.value();
     order.request = ForTarget(from, request);
+    order.request.headers.push_back(
+        {"X-Priority", std::to_string(target->priority)});
     order.first_byte_deadline =
         std::min(admitted.deadline, admitted.first_byte_deadline);
     order.between_bytes = admitted.between_bytes;
--- /dev/null
+++ b/src/fairness/fair_queue.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace jackdaw {
+
+/// Weighted queue across workspaces: each request has a cost, and the request
+/// that would end first, were the capacity shared by weight, is taken first
+/// (start-time fair queueing). A workspace that sends several times its part
+/// waits behind its own requests only. Pure.
+/// @tparam T what waits
+template <typename T>
+class FairQueue {
+ public:
+  /// Sets the weight of a workspace, such as its rate. @param weight above 0
+  void SetWeight(std::string_view workspace, std::int64_t weight) {
+    FlowOf(workspace).weight = std::max<std::int64_t>(1, weight);
+  }
+
+  /// Adds a request. @param cost tokens that it may need
+  void Push(std::string_view workspace, std::int64_t cost, T item) {
+    Flow& flow = FlowOf(workspace);
+    const double start = std::max(virtual_time_, flow.last_end);
+    flow.last_end =
+        start + static_cast<double>(cost) / static_cast<double>(flow.weight);
+    flow.waiting.push_back({start, std::move(item)});
+    ++size_;
+  }
+
+  /// Takes the request that is due first. @returns nothing when none waits
+  std::optional<T> Pop() {
+    Flow* due = nullptr;
+    for (auto& [name, flow] : flows_) {
+      if (!flow.waiting.empty() &&
+          (due == nullptr ||
+           flow.waiting.front().start < due->waiting.front().start)) {
+        due = &flow;
+      }
+    }
+    if (due == nullptr) {
+      return std::nullopt;
+    }
+    Waiting taken = std::move(due->waiting.front());
+    due->waiting.pop_front();
+    virtual_time_ = std::max(virtual_time_, taken.start);
+    --size_;
+    return std::move(taken.item);
+  }
+
+  /// Takes out the requests for which `gone` holds, such as those past their
+  /// deadline. @returns how many
+  template <typename F>
+  std::size_t Remove(F gone) {
+    std::size_t removed = 0;
+    for (auto& [name, flow] : flows_) {
+      removed += std::erase_if(flow.waiting, [&](const Waiting& waiting) {
+        return gone(waiting.item);
+      });
+    }
+    size_ -= removed;
+    return removed;
+  }
+
+  std::size_t size() const { return size_; }
+  std::size_t WaitingOf(std::string_view workspace) const {
+    const auto found = flows_.find(workspace);
+    return found == flows_.end() ? 0 : found->second.waiting.size();
+  }
+
+ private:
+  struct Waiting {
+    double start = 0;
+    T item;
+  };
+  struct Flow {
+    std::int64_t weight = 1;
+    double last_end = 0;
+    std::deque<Waiting> waiting;
+  };
+
+  Flow& FlowOf(std::string_view workspace) {
+    const auto found = flows_.find(workspace);
+    return found != flows_.end()
+               ? found->second
+               : flows_.emplace(std::string(workspace), Flow{}).first->second;
+  }
+
+  std::map<std::string, Flow, std::less<>> flows_;
+  double virtual_time_ = 0;
+  std::size_t size_ = 0;
+};
+
+}  // namespace jackdaw
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -8,6 +8,7 @@
 
 #include "core/digest.h"
 #include "core/log.h"
+#include "core/signature.h"
 #include "entry/caller_service.h"
 #include "instance/context.h"
 #include "instance/fleet_watcher.h"
@@ -34,6 +35,17 @@
   return limits;
 }
 
+// Instances that see the same reports choose differently among targets that
+// look alike, each by the seed of its own name.
+RouterSetup RoutingOf(const InstanceSettings& settings) {
+  RouterSetup setup;
+  setup.failure_domain = settings.failure_domain;
+  Signature seed;
+  seed.Add(settings.name);
+  setup.seed = seed.Short();
+  return setup;
+}
+
 HttpLimits OperatorLimits() {
   HttpLimits limits;
   limits.body_bytes = 64ULL * 1024 * 1024;
@@ -62,7 +74,7 @@
   Duty platform_duty{"platform", kRingTasks};
   Duty recorder_duty{"recorder", kRingTasks};
   Duty operator_duty{"operators", kRingTasks};
-  Decisions decisions{clock, kBudgetShares};
+  Decisions decisions{clock, kBudgetShares, RoutingOf(settings)};
   Relay relay{target_duty, clock};
   IntentStore intents{platform_duty, clock, settings.platform, view};
   RefusalLog refusals{
--- a/src/replay/bench.cc
+++ b/src/replay/bench.cc
@@ -63,7 +63,7 @@
   BenchResult result;
   const FleetConfigPtr config = BenchConfig();
   Router router;
-  router.OnConfig(*config);
+  router.OnConfig(clock.Now(), *config);
   Admission<EqualSplit> admission{EqualSplit(8)};
   admission.OnConfig(clock.Now(), config);
   for (int i = 0; i < kRequests; ++i) {
@@ -84,11 +84,14 @@
       signature.Add(static_cast<std::uint64_t>(refused->refusal.kind));
       continue;
     }
-    const auto target = router.Pick(clock.Now(), {info.model, {}, {}});
+    RouteNeed need;
+    need.model = info.model;
+    need.prompt_tokens = info.prompt_tokens;
+    const auto target = router.Pick(clock.Now(), need);
     ++result.decisions;
     if (target) {
       signature.Add(target->name);
-      router.OnDispatched(target->name);
+      router.OnDispatched(clock.Now(), target->name, need);
       router.OnFinished(random.OneIn(2) ? target->name : "t0");
     }
   }
--- a/src/replay/command.cc
+++ b/src/replay/command.cc
@@ -8,6 +8,9 @@
   static constexpr std::array kCommands{
       ReplayCommand{"bench", "one deterministic signature over all decisions",
                     BenchCommand},
+      ReplayCommand{"routing",
+                    "routing policies and retries against fake engines",
+                    RoutingCommand},
   };
   return kCommands;
 }
--- /dev/null
+++ b/src/routing/policies.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <algorithm>
+
+#include "routing/candidate.h"
+
+namespace jackdaw {
+
+/// Takes the candidates in turn.
+class RoundRobin {
+ public:
+  std::size_t Choose(std::span<const Candidate> candidates,
+                     const RouteWork& /*work*/,
+                     std::uint64_t /*random*/) {
+    return static_cast<std::size_t>(next_++ % candidates.size());
+  }
+
+ private:
+  std::uint64_t next_ = 0;
+};
+
+/// Index of the candidate of least cost, the first one tried being random so
+/// that instances which see the same do not all choose the same among equals.
+template <typename Cost>
+std::size_t LeastCost(std::span<const Candidate> candidates,
+                      std::uint64_t random,
+                      Cost cost) {
+  std::size_t best = static_cast<std::size_t>(random % candidates.size());
+  auto best_cost = cost(candidates[best]);
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const auto here = cost(candidates[i]);
+    if (here < best_cost) {
+      best = i;
+      best_cost = here;
+    }
+  }
+  return best;
+}
+
+/// Takes the candidate with the fewest requests of this instance in flight.
+struct LeastOutstanding {
+  static std::size_t Choose(std::span<const Candidate> candidates,
+                            const RouteWork& /*work*/,
+                            std::uint64_t random) {
+    return LeastCost(candidates, random, [](const Candidate& candidate) {
+      return candidate.outstanding;
+    });
+  }
+};
+
+/// Takes the candidate with the fewest requests at its last report.
+struct LeastReported {
+  static std::size_t Choose(std::span<const Candidate> candidates,
+                            const RouteWork& /*work*/,
+                            std::uint64_t random) {
+    return LeastCost(candidates, random, [](const Candidate& candidate) {
+      return std::max(candidate.outstanding,
+                      candidate.running + candidate.waiting);
+    });
+  }
+};
+
+/// Takes the better of two random candidates by requests known at them.
+struct TwoChoices {
+  static std::size_t Choose(std::span<const Candidate> candidates,
+                            const RouteWork& /*work*/,
+                            std::uint64_t random) {
+    const std::size_t count = candidates.size();
+    const auto first = static_cast<std::size_t>(random % count);
+    if (count == 1) {
+      return first;
+    }
+    const std::size_t step =
+        1 + static_cast<std::size_t>((random >> 32) % (count - 1));
+    const std::size_t second = (first + step) % count;
+    return Known(candidates[second]) < Known(candidates[first]) ? second
+                                                                : first;
+  }
+
+  static std::int64_t Known(const Candidate& candidate) {
+    return std::max(
+        candidate.outstanding,
+        candidate.running + candidate.waiting + candidate.sent_since);
+  }
+};
+
+static_assert(RoutePolicy<RoundRobin> && RoutePolicy<LeastOutstanding> &&
+              RoutePolicy<LeastReported> && RoutePolicy<TwoChoices>);
+
+}  // namespace jackdaw
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -1,75 +1,85 @@
 #pragma once
 
-#include <cstdint>
-#include <map>
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
-#include <vector>
+#include <utility>
 
-#include "config/fleet_config.h"
-#include "core/time.h"
-#include "routing/target_report.h"
+#include "core/random.h"
+#include "routing/expected_time.h"
+#include "routing/target_table.h"
 
 namespace jackdaw {
 
-/// What a request needs of a target.
-struct RouteNeed {
-  /// Model, empty for a plain service.
-  std::string_view model;
-  /// Plain service, empty for a model.
-  std::string_view service;
-  /// Targets already tried for this request.
-  std::span<const std::string> excluded;
-  /// Target to take where it can serve the request; empty for none.
-  std::string_view preferred = {};
+/// How a router is set up.
+struct RouterSetup {
+  /// Failure domain of this instance; empty where it does not matter.
+  std::string failure_domain;
+  /// Seed of the choices among targets that look alike.
+  std::uint64_t seed = 1;
+  /// Entries of the prefix history, a power of two.
+  std::size_t prefix_slots = 16'384;
 };
 
-/// A target picked for a request.
-struct PickedTarget {
-  std::string name;
-  std::string address;
-  /// Incarnation that the target last reported, 0 where not known.
-  std::int64_t incarnation = 0;
-};
-
-/// Chooses the target of each request: the one with the least expected work
-/// among those that can serve it, from the last report plus own dispatches.
-class Router {
+/// Chooses the target of each request among those that can serve it.
+/// @tparam Policy how it chooses
+template <RoutePolicy Policy>
+class BasicRouter {
  public:
-  void OnConfig(const FleetConfig& config);
+  explicit BasicRouter(RouterSetup setup = {}, Policy policy = Policy())
+      : table_(std::move(setup.failure_domain), setup.prefix_slots),
+        policy_(std::move(policy)),
+        random_(setup.seed) {}
+
+  void OnConfig(Instant now, const FleetConfig& config) {
+    table_.OnConfig(now, config);
+  }
+  void OnInstances(std::int64_t instances) { table_.OnInstances(instances); }
+  std::int64_t instances() const { return table_.instances(); }
   void OnReport(Instant now,
                 std::string_view target,
-                const TargetReport& report);
+                const TargetReport& report) {
+    table_.OnReport(now, target, report);
+  }
   /// A report or a connection failed.
-  void OnFailure(Instant now, std::string_view target);
+  void OnFailure(Instant now, std::string_view target) {
+    table_.OnFailure(now, target);
+  }
 
   /// @returns the target, or nothing where none can serve the request now
-  std::optional<PickedTarget> Pick(Instant now, const RouteNeed& need) const;
+  std::optional<PickedTarget> Pick(Instant now, const RouteNeed& need) {
+    const std::uint64_t random = random_.Next();
+    const auto candidates = table_.Candidates(now, need, random);
+    if (candidates.empty()) {
+      return std::nullopt;
+    }
+    if (!need.preferred.empty()) {
+      const auto preferred = table_.Find(need.preferred);
+      for (const auto& candidate : candidates) {
+        if (preferred && candidate.index == *preferred) {
+          return table_.At(candidate.index);
+        }
+      }
+    }
+    const RouteWork work{need.prompt_tokens, table_.instances()};
+    const std::size_t chosen = policy_.Choose(candidates, work, random);
+    return table_.At(candidates[chosen].index);
+  }
 
-  void OnDispatched(std::string_view target);
-  void OnFinished(std::string_view target);
-
-  /// Names and addresses of all configured targets, for polling.
-  std::vector<PickedTarget> Targets() const;
+  void OnDispatched(Instant now,
+                    std::string_view target,
+                    const RouteNeed& need) {
+    table_.OnDispatched(now, target, need);
+  }
+  void OnFinished(std::string_view target) { table_.OnFinished(target); }
 
  private:
-  struct State {
-    std::string address;
-    TargetKind kind = TargetKind::kEngine;
-    std::int64_t outstanding = 0;
-    std::int64_t reported_work = 0;
-    std::int64_t incarnation = 0;
-    Instant down_until{};
-    bool leaving = false;
-    bool reported = false;
-    std::vector<std::string> models;
-  };
-
-  std::map<std::string, State, std::less<>> targets_;
-  std::map<std::string, std::vector<std::string>, std::less<>> by_model_;
-  std::map<std::string, std::vector<std::string>, std::less<>> by_service_;
+  TargetTable table_;
+  Policy policy_;
+  Random random_;
 };
 
+/// The router of the daemon.
+using Router = BasicRouter<ExpectedTime>;
+
 }  // namespace jackdaw
--- /dev/null
+++ b/src/routing/tests/router_test.cc
@@ -0,0 +1,124 @@
+#include "routing/router.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+namespace jackdaw {
+namespace {
+
+constexpr Instant kStart{Micros(1'700'000'000'000'000)};
+
+FleetConfig Config(int targets) {
+  FleetConfig config;
+  Deployment deployment{"d", {"m"}, {}};
+  for (int i = 0; i < targets; ++i) {
+    deployment.targets.push_back("t" + std::to_string(i));
+    config.targets.push_back({deployment.targets.back(), "127.0.0.1:1", "z",
+                              TargetKind::kEngine, 80'000, 1, true});
+  }
+  config.deployments.push_back(std::move(deployment));
+  return config;
+}
+
+TargetReport Report(std::int64_t running) {
+  TargetReport report;
+  report.running = running;
+  report.incarnation = 1;
+  report.models = {"m"};
+  return report;
+}
+
+RouteNeed Need() {
+  RouteNeed need;
+  need.model = "m";
+  need.prompt_tokens = 300;
+  return need;
+}
+
+template <typename R>
+std::string Dispatch(R& router, Instant now, const RouteNeed& need) {
+  const auto target = router.Pick(now, need);
+  if (!target) {
+    return {};
+  }
+  router.OnDispatched(now, target->name, need);
+  return target->name;
+}
+
+BOOST_AUTO_TEST_CASE(InstancesDoNotHerdOnATargetThatReportsEmpty) {
+  constexpr int kInstances = 8;
+  constexpr int kTargets = 12;
+  std::map<std::string, int> sent;
+  for (int i = 0; i < kInstances; ++i) {
+    Router router({"", static_cast<std::uint64_t>(i + 1), 64});
+    router.OnConfig(kStart, Config(kTargets));
+    router.OnInstances(kInstances);
+    for (int t = 0; t < kTargets; ++t) {
+      router.OnReport(kStart, "t" + std::to_string(t), Report(t == 0 ? 0 : 20));
+    }
+    for (int request = 0; request < 4; ++request) {
+      ++sent[Dispatch(router, kStart + 10ms, Need())];
+    }
+  }
+  // The empty target takes more than its share, and not all.
+  BOOST_TEST(sent["t0"] >= kInstances);
+  BOOST_TEST(sent["t0"] <= 2 * kInstances);
+}
+
+BOOST_AUTO_TEST_CASE(ARestartedTargetIsWarmedByAllInstancesTogether) {
+  constexpr int kInstances = 100;
+  int sent = 0;
+  for (int i = 0; i < kInstances; ++i) {
+    Router router({"", static_cast<std::uint64_t>(i + 1), 64});
+    router.OnConfig(kStart, Config(2));
+    router.OnInstances(kInstances);
+    router.OnReport(kStart, "t0", Report(60));
+    router.OnReport(kStart, "t1", Report(60));
+    TargetReport restarted = Report(0);
+    restarted.incarnation = 2;
+    router.OnReport(kStart + 1s, "t1", restarted);
+    for (int request = 0; request < 3; ++request) {
+      sent += Dispatch(router, kStart + 1s, Need()) == "t1" ? 1 : 0;
+    }
+  }
+  // Three of a hundred instances may send each of its first few requests.
+  BOOST_TEST(sent <= 30);
+}
+
+BOOST_AUTO_TEST_CASE(ACachedPrefixOutweighsALittleLoad) {
+  Router router({"", 1, 64});
+  router.OnConfig(kStart, Config(2));
+  router.OnReport(kStart, "t0", Report(3));
+  router.OnReport(kStart, "t1", Report(1));
+  const PrefixChain chain = ChainOf("m", std::string(4096, 'p'));
+  BOOST_TEST(chain.count == 4U);
+  RouteNeed need = Need();
+  need.prompt_tokens = 1100;
+  need.prefixes = &chain;
+  router.OnDispatched(kStart + 10ms, "t0", need);
+  BOOST_TEST(Dispatch(router, kStart + 20ms, need) == "t0");
+  TargetReport restarted = Report(3);
+  restarted.incarnation = 2;
+  router.OnReport(kStart + 1s, "t0", restarted);
+  BOOST_TEST(Dispatch(router, kStart + 1s, need) == "t1");
+}
+
+BOOST_AUTO_TEST_CASE(ServesOnlyWhereResidentUpAndNotLeaving) {
+  Router router({"", 1, 64});
+  router.OnConfig(kStart, Config(3));
+  BOOST_TEST(Dispatch(router, kStart, Need()).empty());
+  TargetReport leaving = Report(0);
+  leaving.leaving = true;
+  router.OnReport(kStart, "t0", leaving);
+  router.OnReport(kStart, "t1", Report(5));
+  router.OnReport(kStart, "t2", Report(0));
+  router.OnFailure(kStart, "t2");
+  BOOST_TEST(Dispatch(router, kStart, Need()) == "t1");
+  const std::vector<std::string> tried{"t1"};
+  RouteNeed need = Need();
+  need.excluded = tried;
+  BOOST_TEST(Dispatch(router, kStart, need).empty());
+}
+
+}  // namespace
+}  // namespace jackdaw
--- a/src/targets/report_poller.cc
+++ b/src/targets/report_poller.cc
@@ -24,6 +24,7 @@
   asio::steady_timer timer(duty_.context());
   for (;;) {
     const FleetViewPtr view = view_.Get();
+    decisions_.OnInstances(static_cast<std::int64_t>(view->instances.size()));
     if (view->config) {
       for (const auto& target : view->config->targets) {
         asio::co_spawn(duty_.context(), PollOne(target.name, target.address),
