--- a/src/replay/command.cc
+++ b/src/replay/command.cc
@@ -11,6 +11,8 @@
       ReplayCommand{"routing",
                     "routing policies and retries against fake engines",
                     RoutingCommand},
+      ReplayCommand{"refusals", "refusal records: puts, bytes, losses",
+                    RefusalsCommand},
   };
   return kCommands;
 }
--- a/src/replay/command.h
+++ b/src/replay/command.h
@@ -19,5 +19,6 @@
 
 int BenchCommand(std::span<const std::string> arguments);
 int RoutingCommand(std::span<const std::string> arguments);
+int RefusalsCommand(std::span<const std::string> arguments);
 
 }  // namespace jackdaw
