--- a/src/replay/command.cc
+++ b/src/replay/command.cc
@@ -12,6 +12,9 @@
                     MembershipCommand},
       ReplayCommand{"placement", "ways to place models, compared in figures",
                     PlacementCommand},
+      ReplayCommand{"routing",
+                    "routing policies and retries against fake engines",
+                    RoutingCommand},
       ReplayCommand{"refusals", "refusal records: puts, bytes, losses",
                     RefusalsCommand},
   };
