Continue broken streams at their offset and check whose answers come

Cause: a stream that broke off ended in an error, events were passed on without a look at their id, a caller's leaving was seen only at the next chunk, the relay went on reading for nobody, a second attempt had no time left for its first byte, and a refusal after a failed later attempt could deny that an earlier one had sent bytes. Streams are assembled by a pure type; closing a pipe cancels the target's answer; truncated or foreign whole answers are asked for elsewhere; comments go to callers while nothing comes; connections that the network has forgotten fail within seconds and a fresh one is tried first.

--- a/src/entry/answer_reader.cc
+++ b/src/entry/answer_reader.cc
@@ -5,10 +5,20 @@
 namespace asio = boost::asio;
 
 asio::awaitable<ReadAnswer> ReadWholeAnswer(std::shared_ptr<RelayPipe> pipe,
-                                            HttpResponse head) {
+                                            HttpResponse head,
+                                            StopWatch& watch) {
   for (;;) {
     std::optional<RelayItem> item =
-        co_await pipe->Pop(std::chrono::steady_clock::time_point::max());
+        co_await pipe->Pop(std::chrono::steady_clock::now() + kStopCheckTime);
+    if (!item && !watch.Check()) {
+      continue;
+    }
+    if (!item) {
+      pipe->Close();
+      co_return ReadAnswer(Error{ErrorKind::kTruncated, watch.reason().reason,
+                                 "send again where Retry-After says so"},
+                           true);
+    }
     switch (item->kind) {
       case RelayItem::Kind::kHead:
         head = std::move(item->head);
--- a/src/entry/answer_reader.h
+++ b/src/entry/answer_reader.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "entry/stop_watch.h"
 #include "targets/relay.h"
 
 namespace jackdaw {
@@ -17,9 +18,11 @@
 };
 
 /// Reads an answer up to its explicit end. A truncated one is an error.
+/// @param watch says when to stop waiting; the pipe is then closed
 /// @param head status and headers, where they were read already
 boost::asio::awaitable<ReadAnswer> ReadWholeAnswer(
     std::shared_ptr<RelayPipe> pipe,
-    HttpResponse head);
+    HttpResponse head,
+    StopWatch& watch);
 
 }  // namespace jackdaw
--- a/src/entry/event_scanner.cc
+++ b/src/entry/event_scanner.cc
@@ -2,29 +2,34 @@
 
 namespace jackdaw {
 
-std::string EventScanner::Feed(std::string_view bytes) {
+std::vector<std::string> EventScanner::Feed(std::string_view bytes) {
   constexpr std::string_view kEnd = "\n\n";
-  constexpr std::string_view kData = "data:";
-  constexpr std::string_view kDone = "data: [DONE]";
+  std::vector<std::string> events;
+  if (overflowed_) {
+    return events;
+  }
+  // The end of an event may have begun in the bytes that came before.
+  std::size_t from = rest_.empty() ? 0 : rest_.size() - 1;
   rest_ += bytes;
   std::size_t start = 0;
   for (;;) {
-    const std::size_t end = rest_.find(kEnd, start);
+    const std::size_t end = rest_.find(kEnd, from);
+    const std::size_t size =
+        (end == std::string::npos ? rest_.size() : end) - start;
+    if (size > kMaxEventBytes) {
+      overflowed_ = true;
+      rest_.clear();
+      return events;
+    }
     if (end == std::string::npos) {
       break;
     }
-    const std::string_view event =
-        std::string_view(rest_).substr(start, end - start);
-    if (event == kDone) {
-      done_ = true;
-    } else if (event.starts_with(kData)) {
-      ++events_;
-    }
+    events.push_back(rest_.substr(start, size));
     start = end + kEnd.size();
+    from = start;
   }
-  std::string whole = rest_.substr(0, start);
   rest_.erase(0, start);
-  return whole;
+  return events;
 }
 
 }  // namespace jackdaw
--- a/src/entry/event_scanner.h
+++ b/src/entry/event_scanner.h
@@ -1,27 +1,28 @@
 #pragma once
 
-#include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace jackdaw {
 
-/// Splits a stream of server-sent events at event ends, so that only whole
-/// events are passed on, and notes the explicit end of the stream.
+/// Largest server-sent event that is accepted from a target, in bytes.
+inline constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
+
+/// Splits a stream of server-sent events at event ends. Where the bytes are
+/// split between two calls makes no difference to the events.
 class EventScanner {
  public:
-  /// Takes in bytes. @returns the whole events that are now complete
-  std::string Feed(std::string_view bytes);
+  /// Takes in bytes. @returns the events that are now complete, without the
+  /// empty line that ends each
+  std::vector<std::string> Feed(std::string_view bytes);
 
-  /// Data events seen, without the final `[DONE]`.
-  std::int64_t events() const { return events_; }
-  /// Whether `data: [DONE]` was seen.
-  bool done() const { return done_; }
+  /// Whether an event was larger than kMaxEventBytes; what follows is dropped.
+  bool overflowed() const { return overflowed_; }
 
  private:
   std::string rest_;
-  std::int64_t events_ = 0;
-  bool done_ = false;
+  bool overflowed_ = false;
 };
 
 }  // namespace jackdaw
--- a/src/entry/model_service.cc
+++ b/src/entry/model_service.cc
@@ -1,49 +1,51 @@
 #include "entry/model_service.h"
 
-#include <boost/asio/this_coro.hpp>
+#include <algorithm>
 #include <variant>
 
+#include "entry/answer_reader.h"
+#include "entry/stream_answer.h"
+#include "entry/stream_assembler.h"
+
 namespace jackdaw {
 namespace {
 
 namespace asio = boost::asio;
 
-// Targets tried for one request.
-constexpr int kMaxAttempts = 3;
-// Longest wait between two looks at whether a stream's key still lives.
-constexpr auto kKeyCheckTime = std::chrono::milliseconds(250);
-
-std::chrono::steady_clock::time_point SteadyIn(Micros span) {
-  return std::chrono::steady_clock::now() + span;
-}
-
-// Only these headers reach a target; a key never does.
-HttpRequest ForTarget(const HttpRequest& from, const CallerRequest& request) {
-  HttpRequest to;
-  to.method = from.method;
-  to.target = std::string(from.Path());
-  to.headers.push_back({"Content-Type", "application/json"});
-  to.headers.push_back({"X-Request-Id", request.id});
-  to.body = from.body;
-  return to;
-}
+// Whole answers asked for, where a target's is truncated or not this
+// request's.
+constexpr int kMaxWholeAnswers = 2;
 
 Refusal TargetFailed(const Error& error, Ran ran, Instant now) {
   if (error.kind == ErrorKind::kNotFound) {
-    return {RefusalKind::kNoTarget, Ran::kNo, error.message, now + 1s};
+    return {RefusalKind::kNoTarget, ran, error.message, now + 1s};
   }
   if (error.kind == ErrorKind::kOverloaded) {
-    return {RefusalKind::kOverloaded, Ran::kNo, error.message, now + 1s};
+    return {RefusalKind::kOverloaded, ran, error.message, now + 1s};
   }
   return {RefusalKind::kTargetFailed, ran, error.Line(), now + 1s};
 }
 
-}  // namespace
+OpenOrder OrderFor(const ModelRequest& model,
+                   const Admitted& admitted,
+                   Instant now) {
+  OpenOrder order;
+  order.model = model.model;
+  order.stream = model.stream;
+  order.deadline = admitted.deadline;
+  order.first_byte = admitted.first_byte_deadline - now;
+  order.between_bytes = admitted.between_bytes;
+  return order;
+}
 
-bool ModelService::KeyLives(const CallerRequest& request) const {
-  return context_.view.Get()->live_keys.contains(request.key_digest);
+// A target may answer 4xx with a body of its own; only a completion names
+// its request.
+bool IsOwnAnswer(const HttpResponse& answer, std::string_view request_id) {
+  return answer.status >= 400 || CarriesId(answer.body, request_id);
 }
 
+}  // namespace
+
 asio::awaitable<void> ModelService::Serve(HttpExchange& exchange,
                                           CallerRequest request) {
   const HttpRequest& from = exchange.request();
@@ -78,169 +80,108 @@
   context_.metrics.CountRequest(request.workspace);
   context_.events.Add(EventKind::kRequestAdmitted, request.id,
                       request.workspace, {}, model.model);
-  Result<Opened> opened = co_await Open(from, request, admitted, model.model);
-  if (!opened) {
+  co_await Run(exchange, request, model, admitted);
+}
+
+asio::awaitable<void> ModelService::Run(HttpExchange& exchange,
+                                        const CallerRequest& request,
+                                        const ModelRequest& model,
+                                        const Admitted& admitted) {
+  OpenOrder order = OrderFor(model, admitted, context_.clock.Now());
+  OpenResult result = co_await opener_.Open(exchange, request, order);
+  if (!result.opened) {
     context_.decisions.Refund(request.workspace, admitted.charged_tokens);
-    Refusal refusal =
-        TargetFailed(opened.error(), Ran::kUnknown, context_.clock.Now());
-    co_await refuser_.Refuse(exchange, request, std::move(refusal));
+    co_await RefuseFailed(exchange, request, result.error,
+                          result.bytes_sent ? Ran::kUnknown : Ran::kNo);
     co_return;
   }
   context_.metrics.ObserveFirstByte(
       static_cast<double>((context_.clock.Now() - request.arrived).count()) /
       1000.0);
+  const std::string target = result.opened->target;
+  OpenedAnswer opened = std::move(*result.opened);
   std::int64_t tokens = -1;
-  const bool whole =
-      model.stream
-          ? co_await PassStream(exchange, request, opened.value(), tokens)
-          : co_await PassWhole(exchange, request, opened.value(), tokens);
-  opened.value().pipe->Close();
-  context_.decisions.Finish(opened.value().target, !whole);
+  bool whole = false;
+  if (model.stream && opened.head.status == 200) {
+    StreamAnswer answer(context_, refuser_, opener_, exchange, request,
+                        std::move(order));
+    whole = co_await answer.Pass(std::move(opened));
+    tokens = answer.tokens();
+  } else {
+    whole =
+        co_await PassWhole(exchange, request, order, std::move(opened), tokens);
+  }
   if (tokens >= 0) {
-    const std::int64_t unused =
-        admitted.charged_tokens - model.prompt_tokens - tokens;
-    context_.decisions.Refund(request.workspace,
-                              std::max<std::int64_t>(0, unused));
+    RefundUnused(request, admitted, model.prompt_tokens + tokens);
   }
   context_.events.Add(EventKind::kRequestFinished, request.id,
-                      request.workspace, opened.value().target,
+                      request.workspace, target,
                       whole ? "whole" : "ended early");
 }
 
-// Sends the request to a target and waits for the head of its answer. A
-// completion is idempotent, so a failure before the head allows another try.
-asio::awaitable<Result<ModelService::Opened>> ModelService::Open(
-    const HttpRequest& from,
-    const CallerRequest& request,
-    const Admitted& admitted,
-    const std::string& model) {
-  const auto executor = co_await asio::this_coro::executor;
-  std::vector<std::string> tried;
-  Error last{ErrorKind::kNotFound, "no target can serve model '" + model + "'",
-             "check the targets"};
-  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
-    Result<std::optional<PickedTarget>> picked =
-        co_await context_.decisions.Pick(model, {}, tried);
-    if (!picked) {
-      co_return picked.error();
-    }
-    if (!picked.value()) {
-      co_return last;
-    }
-    const PickedTarget target = *picked.value();
-    context_.events.Add(attempt == 0 ? EventKind::kRequestDispatched
-                                     : EventKind::kRequestRetried,
-                        request.id, request.workspace, target.name, {});
-    if (attempt > 0) {
-      context_.metrics.CountRetry();
-    }
-    const auto endpoint = ParseEndpoint(target.address);
-    if (!endpoint) {
-      context_.decisions.Finish(target.name, true);
-      co_return endpoint.error();
-    }
-    RelayOrder order;
-    order.endpoint = endpoint.value();
-    order.request = ForTarget(from, request);
-    order.first_byte_deadline =
-        std::min(admitted.deadline, admitted.first_byte_deadline);
-    order.between_bytes = admitted.between_bytes;
-    auto pipe = context_.relay.Start(std::move(order), executor);
-    if (!pipe) {
-      context_.decisions.Finish(target.name, false);
-      co_return pipe.error();
-    }
-    std::optional<RelayItem> item = co_await pipe.value()->Pop(
-        SteadyIn(admitted.deadline - context_.clock.Now()));
-    if (item && item->kind == RelayItem::Kind::kHead &&
-        item->head.status < 500) {
-      co_return Opened{target.name, pipe.value(), std::move(item->head)};
-    }
-    pipe.value()->Close();
-    context_.decisions.Finish(target.name, true);
-    tried.push_back(target.name);
-    last = Error{ErrorKind::kTimeout, "no answer before the deadline",
-                 "send again"};
-    if (item) {
-      last = item->kind == RelayItem::Kind::kFailure
-                 ? item->error
-                 : Error{ErrorKind::kUnavailable,
-                         "target answered " + std::to_string(item->head.status),
-                         "check the target"};
-    }
-  }
-  co_return last;
+void ModelService::RefundUnused(const CallerRequest& request,
+                                const Admitted& admitted,
+                                std::int64_t used) {
+  context_.decisions.Refund(
+      request.workspace,
+      std::max<std::int64_t>(0, admitted.charged_tokens - used));
+}
+
+asio::awaitable<void> ModelService::RefuseFailed(HttpExchange& exchange,
+                                                 const CallerRequest& request,
+                                                 const Error& error,
+                                                 Ran ran) {
+  Refusal refusal = TargetFailed(error, ran, context_.clock.Now());
+  co_await refuser_.Refuse(exchange, request, std::move(refusal));
 }
 
+// Reads the answer to its explicit end before any of it is passed on. One
+// that is truncated or another request's is asked for once more elsewhere.
 asio::awaitable<bool> ModelService::PassWhole(HttpExchange& exchange,
                                               const CallerRequest& request,
-                                              Opened& opened,
+                                              OpenOrder& order,
+                                              OpenedAnswer opened,
                                               std::int64_t& tokens) {
-  std::string body;
-  for (;;) {
-    std::optional<RelayItem> item =
-        co_await opened.pipe->Pop(std::chrono::steady_clock::time_point::max());
-    if (item->kind == RelayItem::Kind::kFailure) {
-      Refusal refusal =
-          TargetFailed(item->error, Ran::kUnknown, context_.clock.Now());
-      co_await refuser_.Refuse(exchange, request, std::move(refusal));
-      co_return false;
+  Error error;
+  for (int round = 1;; ++round) {
+    StopWatch watch(context_, request, &exchange);
+    ReadAnswer read =
+        co_await ReadWholeAnswer(opened.pipe, std::move(opened.head), watch);
+    opened.pipe->Close();
+    const bool own =
+        read.answer && IsOwnAnswer(read.answer.value(), request.id);
+    context_.decisions.Finish(opened.target, !own && !watch.stopped());
+    if (own) {
+      HttpResponse& answer = read.answer.value();
+      tokens = ReadCompletionTokens(answer.body);
+      HttpResponse response =
+          JsonResponse(answer.status, std::move(answer.body));
+      response.headers.push_back({"X-Request-Id", request.id});
+      co_return co_await exchange.Respond(std::move(response));
     }
-    if (item->kind == RelayItem::Kind::kEnd) {
-      break;
+    if (watch.stopped()) {
+      co_await refuser_.Refuse(exchange, request, watch.reason());
+      co_return false;
     }
-    body += item->bytes;
-  }
-  tokens = ReadCompletionTokens(body);
-  HttpResponse response = JsonResponse(opened.head.status, std::move(body));
-  response.headers.push_back({"X-Request-Id", request.id});
-  co_await exchange.Respond(std::move(response));
-  co_return true;
-}
-
-asio::awaitable<bool> ModelService::PassStream(HttpExchange& exchange,
-                                               const CallerRequest& request,
-                                               Opened& opened,
-                                               std::int64_t& tokens) {
-  HttpResponse head;
-  head.status = opened.head.status;
-  head.headers.push_back(
-      {"Content-Type",
-       std::string(FindHeader(opened.head.headers, "Content-Type"))});
-  head.headers.push_back({"X-Request-Id", request.id});
-  bool wanted = co_await exchange.BeginStream(std::move(head));
-  EventScanner scanner;
-  while (wanted) {
-    std::optional<RelayItem> item =
-        co_await opened.pipe->Pop(SteadyIn(kKeyCheckTime));
-    tokens = scanner.events();
-    if (!KeyLives(request)) {
-      Refusal refusal{RefusalKind::kWithdrawnKey, Ran::kUnknown,
-                      "the key was withdrawn during the stream", Instant{}};
-      co_await refuser_.RefuseStream(exchange, request, std::move(refusal));
-      co_return true;
+    if (read.answer) {
+      context_.metrics.CountDroppedAnswer();
     }
-    if (!item) {
-      continue;
+    error = read.answer ? Error{ErrorKind::kMalformed,
+                                "the target sent another request's answer",
+                                "check the target"}
+                        : read.answer.error();
+    order.tried.push_back(opened.target);
+    if (round == kMaxWholeAnswers) {
+      break;
     }
-    if (item->kind == RelayItem::Kind::kChunk) {
-      const std::int64_t before = scanner.events();
-      const std::string events = scanner.Feed(item->bytes);
-      wanted = co_await exchange.WriteChunk(events);
-      context_.metrics.CountTokens(
-          static_cast<std::uint64_t>(scanner.events() - before));
-    } else if (item->kind == RelayItem::Kind::kEnd && scanner.done()) {
-      tokens = scanner.events();
-      co_return co_await exchange.EndStream();
-    } else {
-      Refusal refusal{RefusalKind::kTargetFailed, Ran::kUnknown,
-                      "the stream broke off: " + item->error.Line(),
-                      context_.clock.Now() + 1s};
-      co_await refuser_.RefuseStream(exchange, request, std::move(refusal));
-      co_return false;
+    OpenResult next = co_await opener_.Open(exchange, request, order);
+    if (!next.opened) {
+      break;
     }
+    opened = std::move(*next.opened);
   }
-  co_return true;
+  co_await RefuseFailed(exchange, request, error, Ran::kUnknown);
+  co_return false;
 }
 
 }  // namespace jackdaw
--- a/src/entry/model_service.h
+++ b/src/entry/model_service.h
@@ -1,53 +1,46 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
-#include <memory>
-#include <string>
-#include <vector>
 
 #include "entry/caller_request.h"
-#include "entry/event_scanner.h"
 #include "entry/model_request.h"
 #include "entry/refuser.h"
+#include "entry/target_opener.h"
 #include "http/server.h"
 #include "instance/context.h"
 
 namespace jackdaw {
 
-/// Serves completions: admission, choice of a target, retries before the
-/// first byte, and the answer to the caller.
+/// Serves completions: admission, then one whole answer or one stream.
 class ModelService {
  public:
   ModelService(InstanceContext& context, Refuser& refuser)
-      : context_(context), refuser_(refuser) {}
+      : context_(context), refuser_(refuser), opener_(context) {}
 
   boost::asio::awaitable<void> Serve(HttpExchange& exchange,
                                      CallerRequest request);
 
  private:
-  // An answer whose head has come, and the target it comes from.
-  struct Opened {
-    std::string target;
-    std::shared_ptr<RelayPipe> pipe;
-    HttpResponse head;
-  };
-
-  boost::asio::awaitable<Result<Opened>> Open(const HttpRequest& from,
-                                              const CallerRequest& request,
-                                              const Admitted& admitted,
-                                              const std::string& model);
+  boost::asio::awaitable<void> Run(HttpExchange& exchange,
+                                   const CallerRequest& request,
+                                   const ModelRequest& model,
+                                   const Admitted& admitted);
   boost::asio::awaitable<bool> PassWhole(HttpExchange& exchange,
                                          const CallerRequest& request,
-                                         Opened& opened,
+                                         OpenOrder& order,
+                                         OpenedAnswer opened,
                                          std::int64_t& tokens);
-  boost::asio::awaitable<bool> PassStream(HttpExchange& exchange,
-                                          const CallerRequest& request,
-                                          Opened& opened,
-                                          std::int64_t& tokens);
-  bool KeyLives(const CallerRequest& request) const;
+  boost::asio::awaitable<void> RefuseFailed(HttpExchange& exchange,
+                                            const CallerRequest& request,
+                                            const Error& error,
+                                            Ran ran);
+  void RefundUnused(const CallerRequest& request,
+                    const Admitted& admitted,
+                    std::int64_t used);
 
   InstanceContext& context_;
   Refuser& refuser_;
+  TargetOpener opener_;
 };
 
 }  // namespace jackdaw
--- a/src/entry/plain_service.cc
+++ b/src/entry/plain_service.cc
@@ -68,6 +68,7 @@
     co_return;
   }
   call.admitted = std::get<Admitted>(decided.value());
+  call.first_byte = call.admitted.first_byte_deadline - context_.clock.Now();
   request.workspace = call.admitted.workspace;
   context_.metrics.CountRequest(request.workspace);
   context_.events.Add(EventKind::kRequestAdmitted, request.id,
@@ -101,6 +102,14 @@
                                              CallClaim& claim) {
   std::vector<std::string> tried;
   bool any_byte_sent = false;
+  // A call that may not be repeated goes on when its caller leaves or its key
+  // is withdrawn: its outcome is what a resubmission asks for.
+  CallerRequest watched = request;
+  if (!call.admitted.idempotent) {
+    watched.workspace.clear();
+  }
+  StopWatch watch(context_, watched,
+                  call.admitted.idempotent ? &exchange : nullptr);
   Refusal refusal{RefusalKind::kNoTarget, Ran::kNo,
                   "no target of service '" + call.service + "' is up",
                   context_.clock.Now() + 1s};
@@ -114,9 +123,10 @@
     context_.events.Add(attempt == 0 ? EventKind::kRequestDispatched
                                      : EventKind::kRequestRetried,
                         request.id, request.workspace, target.name, {});
-    ReadAnswer read = co_await Send(exchange.request(), request, call, target);
+    ReadAnswer read =
+        co_await Send(exchange.request(), request, call, target, watch);
     Result<HttpResponse>& answer = read.answer;
-    context_.decisions.Finish(target.name, !answer);
+    context_.decisions.Finish(target.name, !answer && !watch.stopped());
     if (answer) {
       co_await claim.Finish(answer.value());
       HttpResponse response = ForCaller(answer.value(), request.id);
@@ -132,7 +142,7 @@
                             : RefusalKind::kTargetFailed,
                any_byte_sent ? Ran::kUnknown : Ran::kNo, answer.error().Line(),
                Instant{}};
-    if (may_have_run) {
+    if (may_have_run || watch.stopped()) {
       break;
     }
   }
@@ -147,7 +157,8 @@
 asio::awaitable<ReadAnswer> PlainService::Send(const HttpRequest& from,
                                                const CallerRequest& request,
                                                const Call& call,
-                                               const PickedTarget& target) {
+                                               const PickedTarget& target,
+                                               StopWatch& watch) {
   const auto endpoint = ParseEndpoint(target.address);
   if (!endpoint) {
     co_return ReadAnswer(endpoint.error(), false);
@@ -156,7 +167,7 @@
   order.endpoint = endpoint.value();
   order.request = ForTarget(from, request, call.path);
   order.first_byte_deadline =
-      std::min(call.admitted.deadline, call.admitted.first_byte_deadline);
+      std::min(call.admitted.deadline, context_.clock.Now() + call.first_byte);
   order.between_bytes = call.admitted.between_bytes;
   order.choice = call.admitted.idempotent ? ConnectionChoice::kKeptOrFresh
                                           : ConnectionChoice::kFresh;
@@ -166,7 +177,7 @@
     co_return ReadAnswer(pipe.error(), false);
   }
   HttpResponse head;
-  co_return co_await ReadWholeAnswer(pipe.value(), std::move(head));
+  co_return co_await ReadWholeAnswer(pipe.value(), std::move(head), watch);
 }
 
 }  // namespace jackdaw
--- a/src/entry/plain_service.h
+++ b/src/entry/plain_service.h
@@ -26,6 +26,8 @@
   // A call on its way and what was decided for it.
   struct Call {
     Admitted admitted;
+    // Longest wait for the head of the answer at one target.
+    Micros first_byte{};
     std::string service;
     std::string path;
   };
@@ -40,7 +42,8 @@
   boost::asio::awaitable<ReadAnswer> Send(const HttpRequest& from,
                                           const CallerRequest& request,
                                           const Call& call,
-                                          const PickedTarget& target);
+                                          const PickedTarget& target,
+                                          StopWatch& watch);
 
   InstanceContext& context_;
   Refuser& refuser_;
--- /dev/null
+++ b/src/entry/stream_assembler.cc
@@ -0,0 +1,52 @@
+#include "entry/stream_assembler.h"
+
+#include <boost/json.hpp>
+
+namespace jackdaw {
+
+bool CarriesId(std::string_view document, std::string_view id) {
+  boost::system::error_code failure;
+  const auto value = boost::json::parse(document, failure);
+  if (failure || !value.is_object()) {
+    return false;
+  }
+  const auto* found = value.as_object().if_contains("id");
+  return found != nullptr && found->is_string() &&
+         std::string_view(found->as_string()) == id;
+}
+
+std::string StreamAssembler::Feed(std::string_view bytes) {
+  std::string out;
+  for (auto& event : scanner_.Feed(bytes)) {
+    Take(std::move(event), out);
+  }
+  return out;
+}
+
+void StreamAssembler::Restart() {
+  scanner_ = EventScanner();
+  crossed_ = false;
+}
+
+// Comments and unknown fields of a target stay here. Nothing follows the
+// explicit end, and nothing is believed after an event of another request.
+void StreamAssembler::Take(std::string event, std::string& out) {
+  constexpr std::string_view kData = "data: ";
+  constexpr std::string_view kDone = "data: [DONE]";
+  if (done_ || crossed_ || !event.starts_with(kData)) {
+    return;
+  }
+  if (event == kDone) {
+    done_ = true;
+  } else if (CarriesId(std::string_view(event).substr(kData.size()),
+                       request_id_)) {
+    ++tokens_;
+  } else {
+    crossed_ = true;
+    return;
+  }
+  out += event;
+  out += "\n\n";
+}
+
+}  // namespace jackdaw
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,5 +1,9 @@
 #include "http/client.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -22,6 +26,32 @@
 constexpr std::uint64_t kAnswerBodyLimit = 64ULL * 1024 * 1024;
 // Body bytes taken from a connection in one read.
 constexpr std::size_t kReadBytes = 16UL * 1024;
+// Time to connect; a server's system accepts at once also when it is slow.
+constexpr Micros kConnectTime = 2s;
+// Time that an idle connection is kept.
+constexpr Micros kKeptTime = 15s;
+// Time for the server's system to acknowledge bytes, after which the
+// connection counts as lost; a slow server acknowledges at once.
+constexpr int kAcknowledgeMs = 2000;
+// Pace of probes on a connection that waits for bytes, and how many may fail.
+constexpr int kProbeSeconds = 1;
+constexpr int kProbes = 2;
+
+// Sets a socket so that a connection which something between the two ends has
+// forgotten fails within seconds.
+void WatchConnection(asio::ip::tcp::socket& socket) {
+  beast::error_code ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  const auto set = [&](int option, int value) {
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, option, &value,
+                 sizeof value);
+  };
+  set(TCP_USER_TIMEOUT, kAcknowledgeMs);
+  set(TCP_KEEPIDLE, kProbeSeconds);
+  set(TCP_KEEPINTVL, kProbeSeconds);
+  set(TCP_KEEPCNT, kProbes);
+}
 
 Error FromFailure(const beast::error_code& failure, const Endpoint& endpoint) {
   if (failure == beast::error::timeout) {
@@ -40,14 +70,24 @@
 }  // namespace
 
 struct HttpClient::Pool {
+  // A connection that no request uses.
+  struct Kept {
+    std::unique_ptr<beast::tcp_stream> stream;
+    Instant until;
+  };
+
   Pool(asio::io_context& context, const MonotonicClock& clock, std::size_t kept)
       : context(context), clock(clock), kept_per_endpoint(kept) {}
 
   std::unique_ptr<beast::tcp_stream> Take(const Endpoint& endpoint) {
     auto& idle = kept[endpoint];
     while (!idle.empty()) {
-      auto stream = std::move(idle.back());
+      auto stream = std::move(idle.back().stream);
+      const bool fresh = clock.Now() < idle.back().until;
       idle.pop_back();
+      if (!fresh) {
+        continue;
+      }
       // A server that closed while idle shows as readable or as an error.
       char probe = 0;
       beast::error_code failure;
@@ -66,14 +106,14 @@
     auto& idle = kept[endpoint];
     if (idle.size() < kept_per_endpoint) {
       stream->expires_never();
-      idle.push_back(std::move(stream));
+      idle.push_back({std::move(stream), clock.Now() + kKeptTime});
     }
   }
 
   asio::io_context& context;
   const MonotonicClock& clock;
   std::size_t kept_per_endpoint;
-  std::map<Endpoint, std::vector<std::unique_ptr<beast::tcp_stream>>> kept;
+  std::map<Endpoint, std::vector<Kept>> kept;
 };
 
 namespace {
@@ -104,49 +144,40 @@
   bool bytes_sent() const override { return bytes_sent_; }
   void SetDeadline(Instant deadline) override { deadline_ = deadline; }
   void Cancel() override {
+    cancelled_ = true;
     if (stream_) {
       stream_->close();
     }
   }
 
+  // A kept connection may be dead without a sign. Where it fails before any
+  // byte of the answer, a fresh one is tried before the server is blamed.
   asio::awaitable<Result<HttpResponse>> Start() override {
     if (choice_ == ConnectionChoice::kKeptOrFresh) {
       stream_ = pool_->Take(endpoint_);
     }
-    if (!stream_) {
-      stream_ = std::make_unique<beast::tcp_stream>(pool_->context);
-      Arm();
-      auto [failure] = co_await stream_->async_connect(endpoint_, kAwait);
-      if (failure) {
+    if (stream_) {
+      const beast::error_code failure = co_await Exchange();
+      if (!failure) {
+        co_return Head();
+      }
+      if (cancelled_ || failure == beast::error::timeout) {
         co_return FromFailure(failure, endpoint_);
       }
-      beast::error_code ignored;
-      stream_->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-      stream_->socket().set_option(asio::socket_base::keep_alive(true),
-                                   ignored);
+      buffer_.clear();
     }
-    bytes_sent_ = true;
-    Arm();
-    auto [write_failure, written] =
-        co_await http::async_write(*stream_, message_, kAwait);
-    if (write_failure) {
-      co_return FromFailure(write_failure, endpoint_);
+    stream_ = std::make_unique<beast::tcp_stream>(pool_->context);
+    Arm(kConnectTime);
+    auto [connect_failure] = co_await stream_->async_connect(endpoint_, kAwait);
+    if (connect_failure) {
+      co_return FromFailure(connect_failure, endpoint_);
     }
-    parser_.emplace();
-    parser_->body_limit(kAnswerBodyLimit);
-    Arm();
-    auto [failure, size] =
-        co_await http::async_read_header(*stream_, buffer_, *parser_, kAwait);
+    WatchConnection(stream_->socket());
+    const beast::error_code failure = co_await Exchange();
     if (failure) {
       co_return FromFailure(failure, endpoint_);
     }
-    HttpResponse head;
-    head.status = static_cast<int>(parser_->get().result_int());
-    for (const auto& field : parser_->get()) {
-      head.headers.push_back(
-          {std::string(field.name_string()), std::string(field.value())});
-    }
-    co_return head;
+    co_return Head();
   }
 
   asio::awaitable<Result<bool>> ReadSome(std::string& out) override {
@@ -170,9 +201,36 @@
   }
 
  private:
-  void Arm() {
-    const Instant now = pool_->clock.Now();
-    stream_->expires_after(deadline_ > now ? deadline_ - now : Micros(0));
+  // Sends the request and reads status and headers of the answer.
+  asio::awaitable<beast::error_code> Exchange() {
+    bytes_sent_ = true;
+    Arm();
+    auto [write_failure, written] =
+        co_await http::async_write(*stream_, message_, kAwait);
+    if (write_failure) {
+      co_return write_failure;
+    }
+    parser_.emplace();
+    parser_->body_limit(kAnswerBodyLimit);
+    Arm();
+    auto [failure, size] =
+        co_await http::async_read_header(*stream_, buffer_, *parser_, kAwait);
+    co_return failure;
+  }
+
+  HttpResponse Head() const {
+    HttpResponse head;
+    head.status = static_cast<int>(parser_->get().result_int());
+    for (const auto& field : parser_->get()) {
+      head.headers.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
+    }
+    return head;
+  }
+
+  void Arm(Micros most = Micros::max()) {
+    const Micros left = deadline_ - pool_->clock.Now();
+    stream_->expires_after(std::clamp(left, Micros(0), most));
   }
 
   void Finish() {
@@ -187,6 +245,7 @@
   Instant deadline_;
   ConnectionChoice choice_;
   bool bytes_sent_ = false;
+  bool cancelled_ = false;
   http::request<http::string_body> message_;
   std::unique_ptr<beast::tcp_stream> stream_;
   beast::flat_buffer buffer_;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <list>
 
 namespace jackdaw {
 namespace {
@@ -16,6 +17,9 @@
 namespace http = beast::http;
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
+// Bytes taken in the read that waits for a request to begin.
+constexpr std::size_t kFirstRead = 4096;
+
 using Parser = http::request_parser<http::string_body>;
 
 HttpRequest ToPlain(http::request<http::string_body>&& message) {
@@ -46,6 +50,16 @@
   bool begun() const { return begun_; }
   void CloseAfter() override { keep_alive_ = false; }
 
+  bool CallerGone() const override {
+    char probe = 0;
+    beast::error_code failure;
+    auto& socket = stream_.socket();
+    socket.non_blocking(true, failure);
+    const std::size_t size = socket.receive(
+        asio::buffer(&probe, 1), asio::socket_base::message_peek, failure);
+    return failure ? failure != asio::error::would_block : size == 0;
+  }
+
   asio::awaitable<bool> Respond(HttpResponse plain) override {
     http::response<http::string_body> message;
     FillHead(message, plain);
@@ -169,13 +183,36 @@
     beast::flat_buffer buffer;
     bool go_on = true;
     while (go_on) {
-      go_on = co_await ServeOne(stream, buffer);
+      go_on = co_await AwaitFirstByte(stream, buffer);
+      if (go_on) {
+        ++active;
+        go_on = co_await ServeOne(stream, buffer);
+        --active;
+      }
     }
     beast::error_code ignored;
     stream.socket().shutdown(asio::socket_base::shutdown_send, ignored);
     --connections;
   }
 
+  // Waits until a request begins. @returns false when the connection ends
+  asio::awaitable<bool> AwaitFirstByte(beast::tcp_stream& stream,
+                                       beast::flat_buffer& buffer) {
+    if (buffer.size() > 0) {
+      co_return true;
+    }
+    if (closing) {
+      co_return false;
+    }
+    const auto place = idle.insert(idle.end(), &stream);
+    stream.expires_after(std::chrono::milliseconds(limits.idle_ms));
+    auto [failure, size] =
+        co_await stream.async_read_some(buffer.prepare(kFirstRead), kAwait);
+    idle.erase(place);
+    buffer.commit(size);
+    co_return !failure;
+  }
+
   // Reads one request and answers it. @returns whether to read another
   asio::awaitable<bool> ServeOne(beast::tcp_stream& stream,
                                  beast::flat_buffer& buffer) {
@@ -194,13 +231,14 @@
       co_await exchange.Respond(ParseFailure(failure));
       co_return false;
     }
-    ++active;
+    if (closing) {
+      exchange.CloseAfter();
+    }
     try {
       co_await handler(exchange);
     } catch (const std::exception&) {
       exchange.CloseAfter();
     }
-    --active;
     co_return exchange.reusable();
   }
 
@@ -208,6 +246,9 @@
   HttpLimits limits;
   Handler handler;
   std::uint32_t connections = 0;
+  // Connections on which no request has begun.
+  std::list<beast::tcp_stream*> idle;
+  bool closing = false;
   std::atomic<std::uint64_t> active{0};
 };
 
@@ -245,6 +286,13 @@
   state_->acceptor.close(ignored);
 }
 
+void HttpServer::CloseIdle() {
+  state_->closing = true;
+  for (auto* stream : state_->idle) {
+    stream->cancel();
+  }
+}
+
 std::uint64_t HttpServer::active() const {
   return state_->active.load();
 }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -35,6 +35,8 @@
   virtual boost::asio::awaitable<bool> WriteChunk(std::string_view bytes) = 0;
   /// Ends the chunked response. Left out, the caller sees a truncation.
   virtual boost::asio::awaitable<bool> EndStream() = 0;
+  /// Whether the caller has closed its side of the connection.
+  virtual bool CallerGone() const = 0;
   /// Closes the connection after this exchange.
   virtual void CloseAfter() = 0;
 };
@@ -56,7 +58,11 @@
   /// Stops accepting; open exchanges go on. Call on the event loop's thread.
   void StopAccepting();
 
-  /// Exchanges being handled now.
+  /// Closes connections on which no request has begun, and each other one
+  /// after its request. Call on the event loop's thread.
+  void CloseIdle();
+
+  /// Requests under way, each from its first byte on.
   std::uint64_t active() const;
 
  private:
--- a/src/instance/metrics.cc
+++ b/src/instance/metrics.cc
@@ -29,6 +29,12 @@
                                      .Help("Requests sent to another target")
                                      .Register(registry)
                                      .Add({});
+  prometheus::Counter& dropped =
+      prometheus::BuildCounter()
+          .Name("dropped_answers_total")
+          .Help("Answers of targets that were not of their request")
+          .Register(registry)
+          .Add({});
   prometheus::Counter& tokens = prometheus::BuildCounter()
                                     .Name("streamed_tokens_total")
                                     .Help("Tokens streamed to callers")
@@ -79,6 +85,10 @@
   families_->retries.Increment();
 }
 
+void Metrics::CountDroppedAnswer() {
+  families_->dropped.Increment();
+}
+
 void Metrics::CountTokens(std::uint64_t tokens) {
   families_->tokens.Increment(static_cast<double>(tokens));
 }
--- a/src/instance/metrics.h
+++ b/src/instance/metrics.h
@@ -19,6 +19,8 @@
   void CountRequest(std::string_view workspace);
   void CountRefusal(RefusalKind kind, Ran ran);
   void CountRetry();
+  /// An answer or event that was not of the request it came for.
+  void CountDroppedAnswer();
   void CountTokens(std::uint64_t tokens);
   /// @param millis time from the request to its first byte
   void ObserveFirstByte(double millis);
--- a/src/targets/chunk_pipe.h
+++ b/src/targets/chunk_pipe.h
@@ -7,8 +7,10 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include "core/bounded_ring.h"
 
@@ -78,8 +80,22 @@
   /// Ends the pipe from the consumer's side; the producer's next push fails.
   void Close() {
     closed_.store(true, std::memory_order_release);
-    producer_.waiting.store(true);
-    producer_.Wake(this->shared_from_this());
+    boost::asio::post(producer_.timer.get_executor(),
+                      [keep = this->shared_from_this()] {
+                        keep->producer_.timer.cancel();
+                        if (keep->on_close_) {
+                          std::exchange(keep->on_close_, nullptr)();
+                        }
+                      });
+  }
+
+  /// Sets what interrupts the producer when the consumer closes the pipe; it
+  /// runs on the producer's event loop. Call there, empty to set none.
+  void OnClose(std::function<void()> interrupt) {
+    on_close_ = std::move(interrupt);
+    if (closed() && on_close_) {
+      std::exchange(on_close_, nullptr)();
+    }
   }
 
   bool closed() const { return closed_.load(std::memory_order_acquire); }
@@ -114,6 +130,7 @@
   std::atomic<bool> closed_{false};
   Side producer_;
   Side consumer_;
+  std::function<void()> on_close_;
 };
 
 }  // namespace jackdaw
--- a/src/targets/relay.cc
+++ b/src/targets/relay.cc
@@ -37,27 +37,40 @@
   return pipe;
 }
 
+// Closing the pipe interrupts also a wait for the target: the connection is
+// then closed, which tells the target to stop.
 asio::awaitable<void> Relay::Run(RelayOrder order,
                                  std::shared_ptr<RelayPipe> pipe) {
-  auto call = client_.Prepare(order.endpoint, std::move(order.request),
-                              order.first_byte_deadline, order.choice);
-  Result<HttpResponse> head = co_await call->Start();
+  const std::shared_ptr<HttpCall> call =
+      client_.Prepare(order.endpoint, std::move(order.request),
+                      order.first_byte_deadline, order.choice);
+  pipe->OnClose([call] { call->Cancel(); });
+  if (!pipe->closed()) {
+    co_await Pass(*call, order.between_bytes, *pipe);
+  }
+  pipe->OnClose(nullptr);
+}
+
+asio::awaitable<void> Relay::Pass(HttpCall& call,
+                                  Micros between_bytes,
+                                  RelayPipe& pipe) {
+  Result<HttpResponse> head = co_await call.Start();
   RelayItem item;
   if (!head) {
     item.kind = RelayItem::Kind::kFailure;
     item.error = head.error();
-    item.bytes_sent = call->bytes_sent();
-    co_await pipe->Push(std::move(item));
+    item.bytes_sent = call.bytes_sent();
+    co_await pipe.Push(std::move(item));
     co_return;
   }
   item.kind = RelayItem::Kind::kHead;
   item.head = std::move(head.value());
-  bool wanted = co_await pipe->Push(std::move(item));
+  bool wanted = co_await pipe.Push(std::move(item));
   while (wanted) {
-    call->SetDeadline(clock_.Now() + order.between_bytes);
+    call.SetDeadline(clock_.Now() + between_bytes);
     RelayItem next;
     next.kind = RelayItem::Kind::kChunk;
-    Result<bool> more = co_await call->ReadSome(next.bytes);
+    Result<bool> more = co_await call.ReadSome(next.bytes);
     const bool last = !more || !more.value();
     if (!more) {
       next.kind = RelayItem::Kind::kFailure;
@@ -66,7 +79,7 @@
     } else if (last) {
       next.kind = RelayItem::Kind::kEnd;
     }
-    wanted = co_await pipe->Push(std::move(next)) && !last;
+    wanted = co_await pipe.Push(std::move(next)) && !last;
   }
 }
 
--- a/src/targets/relay.h
+++ b/src/targets/relay.h
@@ -50,6 +50,9 @@
  private:
   boost::asio::awaitable<void> Run(RelayOrder order,
                                    std::shared_ptr<RelayPipe> pipe);
+  boost::asio::awaitable<void> Pass(HttpCall& call,
+                                    Micros between_bytes,
+                                    RelayPipe& pipe);
 
   Duty& duty_;
   const MonotonicClock& clock_;
