Order the graceful shutdown by a pure plan and make teardown safe

Cause: a stop waited only for its own keep time, counted a request from the end of its body, closed idle connections at no stated moment, knew no deadline, and an instance destroyed under load left coroutines whose timers belonged to event loops that were gone. The plan leaves the list, waits out every answer of /v1/entry that names the instance, refuses late comers with ran no, lets each request finish, ends what is left at the deadline with an explicit error, and flushes records and outcomes. Coroutines of all threads end before any event loop goes. After each target has failed once, a request rests and asks again.

--- a/src/config/fleet_config.cc
+++ b/src/config/fleet_config.cc
@@ -14,6 +14,8 @@
     SettingRow{"request_deadline_ms", 100, 3'600'000, 30'000},
     SettingRow{"max_output_tokens", 1, kMillion, 256},
     SettingRow{"entry_keep_ms", 100, 600'000, 2000},
+    SettingRow{"list_lag_ms", 0, 600'000, 3000},
+    SettingRow{"drain_deadline_ms", 100, kDayMs, 3'600'000},
     SettingRow{"first_byte_ms", 10, 600'000, 10'000},
     SettingRow{"between_bytes_ms", 10, 600'000, 10'000},
     SettingRow{"plain_call_tokens", 0, kMillion, 1},
--- a/src/core/duty.cc
+++ b/src/core/duty.cc
@@ -34,6 +34,12 @@
   }
 }
 
+void Duty::EndCoroutines() {
+  while (ring_.TryPop()) {
+  }
+  context_.EndPending();
+}
+
 bool Duty::TryPost(Task task) {
   if (!ring_.TryPush(task)) {
     return false;
--- a/src/core/duty.h
+++ b/src/core/duty.h
@@ -38,6 +38,10 @@
   /// Stops the event loop and joins the thread; waiting tasks are dropped.
   void Stop();
 
+  /// Destroys what is suspended on the event loop, after Stop. Called for all
+  /// duties whose coroutines hold parts of each other before any is destroyed.
+  void EndCoroutines();
+
   /// Hands a task to the thread. @returns false when the ring is full
   bool TryPost(Task task);
 
@@ -48,7 +52,14 @@
   void RunWaitingTasks();
 
   std::string name_;
-  boost::asio::io_context context_{1};
+  // Event loop whose pending operations can be destroyed ahead of it.
+  class Loop : public boost::asio::io_context {
+   public:
+    Loop() : io_context(1) {}
+    void EndPending() { shutdown(); }
+  };
+
+  Loop context_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work_;
   BoundedRing<Task> ring_;
--- a/src/entry/caller_service.cc
+++ b/src/entry/caller_service.cc
@@ -74,7 +74,11 @@
                                            CallerRequest request) {
   const HttpRequest& from = exchange.request();
   const std::string_view path = from.Path();
-  if (path == "/v1/entry") {
+  if (context_.run_state.refusing && path != "/v1/entry") {
+    Refusal refusal{RefusalKind::kLeaving, Ran::kNo, "the instance is leaving",
+                    context_.clock.Now() + 1s};
+    co_await refuser_.Refuse(exchange, request, std::move(refusal));
+  } else if (path == "/v1/entry") {
     co_await exchange.Respond(AnswerEntry());
   } else if (path == "/v1/models") {
     co_await exchange.Respond(AnswerModels());
@@ -110,6 +114,9 @@
       view->config
           ? SettingFor(*view->config, "entry_keep_ms", "fleet", ToMillis(now))
           : FindSetting("entry_keep_ms")->fallback;
+  if (!context_.run_state.leaving) {
+    context_.run_state.entry_kept_until_ms = ToMillis(now) + keep;
+  }
   return JsonResponse(
       200, json::serialize(json::object{{"addresses", std::move(addresses)},
                                         {"until_ms", ToMillis(now) + keep}}));
--- a/src/entry/stream_answer.cc
+++ b/src/entry/stream_answer.cc
@@ -165,7 +165,7 @@
                    std::to_string(result.opened->head.status);
       co_return std::nullopt;
     }
-    ++tries_without_progress_;
+    tries_without_progress_ += result.asked;
     order_.tried.clear();
     timer.expires_after(kNoTargetTime);
     co_await timer.async_wait(asio::use_awaitable);
--- a/src/entry/stream_assembler.cc
+++ b/src/entry/stream_assembler.cc
@@ -17,8 +17,8 @@
 
 std::string StreamAssembler::Feed(std::string_view bytes) {
   std::string out;
-  for (auto& event : scanner_.Feed(bytes)) {
-    Take(std::move(event), out);
+  for (const auto& event : scanner_.Feed(bytes)) {
+    Take(event, out);
   }
   return out;
 }
@@ -30,7 +30,7 @@
 
 // Comments and unknown fields of a target stay here. Nothing follows the
 // explicit end, and nothing is believed after an event of another request.
-void StreamAssembler::Take(std::string event, std::string& out) {
+void StreamAssembler::Take(const std::string& event, std::string& out) {
   constexpr std::string_view kData = "data: ";
   constexpr std::string_view kDone = "data: [DONE]";
   if (done_ || crossed_ || !event.starts_with(kData)) {
--- a/src/entry/stream_assembler.h
+++ b/src/entry/stream_assembler.h
@@ -37,7 +37,7 @@
   bool overflowed() const { return scanner_.overflowed(); }
 
  private:
-  void Take(std::string event, std::string& out);
+  void Take(const std::string& event, std::string& out);
 
   std::string request_id_;
   EventScanner scanner_;
--- a/src/entry/target_opener.cc
+++ b/src/entry/target_opener.cc
@@ -1,7 +1,9 @@
 #include "entry/target_opener.h"
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace jackdaw {
 namespace {
@@ -10,6 +12,9 @@
 
 // Targets tried for one request.
 constexpr int kMaxAttempts = 3;
+// Rests while no target can be picked, and their length.
+constexpr int kMaxRests = 8;
+constexpr auto kRestTime = std::chrono::milliseconds(200);
 // Longest wait between two looks at whether the caller is still there.
 constexpr auto kCallerCheckTime = std::chrono::milliseconds(250);
 
@@ -55,10 +60,10 @@
   result.error = Error{ErrorKind::kNotFound,
                        "no target can serve model '" + order.model + "'",
                        "check the targets"};
-  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
-    if (context_.clock.Now() >= order.deadline) {
-      break;
-    }
+  asio::steady_timer rest(co_await asio::this_coro::executor);
+  int rests = 0;
+  bool failed_before = !order.tried.empty();
+  while (result.asked < kMaxAttempts && context_.clock.Now() < order.deadline) {
     Result<std::optional<PickedTarget>> picked =
         co_await context_.decisions.Pick(order.model, {}, order.tried);
     if (!picked) {
@@ -66,17 +71,26 @@
       break;
     }
     if (!picked.value()) {
-      break;
+      // Each target has failed once: after a rest, any may be asked again.
+      if (!failed_before || ++rests > kMaxRests) {
+        break;
+      }
+      order.tried.clear();
+      rest.expires_after(kRestTime);
+      co_await rest.async_wait(asio::use_awaitable);
+      continue;
     }
     PickedTarget target = *picked.value();
     const std::string name = target.name;
-    context_.events.Add(attempt == 0 && order.offset == 0
+    context_.events.Add(result.asked == 0 && order.offset == 0
                             ? EventKind::kRequestDispatched
                             : EventKind::kRequestRetried,
                         request.id, request.workspace, name, {});
-    if (attempt > 0) {
+    if (result.asked > 0) {
       context_.metrics.CountRetry();
     }
+    ++result.asked;
+    failed_before = true;
     Attempt asked = co_await Ask(caller, request, order, std::move(target));
     result.bytes_sent = result.bytes_sent || asked.bytes_sent;
     if (asked.opened) {
--- a/src/entry/target_opener.h
+++ b/src/entry/target_opener.h
@@ -42,6 +42,8 @@
   Error error;
   /// Whether any byte of the request may have reached any target.
   bool bytes_sent = false;
+  /// Targets asked.
+  int asked = 0;
 };
 
 /// Sends a completion to one target after another until one answers. A
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -8,6 +8,7 @@
 
 #include "core/digest.h"
 #include "core/log.h"
+#include "drain/drain_plan.h"
 #include "entry/caller_service.h"
 #include "instance/context.h"
 #include "instance/fleet_watcher.h"
@@ -48,6 +49,8 @@
         incarnation(static_cast<std::uint64_t>(ToMillis(clock.Now()))) {}
 
   asio::awaitable<void> Drain();
+  asio::awaitable<void> Act(DrainAction action, DrainFacts& facts);
+  DrainTimes TimesOfDrain() const;
   InstanceEntry SelfEntry(const BoundAddresses& bound) const;
 
   InstanceSettings settings;
@@ -102,6 +105,8 @@
       operator_duty.context(), OperatorLimits(),
       [this](HttpExchange& exchange) { return operators.Handle(exchange); }};
   std::promise<void> drained;
+  // Run on the platform thread when a shutdown hands over what is held.
+  std::vector<std::function<asio::awaitable<void>()>> hand_over;
 };
 
 Instance::Instance(InstanceSettings settings)
@@ -117,6 +122,13 @@
     duty->Stop();
   }
   parts_->decisions.Stop();
+  // Suspended coroutines of one thread hold timers and sockets of others, so
+  // all are ended before any event loop goes.
+  for (Duty* duty :
+       {&parts_->caller_duty, &parts_->operator_duty, &parts_->target_duty,
+        &parts_->platform_duty, &parts_->recorder_duty}) {
+    duty->EndCoroutines();
+  }
 }
 
 InstanceEntry Instance::Parts::SelfEntry(const BoundAddresses& bound) const {
@@ -156,34 +168,74 @@
   }
 }
 
-// Tells the platform, waits out the answers that callers keep, lets every
-// request finish, and stores the refusal records.
+DrainTimes Instance::Parts::TimesOfDrain() const {
+  const FleetViewPtr now_view = view.Get();
+  const Instant now = clock.Now();
+  const auto setting = [&](std::string_view name) {
+    return std::chrono::milliseconds(
+        now_view->config
+            ? SettingFor(*now_view->config, name, "fleet", ToMillis(now))
+            : FindSetting(name)->fallback);
+  };
+  DrainTimes times;
+  times.list_lag = setting("list_lag_ms");
+  times.keep = setting("entry_keep_ms");
+  times.deadline = now + setting("drain_deadline_ms");
+  return times;
+}
+
+// Carries out the plan of a graceful shutdown, step by step.
 asio::awaitable<void> Instance::Parts::Drain() {
   asio::steady_timer timer(platform_duty.context());
-  static_cast<void>(co_await watcher.AnnounceNow());
-  const FleetViewPtr now_view = view.Get();
-  const std::int64_t keep_ms =
-      now_view->config ? SettingFor(*now_view->config, "entry_keep_ms", "fleet",
-                                    ToMillis(clock.Now()))
-                       : 0;
-  const Instant callers_gone = clock.Now() + std::chrono::milliseconds(keep_ms);
-  while (clock.Now() < callers_gone || run_state.in_flight > 0) {
+  DrainPlan plan;
+  plan.Begin(clock.Now(), TimesOfDrain());
+  DrainFacts facts;
+  while (plan.step() != DrainStep::kDone) {
+    facts.in_flight = caller_server.active();
+    facts.kept_until = Instant(
+        std::chrono::milliseconds(run_state.entry_kept_until_ms.load()));
+    for (const DrainAction action : plan.Advance(clock.Now(), facts)) {
+      co_await Act(action, facts);
+    }
     timer.expires_after(kDrainCheckTime);
     co_await timer.async_wait(asio::use_awaitable);
   }
-  Result<bool> stored = false;
-  for (int attempt = 0; attempt < 10; ++attempt) {
-    stored = co_await AskAsync<bool>(recorder_duty,
-                                     [this] { return refusals.Flush(); });
-    if (stored && stored.value()) {
-      break;
-    }
-  }
   events.Add(EventKind::kDrainFinished, {}, {}, {}, {});
   Log(LogLevel::kInfo, "left");
   drained.set_value();
 }
 
+asio::awaitable<void> Instance::Parts::Act(DrainAction action,
+                                           DrainFacts& facts) {
+  switch (action) {
+    case DrainAction::kAnnounce: {
+      Result<bool> announced = co_await watcher.AnnounceNow();
+      facts.announced = announced && announced.value();
+      break;
+    }
+    case DrainAction::kHandOver:
+      for (auto& hook : hand_over) {
+        co_await hook();
+      }
+      break;
+    case DrainAction::kRefuseNew:
+      run_state.refusing = true;
+      caller_duty.TryPost([this] { caller_server.CloseIdle(); });
+      break;
+    case DrainAction::kEndRequests:
+      run_state.must_end = true;
+      break;
+    case DrainAction::kFlush: {
+      Result<bool> stored = co_await AskAsync<bool>(
+          recorder_duty, [this] { return refusals.Flush(); });
+      facts.flushed = stored && stored.value() && intents.open_calls() == 0;
+      break;
+    }
+    case DrainAction::kFinish:
+      break;
+  }
+}
+
 void Instance::WaitDrained() {
   parts_->drained.get_future().wait();
 }
--- a/src/instance/tests/fleet_fixture.h
+++ b/src/instance/tests/fleet_fixture.h
@@ -75,7 +75,7 @@
 
   std::string DefaultConfig() const {
     return R"({"defaults":{"rate_tokens_per_s":80000,"burst_tokens":160000,
-                           "entry_keep_ms":100},
+                           "entry_keep_ms":100,"list_lag_ms":100},
       "workspaces":[{"name":"school"}],
       "keys":[{"id":"k1","workspace":"school","digest":")" +
            Sha256Hex(kKey) + R"("}],
@@ -146,6 +146,8 @@
     return ParseEndpoint(bound_[i].operators).value();
   }
   Instance& instance(std::size_t i) { return *instances_[i]; }
+  /// Ends an instance without a graceful shutdown.
+  void Kill(std::size_t i) { instances_[i].reset(); }
   const Endpoint& platform_address() const { return platform_address_; }
   const Endpoint& engine_address() const { return engine_address_; }
   const Endpoint& desk_address() const { return desk_address_; }
--- a/src/standin/engine_standin.cc
+++ b/src/standin/engine_standin.cc
@@ -189,6 +189,10 @@
     text += StandinToken(stem, i);
   }
   std::string answer = EncodeAnswer(request, prompt, text);
+  if (faults_.cross_streams > 0) {
+    --faults_.cross_streams;
+    answer = R"({"id":"crossed","choices":[]})";
+  }
   co_await exchange.Respond(JsonResponse(200, std::move(answer)));
 }
 
@@ -208,8 +212,10 @@
       exchange.CloseAfter();
       co_return;
     }
+    const bool cross = i == 1 && faults_.cross_streams > 0;
+    faults_.cross_streams -= cross ? 1 : 0;
     const std::string event =
-        EncodeTokenEvent(id, model, StandinToken(stem, i));
+        EncodeTokenEvent(cross ? "crossed" : id, model, StandinToken(stem, i));
     wanted = co_await exchange.WriteChunk(event);
     co_await Wait(shape_.token_us);
   }
@@ -248,6 +254,7 @@
   faults.cut_streams = reader.IntegerOr("cut_streams", 0, kMaxTokens, 0);
   faults.cut_after_tokens =
       reader.IntegerOr("cut_after_tokens", 0, kMaxTokens, 3);
+  faults.cross_streams = reader.IntegerOr("cross_streams", 0, kMaxTokens, 0);
   faults.crash_on = reader.TextOr("crash_on", "");
   faults.leaving = reader.FlagOr("leaving", false);
   if (const auto checked = reader.Finish(); !checked) {
--- a/src/standin/engine_standin.h
+++ b/src/standin/engine_standin.h
@@ -31,6 +31,8 @@
   /// Streams still to be cut off after `cut_after_tokens`.
   std::int64_t cut_streams = 0;
   std::int64_t cut_after_tokens = 3;
+  /// Answers still to carry, in one place, what belongs to another request.
+  std::int64_t cross_streams = 0;
   /// Requests whose body contains this text end the process.
   std::string crash_on;
   bool leaving = false;
