--- a/src/entry/model_service.cc
+++ b/src/entry/model_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <variant>
 
+#include "core/digest.h"
 #include "entry/answer_reader.h"
 #include "entry/stream_answer.h"
 #include "entry/stream_assembler.h"
@@ -12,25 +13,33 @@
 
 namespace asio = boost::asio;
 
-// Whole answers asked for, where a target's is truncated or not this
-// request's.
-constexpr int kMaxWholeAnswers = 2;
+// The target lives: kTimeout stands for what is no crash.
+Error ForeignAnswer() {
+  return {ErrorKind::kTimeout, "the target sent another request's answer",
+          "check the target"};
+}
 
-Refusal TargetFailed(const Error& error, Ran ran, Instant now) {
-  if (error.kind == ErrorKind::kNotFound) {
-    return {RefusalKind::kNoTarget, ran, error.message, now + 1s};
-  }
-  if (error.kind == ErrorKind::kOverloaded) {
-    return {RefusalKind::kOverloaded, ran, error.message, now + 1s};
-  }
-  return {RefusalKind::kTargetFailed, ran, error.Line(), now + 1s};
+// What the attempts of a completion are made for. The digest leaves out who
+// asks, so that a crashing request is known whoever sends it.
+AttemptSubject SubjectOf(const HttpRequest& from,
+                         const CallerRequest& request,
+                         const Admitted& admitted,
+                         const std::string& model) {
+  AttemptSubject subject;
+  subject.request_id = request.id;
+  subject.workspace = request.workspace;
+  subject.model = model;
+  subject.digest = Sha256Hex(std::string(from.Path()) + "\n" + from.body);
+  subject.idempotent = true;
+  subject.deadline = admitted.deadline;
+  subject.first_byte_deadline = admitted.first_byte_deadline;
+  return subject;
 }
 
 OpenOrder OrderFor(const ModelRequest& model,
                    const Admitted& admitted,
                    Instant now) {
   OpenOrder order;
-  order.model = model.model;
   order.stream = model.stream;
   order.deadline = admitted.deadline;
   order.first_byte = admitted.first_byte_deadline - now;
@@ -88,28 +97,30 @@
                                         const ModelRequest& model,
                                         const Admitted& admitted) {
   OpenOrder order = OrderFor(model, admitted, context_.clock.Now());
-  OpenResult result = co_await opener_.Open(exchange, request, order);
-  if (!result.opened) {
+  Attempts attempts(
+      context_, SubjectOf(exchange.request(), request, admitted, model.model));
+  std::optional<OpenedAnswer> first =
+      co_await opener_.Open(exchange, request, order, attempts);
+  if (!first) {
     context_.decisions.Refund(request.workspace, admitted.charged_tokens);
-    co_await RefuseFailed(exchange, request, result.error,
-                          result.bytes_sent ? Ran::kUnknown : Ran::kNo);
+    co_await refuser_.Refuse(exchange, request, attempts.refusal());
     co_return;
   }
   context_.metrics.ObserveFirstByte(
       static_cast<double>((context_.clock.Now() - request.arrived).count()) /
       1000.0);
-  const std::string target = result.opened->target;
-  OpenedAnswer opened = std::move(*result.opened);
+  const std::string target = first->target;
+  OpenedAnswer opened = std::move(*first);
   std::int64_t tokens = -1;
   bool whole = false;
   if (model.stream && opened.head.status == 200) {
     StreamAnswer answer(context_, refuser_, opener_, exchange, request,
-                        std::move(order));
+                        std::move(order), attempts);
     whole = co_await answer.Pass(std::move(opened));
     tokens = answer.tokens();
   } else {
-    whole =
-        co_await PassWhole(exchange, request, order, std::move(opened), tokens);
+    whole = co_await PassWhole(exchange, request, order, attempts,
+                               std::move(opened), tokens);
   }
   if (tokens >= 0) {
     RefundUnused(request, admitted, model.prompt_tokens + tokens);
@@ -127,61 +138,53 @@
       std::max<std::int64_t>(0, admitted.charged_tokens - used));
 }
 
-asio::awaitable<void> ModelService::RefuseFailed(HttpExchange& exchange,
-                                                 const CallerRequest& request,
-                                                 const Error& error,
-                                                 Ran ran) {
-  Refusal refusal = TargetFailed(error, ran, context_.clock.Now());
-  co_await refuser_.Refuse(exchange, request, std::move(refusal));
-}
-
 // Reads the answer to its explicit end before any of it is passed on. One
-// that is truncated or another request's is asked for once more elsewhere.
+// that is truncated or another request's is asked for again elsewhere.
 asio::awaitable<bool> ModelService::PassWhole(HttpExchange& exchange,
                                               const CallerRequest& request,
-                                              OpenOrder& order,
+                                              const OpenOrder& order,
+                                              Attempts& attempts,
                                               OpenedAnswer opened,
                                               std::int64_t& tokens) {
-  Error error;
-  for (int round = 1;; ++round) {
-    StopWatch watch(context_, request, &exchange);
+  StopWatch watch(context_, request, &exchange);
+  for (;;) {
     ReadAnswer read =
         co_await ReadWholeAnswer(opened.pipe, std::move(opened.head), watch);
     opened.pipe->Close();
     const bool own =
         read.answer && IsOwnAnswer(read.answer.value(), request.id);
-    context_.decisions.Finish(opened.target, !own && !watch.stopped());
     if (own) {
+      context_.decisions.Finish(opened.target, false);
       HttpResponse& answer = read.answer.value();
       tokens = ReadCompletionTokens(answer.body);
       HttpResponse response =
           JsonResponse(answer.status, std::move(answer.body));
       response.headers.push_back({"X-Request-Id", request.id});
-      co_return co_await exchange.Respond(std::move(response));
+      const bool passed = co_await exchange.Respond(std::move(response));
+      co_await attempts.Ended(true);
+      co_return passed;
     }
     if (watch.stopped()) {
+      context_.decisions.Finish(opened.target, false);
+      co_await attempts.Ended(false);
       co_await refuser_.Refuse(exchange, request, watch.reason());
       co_return false;
     }
+    Error error = ForeignAnswer();
     if (read.answer) {
       context_.metrics.CountDroppedAnswer();
+    } else {
+      error = read.answer.error();
     }
-    error = read.answer ? Error{ErrorKind::kMalformed,
-                                "the target sent another request's answer",
-                                "check the target"}
-                        : read.answer.error();
-    order.tried.push_back(opened.target);
-    if (round == kMaxWholeAnswers) {
-      break;
-    }
-    OpenResult next = co_await opener_.Open(exchange, request, order);
-    if (!next.opened) {
-      break;
+    co_await attempts.Failed(std::move(error), true);
+    std::optional<OpenedAnswer> next =
+        co_await opener_.Open(exchange, request, order, attempts);
+    if (!next) {
+      co_await refuser_.Refuse(exchange, request, attempts.refusal());
+      co_return false;
     }
-    opened = std::move(*next.opened);
+    opened = std::move(*next);
   }
-  co_await RefuseFailed(exchange, request, error, Ran::kUnknown);
-  co_return false;
 }
 
 }  // namespace jackdaw
--- a/src/entry/model_service.h
+++ b/src/entry/model_service.h
@@ -27,13 +27,10 @@
                                    const Admitted& admitted);
   boost::asio::awaitable<bool> PassWhole(HttpExchange& exchange,
                                          const CallerRequest& request,
-                                         OpenOrder& order,
+                                         const OpenOrder& order,
+                                         Attempts& attempts,
                                          OpenedAnswer opened,
                                          std::int64_t& tokens);
-  boost::asio::awaitable<void> RefuseFailed(HttpExchange& exchange,
-                                            const CallerRequest& request,
-                                            const Error& error,
-                                            Ran ran);
   void RefundUnused(const CallerRequest& request,
                     const Admitted& admitted,
                     std::int64_t used);
--- a/src/entry/plain_service.cc
+++ b/src/entry/plain_service.cc
@@ -3,14 +3,14 @@
 #include <boost/asio/this_coro.hpp>
 #include <variant>
 
+#include "core/digest.h"
+
 namespace jackdaw {
 namespace {
 
 namespace asio = boost::asio;
 
 constexpr std::string_view kCallPath = "/call/";
-// Targets tried for one idempotent call.
-constexpr int kMaxAttempts = 3;
 
 HttpRequest ForTarget(const HttpRequest& from,
                       const CallerRequest& request,
@@ -41,6 +41,23 @@
 
 }  // namespace
 
+// What the attempts of a call are made for. The digest leaves out who asks, so
+// that a crashing call is known whoever sends it.
+AttemptSubject PlainService::SubjectOf(const HttpRequest& from,
+                                       const CallerRequest& request,
+                                       const Call& call) {
+  AttemptSubject subject;
+  subject.request_id = request.id;
+  subject.workspace = request.workspace;
+  subject.service = call.service;
+  subject.digest =
+      Sha256Hex(from.method + "\n" + from.target + "\n" + from.body);
+  subject.idempotent = call.admitted.idempotent;
+  subject.deadline = call.admitted.deadline;
+  subject.first_byte_deadline = call.admitted.first_byte_deadline;
+  return subject;
+}
+
 asio::awaitable<void> PlainService::Serve(HttpExchange& exchange,
                                           CallerRequest request) {
   const HttpRequest& from = exchange.request();
@@ -100,8 +117,6 @@
                                              const CallerRequest& request,
                                              const Call& call,
                                              CallClaim& claim) {
-  std::vector<std::string> tried;
-  bool any_byte_sent = false;
   // A call that may not be repeated goes on when its caller leaves or its key
   // is withdrawn: its outcome is what a resubmission asks for.
   CallerRequest watched = request;
@@ -110,42 +125,33 @@
   }
   StopWatch watch(context_, watched,
                   call.admitted.idempotent ? &exchange : nullptr);
-  Refusal refusal{RefusalKind::kNoTarget, Ran::kNo,
-                  "no target of service '" + call.service + "' is up",
-                  context_.clock.Now() + 1s};
-  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
-    Result<std::optional<PickedTarget>> picked =
-        co_await context_.decisions.Pick({}, call.service, tried);
-    if (!picked || !picked.value()) {
+  Attempts attempts(context_, SubjectOf(exchange.request(), request, call));
+  while (!watch.stopped()) {
+    const std::optional<PickedTarget> target = co_await attempts.Next();
+    if (!target) {
       break;
     }
-    const PickedTarget target = *picked.value();
-    context_.events.Add(attempt == 0 ? EventKind::kRequestDispatched
-                                     : EventKind::kRequestRetried,
-                        request.id, request.workspace, target.name, {});
     ReadAnswer read =
-        co_await Send(exchange.request(), request, call, target, watch);
+        co_await Send(exchange.request(), request, call, *target, watch);
     Result<HttpResponse>& answer = read.answer;
-    context_.decisions.Finish(target.name, !answer && !watch.stopped());
+    if (!answer && !watch.stopped()) {
+      co_await attempts.Failed(answer.error(), read.bytes_sent);
+      continue;
+    }
+    context_.decisions.Finish(target->name, false);
     if (answer) {
       co_await claim.Finish(answer.value());
       HttpResponse response = ForCaller(answer.value(), request.id);
       co_await exchange.Respond(std::move(response));
+    }
+    co_await attempts.Ended(answer.has_value());
+    if (answer) {
       context_.events.Add(EventKind::kRequestFinished, request.id,
-                          request.workspace, target.name, "whole");
+                          request.workspace, target->name, "whole");
       co_return;
     }
-    tried.push_back(target.name);
-    any_byte_sent = any_byte_sent || read.bytes_sent;
-    const bool may_have_run = read.bytes_sent && !call.admitted.idempotent;
-    refusal = {may_have_run ? RefusalKind::kOutcomeUnknown
-                            : RefusalKind::kTargetFailed,
-               any_byte_sent ? Ran::kUnknown : Ran::kNo, answer.error().Line(),
-               Instant{}};
-    if (may_have_run || watch.stopped()) {
-      break;
-    }
   }
+  Refusal refusal = watch.stopped() ? watch.reason() : attempts.refusal();
   if (refusal.ran == Ran::kNo) {
     co_await claim.Release();
     context_.decisions.Refund(request.workspace, call.admitted.charged_tokens);
--- a/src/entry/plain_service.h
+++ b/src/entry/plain_service.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "entry/answer_reader.h"
+#include "entry/attempts.h"
 #include "entry/call_claim.h"
 #include "entry/caller_request.h"
 #include "entry/refuser.h"
@@ -32,6 +33,9 @@
     std::string path;
   };
 
+  static AttemptSubject SubjectOf(const HttpRequest& from,
+                                  const CallerRequest& request,
+                                  const Call& call);
   boost::asio::awaitable<void> Run(HttpExchange& exchange,
                                    const CallerRequest& request,
                                    Call call);
--- a/src/entry/stream_answer.cc
+++ b/src/entry/stream_answer.cc
@@ -1,9 +1,5 @@
 #include "entry/stream_answer.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include "entry/stop_check.h"
 
 namespace jackdaw {
@@ -17,12 +13,8 @@
 // two ends forgets the connection.
 constexpr Micros kHeartbeatTime = 2s;
 constexpr std::string_view kHeartbeat = ": heartbeat\n\n";
-// Time to find a target that continues, and targets asked in a row that added
-// no token.
+// Time to find a target that continues.
 constexpr Micros kResumeTime = 10s;
-constexpr int kMaxTriesWithoutProgress = 3;
-// Wait where no target can be picked.
-constexpr auto kNoTargetTime = std::chrono::milliseconds(200);
 
 HttpResponse HeadFor(const HttpResponse& from, std::string_view request_id) {
   HttpResponse head;
@@ -40,14 +32,16 @@
                            TargetOpener& opener,
                            HttpExchange& exchange,
                            const CallerRequest& request,
-                           OpenOrder order)
+                           OpenOrder order,
+                           Attempts& attempts)
     : context_(context),
       refuser_(refuser),
       opener_(opener),
       exchange_(exchange),
       request_(request),
       order_(std::move(order)),
-      assembler_(request.id) {}
+      assembler_(request.id),
+      attempts_(attempts) {}
 
 std::optional<Refusal> StreamAnswer::MustStop() const {
   return StopReason(context_, request_);
@@ -58,31 +52,30 @@
   if (!co_await exchange_.BeginStream(std::move(head))) {
     opened.pipe->Close();
     context_.decisions.Finish(opened.target, false);
+    co_await attempts_.Ended(false);
     co_return false;
   }
   for (;;) {
     const std::int64_t before = assembler_.tokens();
     const End end = co_await PassPart(opened);
     opened.pipe->Close();
-    context_.decisions.Finish(opened.target, end == End::kBroken);
-    if (end == End::kDone) {
-      co_return co_await exchange_.EndStream();
-    }
-    if (end == End::kCallerGone) {
-      co_return false;
-    }
-    if (end == End::kStopped) {
-      Refusal refusal = MustStop().value_or(Refusal{});
-      co_await refuser_.RefuseStream(exchange_, request_, std::move(refusal));
-      co_return false;
+    if (end != End::kBroken) {
+      context_.decisions.Finish(opened.target, false);
+      bool whole = false;
+      if (end == End::kDone) {
+        whole = co_await exchange_.EndStream();
+      } else if (end == End::kStopped) {
+        Refusal refusal = MustStop().value_or(Refusal{});
+        co_await refuser_.RefuseStream(exchange_, request_, std::move(refusal));
+      }
+      co_await attempts_.Ended(whole);
+      co_return whole;
     }
-    const bool progress = assembler_.tokens() > before;
-    tries_without_progress_ = progress ? 0 : tries_without_progress_ + 1;
-    std::optional<OpenedAnswer> next = co_await Resume(opened.target);
+    std::optional<OpenedAnswer> next =
+        co_await Resume(assembler_.tokens() > before);
     if (!next) {
-      Refusal refusal{RefusalKind::kTargetFailed, Ran::kUnknown,
-                      "the stream broke off: " + broken_by_,
-                      context_.clock.Now() + 1s};
+      Refusal refusal = attempts_.refusal();
+      refusal.ran = Ran::kUnknown;
       co_await refuser_.RefuseStream(exchange_, request_, std::move(refusal));
       co_return false;
     }
@@ -118,15 +111,19 @@
       heartbeat = context_.clock.Now() + kHeartbeatTime;
       if (assembler_.crossed() || assembler_.overflowed()) {
         context_.metrics.CountDroppedAnswer();
-        broken_by_ = "the target sent what is not this request's answer";
+        // The target lives: kTimeout stands for what is no crash.
+        broken_by_.kind = ErrorKind::kTimeout;
+        broken_by_.message = "the target sent another request's answer";
         co_return End::kBroken;
       }
     } else if (assembler_.done()) {
       co_return End::kDone;
     } else {
-      broken_by_ = item->kind == RelayItem::Kind::kEnd
-                       ? "the target ended it before its end"
-                       : item->error.Line();
+      broken_by_ = item->error;
+      if (item->kind == RelayItem::Kind::kEnd) {
+        broken_by_.kind = ErrorKind::kTimeout;
+        broken_by_.message = "the target ended the stream before its end";
+      }
       co_return End::kBroken;
     }
   }
@@ -142,35 +139,27 @@
 }
 
 // Finds a target that continues at the offset: another one if there is one,
-// else the same.
+// else the same. The attempts bound the tries that add no token.
 asio::awaitable<std::optional<OpenedAnswer>> StreamAnswer::Resume(
-    const std::string& target) {
+    bool progress) {
   const Instant deadline = context_.clock.Now() + kResumeTime;
-  asio::steady_timer timer(co_await asio::this_coro::executor);
   order_.offset = assembler_.tokens();
-  order_.deadline = deadline;
-  order_.tried.assign(1, target);
   assembler_.Restart();
-  while (tries_without_progress_ < kMaxTriesWithoutProgress &&
-         context_.clock.Now() < deadline && !MustStop() &&
-         !exchange_.CallerGone()) {
-    OpenResult result = co_await opener_.Open(exchange_, request_, order_);
-    if (result.opened && result.opened->head.status == 200) {
-      co_return std::move(result.opened);
-    }
-    if (result.opened) {
-      result.opened->pipe->Close();
-      context_.decisions.Finish(result.opened->target, false);
-      broken_by_ = "a target would not continue it: status " +
-                   std::to_string(result.opened->head.status);
-      co_return std::nullopt;
-    }
-    tries_without_progress_ += result.asked;
-    order_.tried.clear();
-    timer.expires_after(kNoTargetTime);
-    co_await timer.async_wait(asio::use_awaitable);
+  if (progress) {
+    order_.deadline = deadline;
+    attempts_.Progressed(deadline);
+  }
+  Error broken = broken_by_;
+  co_await attempts_.Failed(std::move(broken), true);
+  std::optional<OpenedAnswer> opened =
+      co_await opener_.Open(exchange_, request_, order_, attempts_);
+  if (opened && opened->head.status != 200) {
+    opened->pipe->Close();
+    context_.decisions.Finish(opened->target, false);
+    co_await attempts_.Ended(false);
+    opened.reset();
   }
-  co_return std::nullopt;
+  co_return opened;
 }
 
 }  // namespace jackdaw
--- a/src/entry/stream_answer.h
+++ b/src/entry/stream_answer.h
@@ -23,7 +23,8 @@
                TargetOpener& opener,
                HttpExchange& exchange,
                const CallerRequest& request,
-               OpenOrder order);
+               OpenOrder order,
+               Attempts& attempts);
 
   /// Passes the stream up to its end and reports each target's part in it.
   /// @returns whether the caller got the whole of it
@@ -38,8 +39,7 @@
 
   boost::asio::awaitable<End> PassPart(OpenedAnswer& opened);
   boost::asio::awaitable<bool> PassItem(const RelayItem& item);
-  boost::asio::awaitable<std::optional<OpenedAnswer>> Resume(
-      const std::string& target);
+  boost::asio::awaitable<std::optional<OpenedAnswer>> Resume(bool progress);
   std::optional<Refusal> MustStop() const;
 
   InstanceContext& context_;
@@ -49,8 +49,8 @@
   const CallerRequest& request_;
   OpenOrder order_;
   StreamAssembler assembler_;
-  std::string broken_by_;
-  int tries_without_progress_ = 0;
+  Attempts& attempts_;
+  Error broken_by_;
 };
 
 }  // namespace jackdaw
--- a/src/entry/target_opener.cc
+++ b/src/entry/target_opener.cc
@@ -1,20 +1,13 @@
 #include "entry/target_opener.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace jackdaw {
 namespace {
 
 namespace asio = boost::asio;
 
-// Targets tried for one request.
-constexpr int kMaxAttempts = 3;
-// Rests while no target can be picked, and their length.
-constexpr int kMaxRests = 8;
-constexpr auto kRestTime = std::chrono::milliseconds(200);
 // Longest wait between two looks at whether the caller is still there.
 constexpr auto kCallerCheckTime = std::chrono::milliseconds(250);
 
@@ -34,11 +27,8 @@
   return to;
 }
 
-Error CallerLeft() {
-  return {ErrorKind::kTruncated, "the caller closed the connection", ""};
-}
-
-// What a head that is no answer, a failure or silence says.
+// What a head that is no answer, a failure or silence says. A whole answer
+// with a server error is no crash: kTimeout stands for it.
 Error ErrorOf(const std::optional<RelayItem>& item) {
   if (!item) {
     return {ErrorKind::kTimeout, "no answer before the deadline", "send again"};
@@ -46,64 +36,31 @@
   if (item->kind == RelayItem::Kind::kFailure) {
     return item->error;
   }
-  return {ErrorKind::kUnavailable,
+  return {ErrorKind::kTimeout,
           "target answered " + std::to_string(item->head.status),
           "check the target"};
 }
 
 }  // namespace
 
-asio::awaitable<OpenResult> TargetOpener::Open(const HttpExchange& caller,
-                                               const CallerRequest& request,
-                                               OpenOrder& order) {
-  OpenResult result;
-  result.error = Error{ErrorKind::kNotFound,
-                       "no target can serve model '" + order.model + "'",
-                       "check the targets"};
-  asio::steady_timer rest(co_await asio::this_coro::executor);
-  int rests = 0;
-  bool failed_before = !order.tried.empty();
-  while (result.asked < kMaxAttempts && context_.clock.Now() < order.deadline) {
-    Result<std::optional<PickedTarget>> picked =
-        co_await context_.decisions.Pick(order.model, {}, order.tried);
-    if (!picked) {
-      result.error = picked.error();
-      break;
-    }
-    if (!picked.value()) {
-      // Each target has failed once: after a rest, any may be asked again.
-      if (!failed_before || ++rests > kMaxRests) {
-        break;
-      }
-      order.tried.clear();
-      rest.expires_after(kRestTime);
-      co_await rest.async_wait(asio::use_awaitable);
-      continue;
-    }
-    PickedTarget target = *picked.value();
-    const std::string name = target.name;
-    context_.events.Add(result.asked == 0 && order.offset == 0
-                            ? EventKind::kRequestDispatched
-                            : EventKind::kRequestRetried,
-                        request.id, request.workspace, name, {});
-    if (result.asked > 0) {
-      context_.metrics.CountRetry();
-    }
-    ++result.asked;
-    failed_before = true;
-    Attempt asked = co_await Ask(caller, request, order, std::move(target));
-    result.bytes_sent = result.bytes_sent || asked.bytes_sent;
-    if (asked.opened) {
-      result.opened = std::move(asked.opened);
+asio::awaitable<std::optional<OpenedAnswer>> TargetOpener::Open(
+    const HttpExchange& caller,
+    const CallerRequest& request,
+    const OpenOrder& order,
+    Attempts& attempts) {
+  bool left = false;
+  while (!left) {
+    const std::optional<PickedTarget> target = co_await attempts.Next();
+    if (!target) {
       break;
     }
-    result.error = asked.error;
-    order.tried.push_back(name);
-    if (!asked.go_on) {
-      break;
+    std::optional<OpenedAnswer> opened =
+        co_await Ask(caller, request, order, *target, attempts, left);
+    if (opened) {
+      co_return opened;
     }
   }
-  co_return result;
+  co_return std::nullopt;
 }
 
 RelayOrder TargetOpener::OrderFor(const HttpRequest& from,
@@ -124,17 +81,17 @@
   return relay;
 }
 
-asio::awaitable<TargetOpener::Attempt> TargetOpener::Ask(
+asio::awaitable<std::optional<OpenedAnswer>> TargetOpener::Ask(
     const HttpExchange& caller,
     const CallerRequest& request,
     const OpenOrder& order,
-    PickedTarget target) {
-  Attempt attempt;
+    const PickedTarget& target,
+    Attempts& attempts,
+    bool& left) {
   const auto endpoint = ParseEndpoint(target.address);
   if (!endpoint) {
-    context_.decisions.Finish(target.name, true);
-    attempt.error = endpoint.error();
-    co_return attempt;
+    co_await attempts.Failed(endpoint.error(), false);
+    co_return std::nullopt;
   }
   const auto executor = co_await asio::this_coro::executor;
   RelayOrder relay =
@@ -142,28 +99,30 @@
   const Instant deadline = relay.first_byte_deadline;
   auto pipe = context_.relay.Start(std::move(relay), executor);
   if (!pipe) {
-    context_.decisions.Finish(target.name, false);
-    attempt.error = pipe.error();
-    attempt.go_on = false;
-    co_return attempt;
+    co_await attempts.Failed(pipe.error(), false);
+    co_return std::nullopt;
   }
   std::optional<RelayItem> item =
       co_await AwaitHead(caller, *pipe.value(), deadline);
   if (item && item->kind == RelayItem::Kind::kHead && item->head.status < 500) {
-    attempt.bytes_sent = true;
-    attempt.opened = OpenedAnswer();
-    attempt.opened->target = target.name;
-    attempt.opened->pipe = pipe.value();
-    attempt.opened->head = std::move(item->head);
-    co_return attempt;
+    std::optional<OpenedAnswer> opened(std::in_place);
+    opened->target = target.name;
+    opened->pipe = pipe.value();
+    opened->head = std::move(item->head);
+    co_return opened;
   }
   pipe.value()->Close();
-  attempt.go_on = !caller.CallerGone();
-  context_.decisions.Finish(target.name, attempt.go_on);
-  attempt.error = attempt.go_on ? ErrorOf(item) : CallerLeft();
-  attempt.bytes_sent =
+  left = caller.CallerGone();
+  if (left) {
+    context_.decisions.Finish(target.name, false);
+    co_await attempts.Ended(false);
+    co_return std::nullopt;
+  }
+  const bool sent =
       !item || item->kind != RelayItem::Kind::kFailure || item->bytes_sent;
-  co_return attempt;
+  Error error = ErrorOf(item);
+  co_await attempts.Failed(std::move(error), sent);
+  co_return std::nullopt;
 }
 
 // The relay ends the wait at the deadline by a failure; a second is added so
--- a/src/entry/target_opener.h
+++ b/src/entry/target_opener.h
@@ -4,8 +4,8 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
+#include "entry/attempts.h"
 #include "entry/caller_request.h"
 #include "http/server.h"
 #include "instance/context.h"
@@ -14,7 +14,6 @@
 
 /// What to ask of targets for one completion.
 struct OpenOrder {
-  std::string model;
   /// Whether the answer is a stream, whose first byte comes early.
   bool stream = false;
   /// Moment after which no target is asked.
@@ -24,8 +23,6 @@
   Micros between_bytes{};
   /// Tokens that the caller has already.
   std::int64_t offset = 0;
-  /// Targets that have failed this request.
-  std::vector<std::string> tried;
 };
 
 /// An answer whose head has come, and the target it comes from.
@@ -35,44 +32,32 @@
   HttpResponse head;
 };
 
-/// What asking targets came to.
-struct OpenResult {
-  std::optional<OpenedAnswer> opened;
-  /// Why there is no answer.
-  Error error;
-  /// Whether any byte of the request may have reached any target.
-  bool bytes_sent = false;
-  /// Targets asked.
-  int asked = 0;
-};
-
 /// Sends a completion to one target after another until one answers. A
 /// completion is idempotent, so that each failure allows another try.
 class TargetOpener {
  public:
   explicit TargetOpener(InstanceContext& context) : context_(context) {}
 
-  /// Asks targets. The caller of this reports the end of an opened answer to
-  /// `decisions.Finish`. @param order targets that fail are added to `tried`
+  /// Asks targets. The caller of this reports the end of an opened answer.
   /// @param caller the caller's exchange, whose leaving ends the wait
-  boost::asio::awaitable<OpenResult> Open(const HttpExchange& caller,
-                                          const CallerRequest& request,
-                                          OpenOrder& order);
+  /// @param attempts say which target is next, and why there is none
+  /// @returns nothing where no target answered or the caller left
+  boost::asio::awaitable<std::optional<OpenedAnswer>> Open(
+      const HttpExchange& caller,
+      const CallerRequest& request,
+      const OpenOrder& order,
+      Attempts& attempts);
 
  private:
-  // What one target came to.
-  struct Attempt {
-    std::optional<OpenedAnswer> opened;
-    Error error;
-    bool bytes_sent = false;
-    // Whether another target may be asked.
-    bool go_on = true;
-  };
-
-  boost::asio::awaitable<Attempt> Ask(const HttpExchange& caller,
-                                      const CallerRequest& request,
-                                      const OpenOrder& order,
-                                      PickedTarget target);
+  // Asks one target. @returns its answer's head; nothing where it failed, or
+  // where the caller left, which `left` then says
+  boost::asio::awaitable<std::optional<OpenedAnswer>> Ask(
+      const HttpExchange& caller,
+      const CallerRequest& request,
+      const OpenOrder& order,
+      const PickedTarget& target,
+      Attempts& attempts,
+      bool& left);
   boost::asio::awaitable<std::optional<RelayItem>>
   AwaitHead(const HttpExchange& caller, RelayPipe& pipe, Instant deadline);
   RelayOrder OrderFor(const HttpRequest& from,
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -14,6 +14,7 @@
 #include "instance/fleet_watcher.h"
 #include "operator/operator_service.h"
 #include "peer/peer_service.h"
+#include "record/copy_exchange.h"
 #include "targets/report_poller.h"
 
 namespace jackdaw {
@@ -68,11 +69,8 @@
   Decisions decisions{clock, kBudgetShares};
   Relay relay{target_duty, clock};
   IntentStore intents{platform_duty, clock, settings.platform, view};
-  RefusalLog refusals{
-      recorder_duty, clock, settings.platform,
-      "refusals/" + settings.name + "-" + std::to_string(incarnation)};
-  InstanceContext context{settings, clock,     run_state, view,    metrics,
-                          events,   decisions, relay,     intents, refusals};
+  RefusalLog refusals{recorder_duty, clock, settings.platform, view,
+                      RecordOwner{settings.name, incarnation}};
   FleetWatcher watcher{
       platform_duty,
       clock,
@@ -94,6 +92,15 @@
                     [this](std::uint64_t version, std::string document) {
                       watcher.Apply({version, "relayed", std::move(document)});
                     }};
+  CopyExchange copies{recorder_duty, clock, settings, view,
+                      run_state,     peers, refusals};
+  TargetProbe probe{target_duty, clock, relay};
+  CrashGuard crashes{platform_duty, clock, settings.platform,
+                     settings.name, view,  decisions,
+                     peers,         probe};
+  InstanceContext context{settings, clock,    run_state, view,
+                          metrics,  events,   decisions, relay,
+                          intents,  refusals, crashes};
   ReportPoller poller{target_duty, clock, relay, view, decisions};
   CallerService callers{context, settings.name + "-" + RandomHex(4) + "-"};
   std::function<void()> begin_drain;
@@ -147,6 +154,8 @@
   BoundAddresses bound{ToText(entry), ToText(operators), peer};
   parts.watcher.Start(parts.SelfEntry(bound));
   parts.refusals.Start();
+  parts.copies.Start();
+  parts.crashes.Start();
   parts.poller.Start();
   parts.intents.Start();
   parts.decisions.Start();
