--- a/src/entry/model_service.cc
+++ b/src/entry/model_service.cc
@@ -114,8 +114,8 @@
   std::int64_t tokens = -1;
   bool whole = false;
   if (model.stream && opened.head.status == 200) {
-    StreamAnswer answer(context_, refuser_, opener_, exchange, request,
-                        std::move(order), attempts);
+    StreamAnswer answer(context_, refuser_, opener_, exchange, request, order,
+                        attempts);
     whole = co_await answer.Pass(std::move(opened));
     tokens = answer.tokens();
   } else {
--- a/src/entry/stream_answer.cc
+++ b/src/entry/stream_answer.cc
@@ -32,14 +32,14 @@
                            TargetOpener& opener,
                            HttpExchange& exchange,
                            const CallerRequest& request,
-                           OpenOrder order,
+                           const OpenOrder& order,
                            Attempts& attempts)
     : context_(context),
       refuser_(refuser),
       opener_(opener),
       exchange_(exchange),
       request_(request),
-      order_(std::move(order)),
+      order_(order),
       assembler_(request.id),
       attempts_(attempts) {}
 
--- a/src/entry/stream_answer.h
+++ b/src/entry/stream_answer.h
@@ -23,7 +23,7 @@
                TargetOpener& opener,
                HttpExchange& exchange,
                const CallerRequest& request,
-               OpenOrder order,
+               const OpenOrder& order,
                Attempts& attempts);
 
   /// Passes the stream up to its end and reports each target's part in it.
--- a/src/replay/command.cc
+++ b/src/replay/command.cc
@@ -10,6 +10,8 @@
                     BenchCommand},
       ReplayCommand{"refusals", "refusal records: puts, bytes, losses",
                     RefusalsCommand},
+      ReplayCommand{"once", "table writes of calls that run at most once",
+                    OnceCommand},
   };
   return kCommands;
 }
--- a/src/replay/command.h
+++ b/src/replay/command.h
@@ -18,6 +18,7 @@
 std::span<const ReplayCommand> ReplayCommands();
 
 int BenchCommand(std::span<const std::string> arguments);
+int OnceCommand(std::span<const std::string> arguments);
 int RefusalsCommand(std::span<const std::string> arguments);
 
 }  // namespace jackdaw
