--- a/src/entry/attempts.cc
+++ b/src/entry/attempts.cc
@@ -16,6 +16,9 @@
 constexpr auto kClaimWait = std::chrono::milliseconds(250);
 // Time beyond a request's deadline for which its claim stands.
 constexpr Micros kClaimGrace = 5s;
+// Rests of one request while all its targets have failed, and their length.
+constexpr int kMaxRests = 8;
+constexpr auto kRestTime = std::chrono::milliseconds(200);
 // Time after which a caller may find a target or the table service again.
 constexpr Micros kComeBack = 1s;
 
@@ -83,6 +86,10 @@
     if (given.denial == DispatchDenial::kNone) {
       co_return Begin(given.target, false);
     }
+    const bool rested = co_await Rest(given.denial);
+    if (rested) {
+      continue;
+    }
     if (given.denial != DispatchDenial::kNeedsClaim) {
       Deny(given.denial, given.until);
       co_return std::nullopt;
@@ -106,6 +113,30 @@
   }
 }
 
+// Where each target has failed this request once, any may be asked again after
+// a rest; a failure may have been of its connection only.
+asio::awaitable<bool> Attempts::Rest(DispatchDenial denial) {
+  const Instant until = context_.clock.Now() + kRestTime;
+  if (denial != DispatchDenial::kNoTarget || attempts_ == 0 ||
+      rests_ >= kMaxRests || until >= subject_.deadline) {
+    co_return false;
+  }
+  ++rests_;
+  tried_.clear();
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  timer.expires_after(kRestTime);
+  co_await timer.async_wait(asio::use_awaitable);
+  co_return true;
+}
+
+void Attempts::Progressed(Instant deadline) {
+  attempts_ = 1;
+  rests_ = 0;
+  tried_.clear();
+  subject_.deadline = deadline;
+  subject_.first_byte_deadline = deadline;
+}
+
 std::optional<PickedTarget> Attempts::Begin(const PickedTarget& target,
                                             bool claimed) {
   current_ = target;
--- a/src/entry/attempts.h
+++ b/src/entry/attempts.h
@@ -46,12 +46,17 @@
   /// the whole answer came
   boost::asio::awaitable<void> Ended(bool whole);
 
+  /// Part of the answer came before the attempt failed: attempts and targets
+  /// tried count anew. @param deadline moment by which the rest must begin
+  void Progressed(Instant deadline);
+
   const Refusal& refusal() const { return refusal_; }
   /// Time spent waiting for a target.
   Micros waited() const { return waited_; }
 
  private:
   boost::asio::awaitable<bool> Ready();
+  boost::asio::awaitable<bool> Rest(DispatchDenial denial);
   boost::asio::awaitable<std::optional<PickedTarget>> ClaimRun();
   std::optional<PickedTarget> Begin(const PickedTarget& target, bool claimed);
   void Deny(DispatchDenial denial, Instant until);
@@ -71,6 +76,7 @@
   Micros waited_{};
   // When a model without a copy is expected, if that is too late.
   Instant load_expected_at_{};
+  int rests_ = 0;
 };
 
 }  // namespace jackdaw
--- a/src/entry/model_service.cc
+++ b/src/entry/model_service.cc
@@ -1,32 +1,23 @@
 #include "entry/model_service.h"
 
-#include <boost/asio/this_coro.hpp>
+#include <algorithm>
 #include <variant>
 
 #include "core/digest.h"
+#include "entry/answer_reader.h"
 #include "entry/key_check.h"
+#include "entry/stream_answer.h"
+#include "entry/stream_assembler.h"
 
 namespace jackdaw {
 namespace {
 
 namespace asio = boost::asio;
 
-// Longest wait between two looks at whether a stream's key still lives.
-constexpr auto kKeyCheckTime = std::chrono::milliseconds(250);
-
-std::chrono::steady_clock::time_point SteadyIn(Micros span) {
-  return std::chrono::steady_clock::now() + span;
-}
-
-// Only these headers reach a target; a key never does.
-HttpRequest ForTarget(const HttpRequest& from, const CallerRequest& request) {
-  HttpRequest to;
-  to.method = from.method;
-  to.target = std::string(from.Path());
-  to.headers.push_back({"Content-Type", "application/json"});
-  to.headers.push_back({"X-Request-Id", request.id});
-  to.body = from.body;
-  return to;
+// The target lives: kTimeout stands for what is no crash.
+Error ForeignAnswer() {
+  return {ErrorKind::kTimeout, "the target sent another request's answer",
+          "check the target"};
 }
 
 // What the attempts of a completion are made for. The digest leaves out who
@@ -49,27 +40,21 @@
   return subject;
 }
 
-// A whole answer with a server error is no crash: kTimeout stands for it.
-Error WhyNotOpened(const std::optional<RelayItem>& item) {
-  if (!item) {
-    return {ErrorKind::kTimeout, "no answer before the deadline", "send again"};
-  }
-  if (item->kind == RelayItem::Kind::kFailure) {
-    return item->error;
-  }
-  return {ErrorKind::kTimeout,
-          "target answered " + std::to_string(item->head.status),
-          "check the target"};
+OpenOrder OrderFor(const ModelRequest& model,
+                   const Admitted& admitted,
+                   Instant now) {
+  OpenOrder order;
+  order.stream = model.stream;
+  order.deadline = admitted.deadline;
+  order.first_byte = admitted.first_byte_deadline - now;
+  order.between_bytes = admitted.between_bytes;
+  return order;
 }
 
-Refusal TargetFailed(const Error& error, Ran ran, Instant now) {
-  if (error.kind == ErrorKind::kNotFound) {
-    return {RefusalKind::kNoTarget, Ran::kNo, error.message, now + 1s};
-  }
-  if (error.kind == ErrorKind::kOverloaded) {
-    return {RefusalKind::kOverloaded, Ran::kNo, error.message, now + 1s};
-  }
-  return {RefusalKind::kTargetFailed, ran, error.Line(), now + 1s};
+// A target may answer 4xx with a body of its own; only a completion names
+// its request.
+bool IsOwnAnswer(const HttpResponse& answer, std::string_view request_id) {
+  return answer.status >= 400 || CarriesId(answer.body, request_id);
 }
 
 }  // namespace
@@ -109,11 +94,20 @@
   context_.metrics.CountRequest(request.workspace);
   context_.events.Add(EventKind::kRequestAdmitted, request.id,
                       request.workspace, {}, model.model);
+  co_await Run(exchange, request, model, admitted);
+}
+
+asio::awaitable<void> ModelService::Run(HttpExchange& exchange,
+                                        const CallerRequest& request,
+                                        const ModelRequest& model,
+                                        const Admitted& admitted) {
   context_.demand.OnRequest(model.model, admitted.charged_tokens);
-  Attempts attempts(context_, SubjectOf(from, request, admitted, model));
-  std::optional<Opened> opened =
-      co_await Open(from, request, admitted, attempts);
-  if (!opened) {
+  OpenOrder order = OrderFor(model, admitted, context_.clock.Now());
+  Attempts attempts(context_,
+                    SubjectOf(exchange.request(), request, admitted, model));
+  std::optional<OpenedAnswer> first =
+      co_await opener_.Open(exchange, request, order, attempts);
+  if (!first) {
     context_.decisions.Refund(request.workspace, admitted.charged_tokens);
     co_await refuser_.Refuse(exchange, request, attempts.refusal());
     co_return;
@@ -121,152 +115,82 @@
   context_.metrics.ObserveFirstByte(
       static_cast<double>((context_.clock.Now() - request.arrived).count()) /
       1000.0);
+  const std::string target = first->target;
+  OpenedAnswer opened = std::move(*first);
   std::int64_t tokens = -1;
-  const bool whole =
-      model.stream ? co_await PassStream(exchange, request, *opened, tokens)
-                   : co_await PassWhole(exchange, request, *opened, tokens);
-  opened->pipe->Close();
-  if (!opened->failed) {
-    context_.decisions.Finish(opened->target, !whole);
-    co_await attempts.Ended(whole);
+  bool whole = false;
+  if (model.stream && opened.head.status == 200) {
+    StreamAnswer answer(context_, refuser_, opener_, exchange, request, order,
+                        attempts);
+    whole = co_await answer.Pass(std::move(opened));
+    tokens = answer.tokens();
+  } else {
+    whole = co_await PassWhole(exchange, request, order, attempts,
+                               std::move(opened), tokens);
   }
   if (tokens >= 0) {
-    const std::int64_t unused =
-        admitted.charged_tokens - model.prompt_tokens - tokens;
-    context_.decisions.Refund(request.workspace,
-                              std::max<std::int64_t>(0, unused));
+    RefundUnused(request, admitted, model.prompt_tokens + tokens);
   }
   context_.events.Add(EventKind::kRequestFinished, request.id,
-                      request.workspace, opened->target,
+                      request.workspace, target,
                       whole ? "whole" : "ended early");
 }
 
-// Sends the request to a target and waits for the head of its answer. A
-// completion is idempotent, so a failure before the head allows another try.
-asio::awaitable<std::optional<ModelService::Opened>> ModelService::Open(
-    const HttpRequest& from,
-    const CallerRequest& request,
-    const Admitted& admitted,
-    Attempts& attempts) {
-  const auto executor = co_await asio::this_coro::executor;
-  for (;;) {
-    const std::optional<PickedTarget> target = co_await attempts.Next();
-    if (!target) {
-      co_return std::nullopt;
-    }
-    const auto endpoint = ParseEndpoint(target->address);
-    if (!endpoint) {
-      co_await attempts.Failed(endpoint.error(), false);
-      continue;
-    }
-    RelayOrder order;
-    order.endpoint = endpoint.value();
-    order.request = ForTarget(from, request);
-    order.request.headers.push_back(
-        {"X-Priority", std::to_string(target->priority)});
-    order.first_byte_deadline = std::min(
-        admitted.deadline, admitted.first_byte_deadline + attempts.waited());
-    order.between_bytes = admitted.between_bytes;
-    auto pipe = context_.relay.Start(std::move(order), executor);
-    if (!pipe) {
-      co_await attempts.Failed(pipe.error(), false);
-      continue;
-    }
-    std::optional<RelayItem> item = co_await pipe.value()->Pop(
-        SteadyIn(admitted.deadline - context_.clock.Now()));
-    if (item && item->kind == RelayItem::Kind::kHead &&
-        item->head.status < 500) {
-      co_return Opened{target->name, pipe.value(), std::move(item->head),
-                       &attempts, false};
-    }
-    pipe.value()->Close();
-    const bool sent =
-        !item || item->kind == RelayItem::Kind::kHead || item->bytes_sent;
-    const Error failure = WhyNotOpened(item);
-    co_await attempts.Failed(failure, sent);
-  }
+void ModelService::RefundUnused(const CallerRequest& request,
+                                const Admitted& admitted,
+                                std::int64_t used) {
+  context_.decisions.Refund(
+      request.workspace,
+      std::max<std::int64_t>(0, admitted.charged_tokens - used));
 }
 
+// Reads the answer to its explicit end before any of it is passed on. One
+// that is truncated or another request's is asked for again elsewhere.
 asio::awaitable<bool> ModelService::PassWhole(HttpExchange& exchange,
                                               const CallerRequest& request,
-                                              Opened& opened,
+                                              const OpenOrder& order,
+                                              Attempts& attempts,
+                                              OpenedAnswer opened,
                                               std::int64_t& tokens) {
-  std::string body;
+  StopWatch watch(context_, request, &exchange);
   for (;;) {
-    std::optional<RelayItem> item =
-        co_await opened.pipe->Pop(SteadyIn(kKeyCheckTime));
-    std::optional<Refusal> ended = KeyEnded(context_, request.key_digest);
-    if (ended) {
-      co_await refuser_.Refuse(exchange, request, std::move(*ended));
-      co_return true;
-    }
-    if (!item) {
-      continue;
+    ReadAnswer read =
+        co_await ReadWholeAnswer(opened.pipe, std::move(opened.head), watch);
+    opened.pipe->Close();
+    const bool own =
+        read.answer && IsOwnAnswer(read.answer.value(), request.id);
+    if (own) {
+      context_.decisions.Finish(opened.target, false);
+      HttpResponse& answer = read.answer.value();
+      tokens = ReadCompletionTokens(answer.body);
+      HttpResponse response =
+          JsonResponse(answer.status, std::move(answer.body));
+      response.headers.push_back({"X-Request-Id", request.id});
+      const bool passed = co_await exchange.Respond(std::move(response));
+      co_await attempts.Ended(true);
+      co_return passed;
     }
-    if (item->kind == RelayItem::Kind::kFailure) {
-      opened.failed = true;
-      co_await opened.attempts->Failed(item->error, true);
-      Refusal refusal =
-          TargetFailed(item->error, Ran::kUnknown, context_.clock.Now());
-      co_await refuser_.Refuse(exchange, request, std::move(refusal));
+    if (watch.stopped()) {
+      context_.decisions.Finish(opened.target, false);
+      co_await attempts.Ended(false);
+      co_await refuser_.Refuse(exchange, request, watch.reason());
       co_return false;
     }
-    if (item->kind == RelayItem::Kind::kEnd) {
-      break;
-    }
-    body += item->bytes;
-  }
-  tokens = ReadCompletionTokens(body);
-  HttpResponse response = JsonResponse(opened.head.status, std::move(body));
-  response.headers.push_back({"X-Request-Id", request.id});
-  co_await exchange.Respond(std::move(response));
-  co_return true;
-}
-
-asio::awaitable<bool> ModelService::PassStream(HttpExchange& exchange,
-                                               const CallerRequest& request,
-                                               Opened& opened,
-                                               std::int64_t& tokens) {
-  HttpResponse head;
-  head.status = opened.head.status;
-  head.headers.push_back(
-      {"Content-Type",
-       std::string(FindHeader(opened.head.headers, "Content-Type"))});
-  head.headers.push_back({"X-Request-Id", request.id});
-  bool wanted = co_await exchange.BeginStream(std::move(head));
-  EventScanner scanner;
-  while (wanted) {
-    std::optional<RelayItem> item =
-        co_await opened.pipe->Pop(SteadyIn(kKeyCheckTime));
-    tokens = scanner.events();
-    std::optional<Refusal> ended = KeyEnded(context_, request.key_digest);
-    if (ended) {
-      co_await refuser_.RefuseStream(exchange, request, std::move(*ended));
-      co_return true;
-    }
-    if (!item) {
-      continue;
-    }
-    if (item->kind == RelayItem::Kind::kChunk) {
-      const std::int64_t before = scanner.events();
-      const std::string events = scanner.Feed(item->bytes);
-      wanted = co_await exchange.WriteChunk(events);
-      context_.metrics.CountTokens(
-          static_cast<std::uint64_t>(scanner.events() - before));
-    } else if (item->kind == RelayItem::Kind::kEnd && scanner.done()) {
-      tokens = scanner.events();
-      co_return co_await exchange.EndStream();
+    Error error = ForeignAnswer();
+    if (read.answer) {
+      context_.metrics.CountDroppedAnswer();
     } else {
-      opened.failed = true;
-      co_await opened.attempts->Failed(item->error, true);
-      Refusal refusal{RefusalKind::kTargetFailed, Ran::kUnknown,
-                      "the stream broke off: " + item->error.Line(),
-                      context_.clock.Now() + 1s};
-      co_await refuser_.RefuseStream(exchange, request, std::move(refusal));
+      error = read.answer.error();
+    }
+    co_await attempts.Failed(std::move(error), true);
+    std::optional<OpenedAnswer> next =
+        co_await opener_.Open(exchange, request, order, attempts);
+    if (!next) {
+      co_await refuser_.Refuse(exchange, request, attempts.refusal());
       co_return false;
     }
+    opened = std::move(*next);
   }
-  co_return true;
 }
 
 }  // namespace jackdaw
--- a/src/entry/plain_service.cc
+++ b/src/entry/plain_service.cc
@@ -87,6 +87,7 @@
     co_return;
   }
   call.admitted = std::get<Admitted>(decided.value());
+  call.first_byte = call.admitted.first_byte_deadline - context_.clock.Now();
   request.workspace = call.admitted.workspace;
   context_.metrics.CountRequest(request.workspace);
   context_.events.Add(EventKind::kRequestAdmitted, request.id,
@@ -118,39 +119,54 @@
                                              const CallerRequest& request,
                                              const Call& call,
                                              CallClaim& claim) {
+  // A call that may not be repeated goes on when its caller leaves or its key
+  // is withdrawn: its outcome is what a resubmission asks for.
+  CallerRequest watched = request;
+  if (!call.admitted.idempotent) {
+    watched.workspace.clear();
+  }
+  StopWatch watch(context_, watched,
+                  call.admitted.idempotent ? &exchange : nullptr);
   Attempts attempts(context_, SubjectOf(exchange.request(), request, call));
-  for (;;) {
+  while (!watch.stopped()) {
     const std::optional<PickedTarget> target = co_await attempts.Next();
     if (!target) {
       break;
     }
-    ReadAnswer read = co_await Send(exchange.request(), request, call, *target);
+    ReadAnswer read =
+        co_await Send(exchange.request(), request, call, *target, watch);
     Result<HttpResponse>& answer = read.answer;
-    if (!answer) {
+    if (!answer && !watch.stopped()) {
       co_await attempts.Failed(answer.error(), read.bytes_sent);
       continue;
     }
     context_.decisions.Finish(target->name, false);
-    co_await claim.Finish(answer.value());
-    HttpResponse response = ForCaller(answer.value(), request.id);
-    co_await exchange.Respond(std::move(response));
-    co_await attempts.Ended(true);
-    context_.events.Add(EventKind::kRequestFinished, request.id,
-                        request.workspace, target->name, "whole");
-    co_return;
+    if (answer) {
+      co_await claim.Finish(answer.value());
+      HttpResponse response = ForCaller(answer.value(), request.id);
+      co_await exchange.Respond(std::move(response));
+    }
+    co_await attempts.Ended(answer.has_value());
+    if (answer) {
+      context_.events.Add(EventKind::kRequestFinished, request.id,
+                          request.workspace, target->name, "whole");
+      co_return;
+    }
   }
-  if (attempts.refusal().ran == Ran::kNo) {
+  Refusal refusal = watch.stopped() ? watch.reason() : attempts.refusal();
+  if (refusal.ran == Ran::kNo) {
     co_await claim.Release();
     context_.decisions.Refund(request.workspace, call.admitted.charged_tokens);
   }
-  co_await refuser_.Refuse(exchange, request, attempts.refusal());
+  co_await refuser_.Refuse(exchange, request, std::move(refusal));
 }
 
 // Sends the call to one target and reads the whole answer.
 asio::awaitable<ReadAnswer> PlainService::Send(const HttpRequest& from,
                                                const CallerRequest& request,
                                                const Call& call,
-                                               const PickedTarget& target) {
+                                               const PickedTarget& target,
+                                               StopWatch& watch) {
   const auto endpoint = ParseEndpoint(target.address);
   if (!endpoint) {
     co_return ReadAnswer(endpoint.error(), false);
@@ -159,7 +175,7 @@
   order.endpoint = endpoint.value();
   order.request = ForTarget(from, request, call.path);
   order.first_byte_deadline =
-      std::min(call.admitted.deadline, call.admitted.first_byte_deadline);
+      std::min(call.admitted.deadline, context_.clock.Now() + call.first_byte);
   order.between_bytes = call.admitted.between_bytes;
   order.choice = call.admitted.idempotent ? ConnectionChoice::kKeptOrFresh
                                           : ConnectionChoice::kFresh;
@@ -169,7 +185,7 @@
     co_return ReadAnswer(pipe.error(), false);
   }
   HttpResponse head;
-  co_return co_await ReadWholeAnswer(pipe.value(), std::move(head));
+  co_return co_await ReadWholeAnswer(pipe.value(), std::move(head), watch);
 }
 
 }  // namespace jackdaw
--- /dev/null
+++ b/src/entry/stop_check.cc
@@ -0,0 +1,19 @@
+#include "entry/stop_check.h"
+
+#include "entry/key_check.h"
+
+namespace jackdaw {
+
+std::optional<Refusal> StopReason(const InstanceContext& context,
+                                  const CallerRequest& request) {
+  if (context.run_state.must_end) {
+    return Refusal{RefusalKind::kLeaving, Ran::kUnknown,
+                   "the instance must end before the answer is whole",
+                   context.clock.Now() + 1s};
+  }
+  // Open routes look at no key.
+  return request.workspace.empty() ? std::nullopt
+                                   : KeyEnded(context, request.key_digest);
+}
+
+}  // namespace jackdaw
--- a/src/instance/tests/fleet_fixture.h
+++ b/src/instance/tests/fleet_fixture.h
@@ -79,7 +79,7 @@
 
   std::string DefaultConfig() const {
     return R"({"defaults":{"rate_tokens_per_s":80000,"burst_tokens":160000,
-                           "entry_keep_ms":100},
+                           "entry_keep_ms":100,"list_lag_ms":100},
       "workspaces":[{"name":"school"}],
       "keys":[{"id":"k1","workspace":"school","digest":")" +
            Sha256Hex(kKey) + R"("}],
--- a/src/replay/command.cc
+++ b/src/replay/command.cc
@@ -17,6 +17,8 @@
                     RoutingCommand},
       ReplayCommand{"refusals", "refusal records: puts, bytes, losses",
                     RefusalsCommand},
+      ReplayCommand{"once", "table writes of calls that run at most once",
+                    OnceCommand},
   };
   return kCommands;
 }
--- a/src/replay/command.h
+++ b/src/replay/command.h
@@ -21,6 +21,7 @@
 int MembershipCommand(std::span<const std::string> arguments);
 int PlacementCommand(std::span<const std::string> arguments);
 int RoutingCommand(std::span<const std::string> arguments);
+int OnceCommand(std::span<const std::string> arguments);
 int RefusalsCommand(std::span<const std::string> arguments);
 
 }  // namespace jackdaw
