--- a/src/entry/plain_service.cc
+++ b/src/entry/plain_service.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <variant>
 
+#include "core/digest.h"
 #include "entry/key_check.h"
 
 namespace jackdaw {
@@ -11,8 +12,6 @@
 namespace asio = boost::asio;
 
 constexpr std::string_view kCallPath = "/call/";
-// Targets tried for one idempotent call.
-constexpr int kMaxAttempts = 3;
 
 HttpRequest ForTarget(const HttpRequest& from,
                       const CallerRequest& request,
@@ -43,6 +42,23 @@
 
 }  // namespace
 
+// What the attempts of a call are made for. The digest leaves out who asks, so
+// that a crashing call is known whoever sends it.
+AttemptSubject PlainService::SubjectOf(const HttpRequest& from,
+                                       const CallerRequest& request,
+                                       const Call& call) {
+  AttemptSubject subject;
+  subject.request_id = request.id;
+  subject.workspace = request.workspace;
+  subject.service = call.service;
+  subject.digest =
+      Sha256Hex(from.method + "\n" + from.target + "\n" + from.body);
+  subject.idempotent = call.admitted.idempotent;
+  subject.deadline = call.admitted.deadline;
+  subject.first_byte_deadline = call.admitted.first_byte_deadline;
+  return subject;
+}
+
 asio::awaitable<void> PlainService::Serve(HttpExchange& exchange,
                                           CallerRequest request) {
   const HttpRequest& from = exchange.request();
@@ -102,48 +118,32 @@
                                              const CallerRequest& request,
                                              const Call& call,
                                              CallClaim& claim) {
-  std::vector<std::string> tried;
-  bool any_byte_sent = false;
-  Refusal refusal{RefusalKind::kNoTarget, Ran::kNo,
-                  "no target of service '" + call.service + "' is up",
-                  context_.clock.Now() + 1s};
-  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
-    Result<std::optional<PickedTarget>> picked =
-        co_await context_.decisions.Pick({}, call.service, tried);
-    if (!picked || !picked.value()) {
+  Attempts attempts(context_, SubjectOf(exchange.request(), request, call));
+  for (;;) {
+    const std::optional<PickedTarget> target = co_await attempts.Next();
+    if (!target) {
       break;
     }
-    const PickedTarget target = *picked.value();
-    context_.events.Add(attempt == 0 ? EventKind::kRequestDispatched
-                                     : EventKind::kRequestRetried,
-                        request.id, request.workspace, target.name, {});
-    ReadAnswer read = co_await Send(exchange.request(), request, call, target);
+    ReadAnswer read = co_await Send(exchange.request(), request, call, *target);
     Result<HttpResponse>& answer = read.answer;
-    context_.decisions.Finish(target.name, !answer);
-    if (answer) {
-      co_await claim.Finish(answer.value());
-      HttpResponse response = ForCaller(answer.value(), request.id);
-      co_await exchange.Respond(std::move(response));
-      context_.events.Add(EventKind::kRequestFinished, request.id,
-                          request.workspace, target.name, "whole");
-      co_return;
-    }
-    tried.push_back(target.name);
-    any_byte_sent = any_byte_sent || read.bytes_sent;
-    const bool may_have_run = read.bytes_sent && !call.admitted.idempotent;
-    refusal = {may_have_run ? RefusalKind::kOutcomeUnknown
-                            : RefusalKind::kTargetFailed,
-               any_byte_sent ? Ran::kUnknown : Ran::kNo, answer.error().Line(),
-               Instant{}};
-    if (may_have_run) {
-      break;
+    if (!answer) {
+      co_await attempts.Failed(answer.error(), read.bytes_sent);
+      continue;
     }
+    context_.decisions.Finish(target->name, false);
+    co_await claim.Finish(answer.value());
+    HttpResponse response = ForCaller(answer.value(), request.id);
+    co_await exchange.Respond(std::move(response));
+    co_await attempts.Ended(true);
+    context_.events.Add(EventKind::kRequestFinished, request.id,
+                        request.workspace, target->name, "whole");
+    co_return;
   }
-  if (refusal.ran == Ran::kNo) {
+  if (attempts.refusal().ran == Ran::kNo) {
     co_await claim.Release();
     context_.decisions.Refund(request.workspace, call.admitted.charged_tokens);
   }
-  co_await refuser_.Refuse(exchange, request, std::move(refusal));
+  co_await refuser_.Refuse(exchange, request, attempts.refusal());
 }
 
 // Sends the call to one target and reads the whole answer.
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -69,8 +69,6 @@
   IntentStore intents{platform_duty, clock, settings.platform, view};
   RefusalLog refusals{recorder_duty, clock, settings.platform, view,
                       RecordOwner{settings.name, incarnation}};
-  InstanceContext context{settings, clock,     run_state, view,    metrics,
-                          events,   decisions, relay,     intents, refusals};
   ViewFreshness freshness;
   FleetWatcher watcher{
       platform_duty,
@@ -98,6 +96,13 @@
                                   freshness};
   CopyExchange copies{recorder_duty, clock, settings, view,
                       run_state,     peers, refusals};
+  TargetProbe probe{target_duty, clock, relay};
+  CrashGuard crashes{platform_duty, clock, settings.platform,
+                     settings.name, view,  decisions,
+                     peers,         probe};
+  InstanceContext context{settings, clock,    run_state, view,
+                          metrics,  events,   decisions, relay,
+                          intents,  refusals, crashes};
   ReportPoller poller{target_duty, clock, relay, view, decisions};
   CallerService callers{context, settings.name + "-" + RandomHex(4) + "-"};
   std::function<void()> begin_drain;
@@ -144,6 +149,7 @@
   parts.refusals.Start();
   parts.copies.Start();
   parts.confirmations.Start();
+  parts.crashes.Start();
   parts.poller.Start();
   parts.intents.Start();
   parts.decisions.Start();
