--- a/src/entry/attempts.h
+++ b/src/entry/attempts.h
@@ -44,6 +44,8 @@
   boost::asio::awaitable<void> Ended(bool whole);
 
   const Refusal& refusal() const { return refusal_; }
+  /// Time spent waiting for a target.
+  Micros waited() const { return waited_; }
 
  private:
   boost::asio::awaitable<bool> Ready();
@@ -63,6 +65,9 @@
   bool any_sent_ = false;
   bool last_sent_ = false;
   int attempts_ = 0;
+  Micros waited_{};
+  // When a model without a copy is expected, if that is too late.
+  Instant load_expected_at_{};
 };
 
 }  // namespace jackdaw
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -100,9 +100,12 @@
   CrashGuard crashes{platform_duty, clock, settings.platform,
                      settings.name, view,  decisions,
                      peers,         probe};
-  InstanceContext context{settings, clock,    run_state, view,
-                          metrics,  events,   decisions, relay,
-                          intents,  refusals, crashes};
+  DemandBoard demand;
+  PlacementDuty placement{settings.name, incarnation, clock,  settings.platform,
+                          view,          run_state,   demand, events};
+  InstanceContext context{settings, clock,     run_state, view,    metrics,
+                          events,   decisions, relay,     intents, refusals,
+                          crashes,  demand,    placement};
   ReportPoller poller{target_duty, clock, relay, view, decisions};
   CallerService callers{context, settings.name + "-" + RandomHex(4) + "-"};
   std::function<void()> begin_drain;
@@ -128,6 +131,7 @@
         &parts_->platform_duty, &parts_->recorder_duty}) {
     duty->Stop();
   }
+  parts_->placement.Stop();
   parts_->decisions.Stop();
 }
 
@@ -152,6 +156,7 @@
   parts.crashes.Start();
   parts.poller.Start();
   parts.intents.Start();
+  parts.placement.Start();
   parts.decisions.Start();
   for (Duty* duty :
        {&parts.caller_duty, &parts.target_duty, &parts.platform_duty,
--- a/src/record/copy_exchange.cc
+++ b/src/record/copy_exchange.cc
@@ -16,7 +16,7 @@
 // Time between two looks at what is to be copied.
 constexpr auto kTickTime = std::chrono::milliseconds(20);
 // Bytes of copies held for peers.
-constexpr std::size_t kMaxKeptBytes = 8 * 1024 * 1024;
+constexpr std::size_t kMaxKeptBytes = 8UL * 1024 * 1024;
 
 // True when this incarnation is not the one that the platform lists.
 bool IsGone(const FleetView& view, const RecordOwner& owner) {
--- a/src/record/line_queue.h
+++ b/src/record/line_queue.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "core/error.h"
 #include "core/time.h"
@@ -16,7 +17,11 @@
   std::string instance;
   std::uint64_t incarnation = 0;
 
-  auto operator<=>(const RecordOwner&) const = default;
+  bool operator==(const RecordOwner&) const = default;
+  bool operator<(const RecordOwner& other) const {
+    return std::tie(instance, incarnation) <
+           std::tie(other.instance, other.incarnation);
+  }
 };
 
 /// A record as stored: one JSON object on one line, with the line end.
--- a/src/record/refusal_query.cc
+++ b/src/record/refusal_query.cc
@@ -10,7 +10,7 @@
 
 // Bounds on one page; the last object may go beyond them.
 constexpr std::size_t kPageRecords = 1000;
-constexpr std::size_t kPageBytes = 1024 * 1024;
+constexpr std::size_t kPageBytes = 1024UL * 1024;
 constexpr std::size_t kPageObjects = 500;
 
 std::string_view TextOf(const json::object& record, std::string_view member) {
