--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -176,8 +176,8 @@
   parts.watcher.Start(parts.SelfEntry(bound));
   parts.refusals.Start();
   parts.copies.Start();
-  parts.crashes.Start();
   parts.confirmations.Start();
+  parts.crashes.Start();
   parts.poller.Start();
   parts.intents.Start();
   parts.placement.Start();
--- a/src/record/copy_keeper.cc
+++ b/src/record/copy_keeper.cc
@@ -13,7 +13,7 @@
 // for it.
 constexpr Micros kCutTime = 5s;
 // Bytes of one object.
-constexpr std::size_t kBatchBytes = 256 * 1024;
+constexpr std::size_t kBatchBytes = 256UL * 1024;
 
 }  // namespace
 
--- a/src/record/refusal_buffer.cc
+++ b/src/record/refusal_buffer.cc
@@ -14,8 +14,8 @@
 constexpr Micros kShortestInterval = 250ms;
 constexpr Micros kLongestInterval = 5s;
 // Bytes of one object, and of one copy.
-constexpr std::size_t kBatchBytes = 256 * 1024;
-constexpr std::size_t kCopyBytes = 32 * 1024;
+constexpr std::size_t kBatchBytes = 256UL * 1024;
+constexpr std::size_t kCopyBytes = 32UL * 1024;
 // Time after which records that no peer confirmed are sent again.
 constexpr Micros kResendTime = 1s;
 // Time between two messages while nothing is new but records are not stored.
--- a/src/record/refusal_log.cc
+++ b/src/record/refusal_log.cc
@@ -16,7 +16,7 @@
 // Time that one Flush waits.
 constexpr Micros kFlushTime = 2s;
 // Bytes of records held while the object store cannot be reached.
-constexpr std::size_t kMaxBufferBytes = 8 * 1024 * 1024;
+constexpr std::size_t kMaxBufferBytes = 8UL * 1024 * 1024;
 
 }  // namespace
 
--- a/src/replay/refusal_run.cc
+++ b/src/replay/refusal_run.cc
@@ -26,7 +26,7 @@
 constexpr Micros kListLag = 5s;
 // Time at the end of a run in which nothing fails and nobody is refused.
 constexpr Micros kSettleTime = 90s;
-constexpr std::size_t kMaxBytes = 8 * 1024 * 1024;
+constexpr std::size_t kMaxBytes = 8UL * 1024 * 1024;
 // Sender, incarnation, stamp, body tags and the frame of ZeroMQ and TCP.
 constexpr std::size_t kEnvelopeBytes = 64;
 
