--- a/src/decisions/decisions.cc
+++ b/src/decisions/decisions.cc
@@ -27,26 +27,6 @@
   co_return co_await Ask<AdmitResult>(duty_, std::move(admit));
 }
 
-asio::awaitable<Result<std::optional<PickedTarget>>> Decisions::Pick(
-    std::string model,
-    std::string service,
-    std::vector<std::string> excluded) {
-  auto pick = [this, model = std::move(model), service = std::move(service),
-               excluded = std::move(
-                   excluded)]() -> Result<std::optional<PickedTarget>> {
-    RouteNeed need;
-    need.model = model;
-    need.service = service;
-    need.excluded = excluded;
-    auto target = router_.Pick(clock_.Now(), need);
-    if (target) {
-      router_.OnDispatched(clock_.Now(), target->name, need);
-    }
-    return target;
-  };
-  co_return co_await Ask<std::optional<PickedTarget>>(duty_, std::move(pick));
-}
-
 void Decisions::Finish(std::string target, bool failed) {
   duty_.TryPost([this, target = std::move(target), failed] {
     router_.OnFinished(target);
--- a/src/decisions/decisions.h
+++ b/src/decisions/decisions.h
@@ -31,12 +31,6 @@
 
   boost::asio::awaitable<Result<AdmitResult>> Admit(RequestInfo info);
 
-  /// Picks a target and counts the dispatch to it.
-  boost::asio::awaitable<Result<std::optional<PickedTarget>>> Pick(
-      std::string model,
-      std::string service,
-      std::vector<std::string> excluded);
-
   /// Picks a target for an attempt where quarantine and retry budget allow it,
   /// and counts the dispatch.
   boost::asio::awaitable<Result<DispatchAnswer>> Dispatch(DispatchOrder order);
--- a/src/replay/batching_engine.cc
+++ b/src/replay/batching_engine.cc
@@ -10,12 +10,12 @@
 
 }  // namespace
 
-void BatchingEngine::Add(EngineWork work) {
+void BatchingEngine::Add(const EngineWork& work) {
   auto at = waiting_.end();
   while (at != waiting_.begin() && std::prev(at)->priority > work.priority) {
     --at;
   }
-  waiting_.insert(at, std::move(work));
+  waiting_.insert(at, work);
 }
 
 // Counts the cached blocks from the front and puts all blocks at the head.
@@ -57,7 +57,7 @@
 Micros BatchingEngine::AdmitWaiting() {
   Micros loading{};
   while (!waiting_.empty() && running() < shape_.slots) {
-    Sequence sequence{std::move(waiting_.front()), 0, 0};
+    Sequence sequence{waiting_.front(), 0, 0};
     waiting_.pop_front();
     const std::int64_t cached = TakeCached(sequence.work.prefixes);
     sequence.prompt_left =
@@ -65,7 +65,7 @@
     if (sequence.work.adapter != 0 && LoadAdapter(sequence.work.adapter)) {
       loading = kAdapterTime;
     }
-    running_.push_back(std::move(sequence));
+    running_.push_back(sequence);
   }
   return loading;
 }
--- a/src/replay/batching_engine.h
+++ b/src/replay/batching_engine.h
@@ -49,7 +49,7 @@
  public:
   explicit BatchingEngine(const BatchingShape& shape) : shape_(shape) {}
 
-  void Add(EngineWork work);
+  void Add(const EngineWork& work);
   /// Runs one step. @returns its time, 0 where there is nothing to do
   Micros Step(std::vector<EngineProgress>& progress);
 
--- a/src/replay/fairness_experiment.cc
+++ b/src/replay/fairness_experiment.cc
@@ -73,7 +73,7 @@
       item.work.output_tokens =
           4 + static_cast<std::int64_t>(-std::log(1.0 - random.Unit()) *
                                         kMeanOutput);
-      items.push_back(std::move(item));
+      items.push_back(item);
     }
   }
   std::sort(items.begin(), items.end(),
--- a/src/replay/routing_command.cc
+++ b/src/replay/routing_command.cc
@@ -2,6 +2,7 @@
 #include <string>
 
 #include "replay/command.h"
+#include "replay/crash_experiment.h"
 #include "replay/fairness_experiment.h"
 #include "replay/retry_experiment.h"
 #include "replay/routing_experiment.h"
@@ -82,6 +83,8 @@
   json::object result{{"seed", options.seed}};
   if (read && options.case_name == "retries") {
     result["retries"] = MeasureRetries(options.seed);
+  } else if (read && options.case_name == "crashes") {
+    result["crashes"] = MeasureCrashes(options.seed);
   } else if (read && options.case_name == "fairness") {
     result["fairness"] = MeasureFairness(options.seed);
   } else if (const RoutingCase* shape = FindRoutingCase(options.case_name);
@@ -93,7 +96,7 @@
     result["policies"] = MeasurePolicies(measured, options);
   } else {
     std::cerr << "usage: jackdaw-replay routing [--policy NAME] [--case "
-                 "ponte|lantern|large|retries|fairness] [--seed N] "
+                 "ponte|lantern|large|retries|fairness|crashes] [--seed N] "
                  "[--poll-ms N]\n";
     return 2;
   }
