--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -12,6 +12,7 @@
 #include "entry/caller_service.h"
 #include "instance/context.h"
 #include "instance/fleet_watcher.h"
+#include "membership/freshness_exchange.h"
 #include "operator/operator_service.h"
 #include "peer/peer_service.h"
 #include "record/copy_exchange.h"
@@ -80,6 +81,7 @@
   IntentStore intents{platform_duty, clock, settings.platform, view};
   RefusalLog refusals{recorder_duty, clock, settings.platform, view,
                       RecordOwner{settings.name, incarnation}};
+  ViewFreshness freshness;
   FleetWatcher watcher{
       platform_duty,
       clock,
@@ -87,9 +89,10 @@
       view,
       run_state,
       events,
+      freshness,
       [this](FleetConfigPtr config) {
         metrics.SetConfigVersion(static_cast<double>(config->version));
-        decisions.OnConfig(std::move(config));
+        return decisions.OnConfig(std::move(config));
       }};
   PeerService peers{platform_duty,
                     clock,
@@ -101,15 +104,20 @@
                     [this](std::uint64_t version, std::string document) {
                       watcher.Apply({version, "relayed", std::move(document)});
                     }};
+  FreshnessExchange confirmations{platform_duty, clock, peers, run_state,
+                                  freshness};
   CopyExchange copies{recorder_duty, clock, settings, view,
                       run_state,     peers, refusals};
   TargetProbe probe{target_duty, clock, relay};
   CrashGuard crashes{platform_duty, clock, settings.platform,
                      settings.name, view,  decisions,
                      peers,         probe};
-  InstanceContext context{settings, clock,    run_state, view,
-                          metrics,  events,   decisions, relay,
-                          intents,  refusals, crashes};
+  DemandBoard demand;
+  PlacementDuty placement{settings.name, incarnation, clock,  settings.platform,
+                          view,          run_state,   demand, events};
+  InstanceContext context{settings, clock,     run_state, view,    metrics,
+                          events,   decisions, relay,     intents, refusals,
+                          crashes,  demand,    placement};
   ReportPoller poller{target_duty, clock, relay, view, decisions};
   CallerService callers{context, settings.name + "-" + RandomHex(4) + "-"};
   std::function<void()> begin_drain;
@@ -135,6 +143,7 @@
         &parts_->platform_duty, &parts_->recorder_duty}) {
     duty->Stop();
   }
+  parts_->placement.Stop();
   parts_->decisions.Stop();
 }
 
@@ -156,8 +165,10 @@
   parts.refusals.Start();
   parts.copies.Start();
   parts.crashes.Start();
+  parts.confirmations.Start();
   parts.poller.Start();
   parts.intents.Start();
+  parts.placement.Start();
   parts.decisions.Start();
   for (Duty* duty :
        {&parts.caller_duty, &parts.target_duty, &parts.platform_duty,
--- a/src/replay/command.cc
+++ b/src/replay/command.cc
@@ -11,6 +11,10 @@
       ReplayCommand{"routing",
                     "routing policies and retries against fake engines",
                     RoutingCommand},
+      ReplayCommand{"membership", "membership: cost, detection, propagation",
+                    MembershipCommand},
+      ReplayCommand{"placement", "ways to place models, compared in figures",
+                    PlacementCommand},
       ReplayCommand{"refusals", "refusal records: puts, bytes, losses",
                     RefusalsCommand},
   };
--- a/src/routing/target_report.h
+++ b/src/routing/target_report.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/error.h"
+#include "orders/order.h"
 
 namespace jackdaw {
 
@@ -20,6 +21,8 @@
   std::int64_t incarnation = 0;
   std::vector<std::string> models;
   std::vector<std::string> adapters;
+  /// All that the memory holds, in any state.
+  std::vector<EngineItem> items;
 };
 
 std::string EncodeReport(const TargetReport& report);
--- a/src/standin/platform_standin.cc
+++ b/src/standin/platform_standin.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include "core/clock.h"
 #include "core/object_reader.h"
 #include "platform/codec.h"
 
@@ -30,14 +31,31 @@
 
 PlatformStandin::PlatformStandin(asio::io_context& context)
     : context_(context),
-      server_(context, StandinLimits(), [this](HttpExchange& exchange) {
-        return Handle(exchange);
-      }) {}
+      server_(context,
+              StandinLimits(),
+              [this](HttpExchange& exchange) { return Handle(exchange); }),
+      cuttable_server_(
+          context,
+          StandinLimits(),
+          [this](HttpExchange& exchange) { return HandleCuttable(exchange); }) {
+}
 
 Result<Endpoint> PlatformStandin::Listen(const Endpoint& endpoint) {
   return server_.Listen(endpoint);
 }
 
+Result<Endpoint> PlatformStandin::ListenCuttable(const Endpoint& endpoint) {
+  return cuttable_server_.Listen(endpoint);
+}
+
+asio::awaitable<void> PlatformStandin::HandleCuttable(HttpExchange& exchange) {
+  if (faults_.cut) {
+    co_await exchange.Respond(Failure(503, "cut"));
+  } else {
+    co_await Handle(exchange);
+  }
+}
+
 asio::awaitable<void> PlatformStandin::Handle(HttpExchange& exchange) {
   const HttpRequest& request = exchange.request();
   if (request.Path() == "/standin/faults") {
@@ -53,6 +71,11 @@
     co_await exchange.Respond(Failure(503, "outage"));
     co_return;
   }
+  if (request.Path().starts_with("/v1/weights/")) {
+    HttpResponse weights = co_await FetchWeights(request);
+    co_await exchange.Respond(std::move(weights));
+    co_return;
+  }
   HttpResponse answer = Answer(request);
   const bool write =
       request.method == "PUT" || request.Path() == "/v1/table/transact";
@@ -64,6 +87,21 @@
   co_await exchange.Respond(std::move(answer));
 }
 
+// Answers once the weights have come at the pace of the store.
+asio::awaitable<HttpResponse> PlatformStandin::FetchWeights(
+    const HttpRequest& request) {
+  const bool adapter = request.Query("kind") == "adapter";
+  const MonotonicClock clock;
+  const Instant now = clock.Now();
+  const Instant done =
+      adapter ? weights_.BeginAdapter(now) : weights_.BeginModel(now);
+  asio::steady_timer timer(context_);
+  timer.expires_after(done - now);
+  co_await timer.async_wait(asio::use_awaitable);
+  weights_.End(adapter);
+  co_return JsonResponse(200, "{}");
+}
+
 HttpResponse PlatformStandin::Answer(const HttpRequest& request) {
   if (request.Path().starts_with("/v1/table/")) {
     return AnswerTable(request);
@@ -146,6 +184,7 @@
   faults.delay_ms = reader.IntegerOr("delay_ms", 0, kMaxDelayMs, 0);
   faults.lose_answers = reader.IntegerOr("lose_answers", 0, 1'000'000, 0);
   faults.outage = reader.FlagOr("outage", false);
+  faults.cut = reader.FlagOr("cut", false);
   if (const auto checked = reader.Finish(); !checked) {
     return Failure(400, checked.error().Line());
   }
