--- a/src/entry/load_wait.cc
+++ b/src/entry/load_wait.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "config/model_name.h"
+
 namespace jackdaw {
 namespace {
 
@@ -40,11 +42,12 @@
       !may_wait) {
     co_return answer;
   }
-  const Waiting waiting(context.demand, order.model);
+  const std::string model(SplitModelName(order.model).model);
+  const Waiting waiting(context.demand, model);
   asio::steady_timer timer(co_await asio::this_coro::executor);
   for (;;) {
     const Instant now = context.clock.Now();
-    const Instant expected = context.demand.ExpectedAt(order.model, now);
+    const Instant expected = context.demand.ExpectedAt(model, now);
     if (now >= deadline || expected > deadline) {
       retry_at = expected;
       co_return answer;
--- a/src/entry/model_service.cc
+++ b/src/entry/model_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <variant>
 
+#include "config/model_name.h"
 #include "core/digest.h"
 #include "entry/answer_reader.h"
 #include "entry/key_check.h"
@@ -101,7 +102,8 @@
                                         const CallerRequest& request,
                                         const ModelRequest& model,
                                         const Admitted& admitted) {
-  context_.demand.OnRequest(model.model, admitted.charged_tokens);
+  context_.demand.OnRequest(std::string(SplitModelName(model.model).model),
+                            admitted.charged_tokens);
   OpenOrder order = OrderFor(model, admitted, context_.clock.Now());
   Attempts attempts(context_,
                     SubjectOf(exchange.request(), request, admitted, model));
