--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -5,6 +5,7 @@
 #include "core/digest.h"
 #include "core/object_reader.h"
 #include "core/time.h"
+#include "ctl/placement_command.h"
 #include "ctl/printing.h"
 #include "ctl/refusals_command.h"
 #include "ctl/resource.h"
@@ -300,6 +301,9 @@
   if (command == "status") {
     return ShowStatus(client, line);
   }
+  if (command == "placement") {
+    return ShowPlacement(client, line);
+  }
   if (command == "refusals") {
     return ShowRefusals(client, line);
   }
--- a/src/daemons/jackdawctl.cc
+++ b/src/daemons/jackdawctl.cc
@@ -15,6 +15,7 @@
   default   set SETTING VALUE | list
   apply     FILE [--dry-run]
   status | drain INSTANCE
+  placement
   refusals  [--workspace W] [--kind K] [--instance I] [--from T] [--to T]
             T is like 2026-01-31T08:00:00Z or -90m; without --from, one hour
   timeline  [--request ID] [--workspace W] [--target T] [--chrome]
--- a/src/placement/fleet_survey.cc
+++ b/src/placement/fleet_survey.cc
@@ -111,7 +111,8 @@
   for (const auto& deployment : config.deployments) {
     for (const auto& model : deployment.models) {
       for (const auto& target : deployment.targets) {
-        const std::string scope = "placement/" + model + "/" + target;
+        std::string scope = "placement/";
+        scope.append(model).append("/").append(target);
         if (!targets.contains(target) || flag("excluded", scope)) {
           continue;
         }
--- a/src/replay/placement_run.cc
+++ b/src/replay/placement_run.cc
@@ -24,6 +24,8 @@
 constexpr int kForesightSeconds = 60;
 constexpr int kPeakForesightSeconds = 600;
 constexpr int kDomainLossSeconds = 600;
+// Most targets that the first placement looks at together.
+constexpr std::size_t kPlacedAtOnce = 64;
 
 std::size_t At(int index) {
   return static_cast<std::size_t>(index);
@@ -79,6 +81,7 @@
   for (int m = 0; m < shape_.models; ++m) {
     PlanModel model;
     model.name = "m" + std::to_string(m);
+    model.targets.reserve(At(shape_.engines));
     model.memory_mb = kModelMb[random_.Below(kModelMb.size())] *
                       shape_.accelerators_per_engine;
     for (int t = 0; t < shape_.engines; ++t) {
@@ -103,6 +106,7 @@
 // Every policy starts from the same placement, made for the mean demand.
 void PlacementRun::PlaceAtStart() {
   std::vector<int> all;
+  all.reserve(At(shape_.engines));
   for (int t = 0; t < shape_.engines; ++t) {
     all.push_back(t);
   }
@@ -111,16 +115,20 @@
     fleet_.models[At(m)].peak = fleet_.models[At(m)].demand;
   }
   const Planner start{PlannerShape{0.5, 0.0, 1e6, true}};
-  for (;;) {
-    const auto moves = start.Plan(fleet_, all, 1);
-    if (moves.empty()) {
-      break;
-    }
-    for (const Move& move : moves) {
-      CheckInvariant(move.load, "the first placement evicts nothing");
-      PlanTarget& target = fleet_.targets[At(move.target)];
-      target.ready.push_back(move.model);
-      target.free_mb -= fleet_.models[At(move.model)].memory_mb;
+  // Large fleets are placed a few targets at a time.
+  const std::size_t step = all.size() > kPlacedAtOnce ? 2 : all.size();
+  for (bool placed = true; placed;) {
+    placed = false;
+    for (std::size_t from = 0; from < all.size(); from += step) {
+      const auto own =
+          std::span(all).subspan(from, std::min(step, all.size() - from));
+      for (const Move& move : start.Plan(fleet_, own, 1)) {
+        CheckInvariant(move.load, "the first placement evicts nothing");
+        PlanTarget& target = fleet_.targets[At(move.target)];
+        target.ready.push_back(move.model);
+        target.free_mb -= fleet_.models[At(move.model)].memory_mb;
+        placed = true;
+      }
     }
   }
 }
@@ -225,6 +233,7 @@
   for (int i = 0; i < nodes; ++i) {
     const int node = (i + round) % nodes;
     std::vector<int> own;
+    own.reserve(fleet_.targets.size() / At(nodes) + 1);
     for (int t = node; t < shape_.engines; t += nodes) {
       own.push_back(t);
     }
