--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -8,9 +8,11 @@
 
 #include "core/digest.h"
 #include "core/log.h"
+#include "core/signature.h"
 #include "entry/caller_service.h"
 #include "instance/context.h"
 #include "instance/fleet_watcher.h"
+#include "membership/freshness_exchange.h"
 #include "operator/operator_service.h"
 #include "peer/peer_service.h"
 #include "record/copy_exchange.h"
@@ -35,6 +37,17 @@
   return limits;
 }
 
+// Instances that see the same reports choose differently among targets that
+// look alike, each by the seed of its own name.
+RouterSetup RoutingOf(const InstanceSettings& settings) {
+  RouterSetup setup;
+  setup.failure_domain = settings.failure_domain;
+  Signature seed;
+  seed.Add(settings.name);
+  setup.seed = seed.Short();
+  return setup;
+}
+
 HttpLimits OperatorLimits() {
   HttpLimits limits;
   limits.body_bytes = 64ULL * 1024 * 1024;
@@ -63,11 +76,12 @@
   Duty platform_duty{"platform", kRingTasks};
   Duty recorder_duty{"recorder", kRingTasks};
   Duty operator_duty{"operators", kRingTasks};
-  Decisions decisions{clock, kBudgetShares};
+  Decisions decisions{clock, kBudgetShares, RoutingOf(settings)};
   Relay relay{target_duty, clock};
   IntentStore intents{platform_duty, clock, settings.platform, view};
   RefusalLog refusals{recorder_duty, clock, settings.platform, view,
                       RecordOwner{settings.name, incarnation}};
+  ViewFreshness freshness;
   FleetWatcher watcher{
       platform_duty,
       clock,
@@ -75,9 +89,10 @@
       view,
       run_state,
       events,
+      freshness,
       [this](FleetConfigPtr config) {
         metrics.SetConfigVersion(static_cast<double>(config->version));
-        decisions.OnConfig(std::move(config));
+        return decisions.OnConfig(std::move(config));
       }};
   PeerService peers{platform_duty,
                     clock,
@@ -89,6 +104,8 @@
                     [this](std::uint64_t version, std::string document) {
                       watcher.Apply({version, "relayed", std::move(document)});
                     }};
+  FreshnessExchange confirmations{platform_duty, clock, peers, run_state,
+                                  freshness};
   CopyExchange copies{recorder_duty, clock, settings, view,
                       run_state,     peers, refusals};
   TargetProbe probe{target_duty, clock, relay};
@@ -148,6 +165,7 @@
   parts.refusals.Start();
   parts.copies.Start();
   parts.crashes.Start();
+  parts.confirmations.Start();
   parts.poller.Start();
   parts.intents.Start();
   parts.placement.Start();
--- a/src/replay/command.cc
+++ b/src/replay/command.cc
@@ -8,8 +8,13 @@
   static constexpr std::array kCommands{
       ReplayCommand{"bench", "one deterministic signature over all decisions",
                     BenchCommand},
+      ReplayCommand{"membership", "membership: cost, detection, propagation",
+                    MembershipCommand},
       ReplayCommand{"placement", "ways to place models, compared in figures",
                     PlacementCommand},
+      ReplayCommand{"routing",
+                    "routing policies and retries against fake engines",
+                    RoutingCommand},
       ReplayCommand{"refusals", "refusal records: puts, bytes, losses",
                     RefusalsCommand},
   };
