--- a/src/replay/command.h
+++ b/src/replay/command.h
@@ -18,5 +18,8 @@
 std::span<const ReplayCommand> ReplayCommands();
 
 int BenchCommand(std::span<const std::string> arguments);
+int GenerateCommand(std::span<const std::string> arguments);
+int RunTraceCommand(std::span<const std::string> arguments);
+int RandomCommand(std::span<const std::string> arguments);
 
 }  // namespace jackdaw
--- /dev/null
+++ b/src/replay/histories.cc
@@ -0,0 +1,9 @@
+#include "replay/history.h"
+
+namespace jackdaw {
+
+std::span<const HistoryKind> HistoryKinds() {
+  return {};
+}
+
+}  // namespace jackdaw
