Measure what each role costs by size

jackdaw-replay capacity measures configuration, admission, routing, records and heartbeats at three sizes each and fits a line.

No functional change

--- a/src/replay/command.cc
+++ b/src/replay/command.cc
@@ -14,6 +14,8 @@
                     RunTraceCommand},
       ReplayCommand{"random", "randomised histories with checked invariants",
                     RandomCommand},
+      ReplayCommand{"capacity", "measure what each role costs by size",
+                    CapacityCommand},
       ReplayCommand{"report", "draw a figure of printed results as SVG",
                     ReportCommand},
   };
--- a/src/replay/command.h
+++ b/src/replay/command.h
@@ -21,6 +21,7 @@
 int GenerateCommand(std::span<const std::string> arguments);
 int RunTraceCommand(std::span<const std::string> arguments);
 int RandomCommand(std::span<const std::string> arguments);
+int CapacityCommand(std::span<const std::string> arguments);
 int ReportCommand(std::span<const std::string> arguments);
 
 }  // namespace jackdaw
