--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -1,7 +1,7 @@
 # Functions for scripts that run a small fleet on loopback. Source it after
 # `cd` to the repository. Every process started here is ended by its id.
 set -euo pipefail
-bin=$PWD/${BUILD_DIR:-build}
+bin=$(realpath "${BUILD_DIR:-build}")
 work=$(mktemp -d)
 declare -A pid_of=()
 
