--- a/src/replay/command.cc
+++ b/src/replay/command.cc
@@ -19,6 +19,16 @@
                     RefusalsCommand},
       ReplayCommand{"once", "table writes of calls that run at most once",
                     OnceCommand},
+      ReplayCommand{"generate", "write a trace for a deployment and a fault",
+                    GenerateCommand},
+      ReplayCommand{"run", "replay a trace and check stated outcomes",
+                    RunTraceCommand},
+      ReplayCommand{"random", "randomised histories with checked invariants",
+                    RandomCommand},
+      ReplayCommand{"capacity", "measure what each role costs by size",
+                    CapacityCommand},
+      ReplayCommand{"report", "draw a figure of printed results as SVG",
+                    ReportCommand},
   };
   return kCommands;
 }
--- a/src/replay/command.h
+++ b/src/replay/command.h
@@ -23,5 +23,10 @@
 int RoutingCommand(std::span<const std::string> arguments);
 int OnceCommand(std::span<const std::string> arguments);
 int RefusalsCommand(std::span<const std::string> arguments);
+int GenerateCommand(std::span<const std::string> arguments);
+int RunTraceCommand(std::span<const std::string> arguments);
+int RandomCommand(std::span<const std::string> arguments);
+int CapacityCommand(std::span<const std::string> arguments);
+int ReportCommand(std::span<const std::string> arguments);
 
 }  // namespace jackdaw
