--- a/src/replay/capacity_command.cc
+++ b/src/replay/capacity_command.cc
@@ -191,7 +191,7 @@
               const auto count = static_cast<std::int64_t>(engines);
               Router router;
               const FleetConfigPtr config = ConfigOf(20, count, 5);
-              router.OnConfig(*config);
+              router.OnConfig(kNow, *config);
               Random random(1);
               for (const auto& target : config->targets) {
                 TargetReport report;
@@ -217,9 +217,9 @@
   record.instance = "entry-100";
   record.reason = "340 tokens asked, workspace 'workspace-17' has fewer left";
   PrintValue("refusal record", "bytes",
-             static_cast<double>(EncodeRecordLine(record).size()));
+             static_cast<double>(EncodeRecordLine(1, record).size()));
   PrintValue("refusal record", "us", MicrosOf(20'000, [&] {
-               static_cast<void>(EncodeRecordLine(record));
+               static_cast<void>(EncodeRecordLine(1, record));
              }));
 }
 
--- a/src/replay/trace_runner.h
+++ b/src/replay/trace_runner.h
@@ -78,7 +78,8 @@
 
   void PutConfigInForce() {
     for (auto& node : instances_) {
-      node->router.OnConfig(*world_.config());
+      node->router.OnConfig(world_.now(), *world_.config());
+      node->router.OnInstances(kTraceInstances);
       node->admission.OnConfig(world_.now(), world_.config());
     }
   }
@@ -186,6 +187,7 @@
     RouteNeed need;
     need.model = job->event->model;
     need.excluded = job->tried;
+    need.prompt_tokens = job->event->prompt_tokens;
     const auto picked = job->tried.size() < kMaxAttempts
                             ? job->node->router.Pick(now, need)
                             : std::nullopt;
@@ -199,7 +201,7 @@
     }
     job->target = picked->name;
     job->tried.push_back(picked->name);
-    job->node->router.OnDispatched(picked->name);
+    job->node->router.OnDispatched(now, picked->name, need);
     FakeEngine& engine = world_.engines().at(picked->name);
     if (!engine.up) {
       Fail(job);
