End suspended coroutines of every thread before what they refer to

Cause: the test of an instance destroyed in the middle of requests corrupted the heap; valgrind showed a stand-in's coroutine frame destroyed after the stand-in. The threads for decisions and placement had the same fault.

--- a/src/decisions/decisions.h
+++ b/src/decisions/decisions.h
@@ -28,6 +28,8 @@
 
   void Start() { duty_.Start(); }
   void Stop() { duty_.Stop(); }
+  /// Ends what was suspended on the stopped thread.
+  void EndCoroutines() { duty_.EndCoroutines(); }
 
   boost::asio::awaitable<Result<AdmitResult>> Admit(RequestInfo info);
 
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -157,6 +157,8 @@
         &parts_->platform_duty, &parts_->recorder_duty}) {
     duty->EndCoroutines();
   }
+  parts_->placement.EndCoroutines();
+  parts_->decisions.EndCoroutines();
 }
 
 InstanceEntry Instance::Parts::SelfEntry(const BoundAddresses& bound) const {
--- a/src/instance/tests/fleet_fixture.h
+++ b/src/instance/tests/fleet_fixture.h
@@ -72,6 +72,10 @@
     for (Duty* duty : {&platform_duty_, &engine_duty_, &desk_duty_}) {
       duty->Stop();
     }
+    // Suspended coroutines of a stand-in end before the stand-in does.
+    for (Duty* duty : {&platform_duty_, &engine_duty_, &desk_duty_}) {
+      duty->EndCoroutines();
+    }
   }
 
   FleetFixture(const FleetFixture&) = delete;
--- a/src/placement/placement_duty.h
+++ b/src/placement/placement_duty.h
@@ -37,6 +37,8 @@
 
   void Start();
   void Stop() { duty_.Stop(); }
+  /// Ends what was suspended on the stopped thread.
+  void EndCoroutines() { duty_.EndCoroutines(); }
 
   /// What is where and why, for operators, as JSON.
   std::string StatusJson() const { return *status_.load(); }
