Hold budgets in escrow: shares by instance, spent without a message

Equal parts refused a workspace whose callers chose one entry, and a fixed number of parts did not fit a fleet that grows. Each instance now spends from its own share; units move through one row per instance in the table service, lowered at the giver before they are raised at the taker. Floor parts survive an outage, flexible parts end with the lease of the row, judged when tokens are spent. Where a share does not do, a peer spends in its stead; a request that can run a moment later waits in a bounded queue of its workspace.

--- /dev/null
+++ b/src/budget/absence.cc
@@ -0,0 +1,81 @@
+#include "budget/absence.h"
+
+#include "budget/terms.h"
+
+namespace jackdaw {
+namespace {
+
+// Listed instances looked after by each instance.
+constexpr int kListedWatched = 2;
+// Most names looked after by one instance at a time.
+constexpr std::size_t kMostWatched = 8;
+
+}  // namespace
+
+void Absence::OnList(Instant now, const std::vector<InstanceEntry>& instances) {
+  // A list that empties at once says more of the platform than of the fleet.
+  if (instances.empty()) {
+    return;
+  }
+  list_at_ = now;
+  std::map<std::string_view, std::uint64_t> listed;
+  for (const auto& instance : instances) {
+    listed[instance.name] = instance.incarnation;
+    known_.try_emplace(instance.name);
+  }
+  for (auto& [name, known] : known_) {
+    const auto found = listed.find(name);
+    if (found != listed.end()) {
+      known = {std::max(known.incarnation, found->second), true, {}};
+    } else if (known.listed) {
+      known.listed = false;
+      known.absent_since = now;
+    }
+  }
+}
+
+void Absence::OnSeen(Instant now, std::string_view name) {
+  known_.try_emplace(std::string(name), Known{0, false, now});
+}
+
+// The list must have been read lately too: an old one says nothing of now.
+bool Absence::IsGone(Instant now,
+                     std::string_view name,
+                     std::uint64_t incarnation) const {
+  const auto found = known_.find(name);
+  if (found == known_.end()) {
+    return false;
+  }
+  const Known& known = found->second;
+  if (known.incarnation > incarnation) {
+    return true;
+  }
+  return !known.listed && list_at_ - known.absent_since >= kAbsentTime &&
+         now - list_at_ < kAbsentTime;
+}
+
+std::vector<std::string> Absence::WatchedBy(std::string_view self) const {
+  std::vector<std::string> names;
+  auto at = known_.find(self);
+  int listed = 0;
+  for (std::size_t i = 1;
+       at != known_.end() && i < known_.size() && listed < kListedWatched &&
+       names.size() < kMostWatched;
+       ++i) {
+    at = at == known_.begin() ? std::prev(known_.end()) : std::prev(at);
+    names.push_back(at->first);
+    listed += at->second.listed ? 1 : 0;
+  }
+  return names;
+}
+
+bool Absence::IsFirst(std::string_view self) const {
+  for (const auto& [name, known] : known_) {
+    if (known.listed) {
+      return name == self;
+    }
+  }
+  return false;
+}
+
+}  // namespace jackdaw
--- a/src/budget/equal_split.cc
+++ b/src/budget/equal_split.cc
@@ -31,6 +31,14 @@
   return {false, found->second.ReadyAt(now, tokens)};
 }
 
+Instant EqualSplit::ReadyAt(Instant now,
+                            std::string_view workspace,
+                            std::int64_t tokens) {
+  const auto found = buckets_.find(workspace);
+  return found == buckets_.end() ? Instant::max()
+                                 : found->second.ReadyAt(now, tokens);
+}
+
 void EqualSplit::Refund(Instant now,
                         std::string_view workspace,
                         std::int64_t tokens) {
--- a/src/budget/equal_split.h
+++ b/src/budget/equal_split.h
@@ -5,19 +5,13 @@
 #include <string>
 #include <string_view>
 
+#include "budget/spend_result.h"
 #include "budget/token_bucket.h"
 #include "config/fleet_config.h"
 #include "core/time.h"
 
 namespace jackdaw {
 
-/// Answer to a request to spend tokens.
-struct SpendResult {
-  bool granted = false;
-  /// When the same spend could be granted; Instant::max() for never.
-  Instant ready_at{};
-};
-
 /// Budget scheme that gives each instance the same fixed part of each
 /// workspace's rate and burst. It needs no messages and wastes what an
 /// instance does not use; kept as the baseline for the other schemes.
@@ -28,9 +22,18 @@
 
   /// Takes over rates and bursts of a configuration.
   void OnConfig(Instant now, const FleetConfig& config);
+  void NoteDemand(Instant /*now*/,
+                  std::string_view /*workspace*/,
+                  std::int64_t /*tokens*/) {}
   SpendResult Spend(Instant now,
                     std::string_view workspace,
                     std::int64_t tokens);
+  /// Nothing can be asked of peers.
+  void Want(Instant /*now*/,
+            std::string_view /*workspace*/,
+            std::int64_t /*total*/,
+            std::int64_t /*first*/) {}
+  Instant ReadyAt(Instant now, std::string_view workspace, std::int64_t tokens);
   void Refund(Instant now, std::string_view workspace, std::int64_t tokens);
 
  private:
@@ -47,6 +50,9 @@
                                 std::int64_t tokens) {
   scheme.OnConfig(now, config);
   { scheme.Spend(now, workspace, tokens) } -> std::same_as<SpendResult>;
+  { scheme.ReadyAt(now, workspace, tokens) } -> std::same_as<Instant>;
+  scheme.NoteDemand(now, workspace, tokens);
+  scheme.Want(now, workspace, tokens, tokens);
   scheme.Refund(now, workspace, tokens);
 };
 
--- /dev/null
+++ b/src/budget/escrow_budget.cc
@@ -0,0 +1,460 @@
+#include "budget/escrow_budget.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "budget/homes.h"
+#include "budget/terms.h"
+
+namespace jackdaw {
+namespace {
+
+// Demand is met with this much more, for its swings.
+constexpr double kHeadroom = 1.3;
+// Part of an even share that a home keeps though nobody asks for it.
+constexpr std::int64_t kHomeStockParts = 4;
+// Prompt tokens of a usual request.
+constexpr std::int64_t kUsualPromptTokens = 256;
+// Time from a denial to the next question, doubled with each.
+constexpr Micros kDeniedGap = 200ms;
+constexpr int kMostDenials = 4;
+// Units are asked for once this part of those needed is missing: each move
+// costs the tokens of the units and the time until they arrive.
+constexpr std::int64_t kShortParts = 4;
+// Homes asked for units in each round while too few are held.
+constexpr int kHomesAsked = 1;
+// Denials after which a peer's estimate is believed.
+constexpr int kDenialsBelieved = 3;
+// Longest wait that is told to anybody.
+constexpr Micros kLongestEstimate = 60s;
+// Wait expected for tokens of a peer that was not asked yet.
+constexpr Micros kPeerAnswerTime = 30ms;
+// Most units in doubt that are not worth a transfer: one in so many.
+constexpr std::int64_t kSmallestTransferParts = 6;
+// A holder away for longer trusts its row no more.
+constexpr Micros kVoidTime = kAbsentTime / 2;
+
+bool IsSame(const InstanceEntry& a, const InstanceEntry& b) {
+  return a.incarnation == b.incarnation && a.state == b.state &&
+         a.name == b.name;
+}
+
+}  // namespace
+
+EscrowBudget::EscrowBudget(std::string name,
+                           std::uint64_t incarnation,
+                           EscrowPolicy policy)
+    : name_(std::move(name)), policy_(policy), ledger_(name_, incarnation) {}
+
+EscrowBudget::Budget* EscrowBudget::Find(std::string_view workspace) {
+  const auto found = budgets_.find(workspace);
+  return found == budgets_.end() ? nullptr : &found->second;
+}
+
+void EscrowBudget::OnConfig(Instant now, const FleetConfig& config) {
+  const std::int64_t now_ms = ToMillis(now);
+  std::set<std::string, std::less<>> named;
+  for (const auto& workspace : config.workspaces) {
+    const std::string scope = "workspace/" + workspace.name;
+    const auto setting = [&](std::string_view name) {
+      return SettingFor(config, name, scope, now_ms);
+    };
+    Budget& budget = budgets_[workspace.name];
+    budget.local.SetWhole(now, setting("rate_tokens_per_s"),
+                          setting("burst_tokens"));
+    budget.request_tokens = setting("max_output_tokens") + kUsualPromptTokens;
+    named.insert(workspace.name);
+    SetHomes(workspace.name, budget);
+  }
+  for (auto& [name, budget] : budgets_) {
+    if (!named.contains(name)) {
+      budget.local.SetWhole(now, 0, 0);
+    }
+  }
+  OnConfirmed(now, confirmed_until_);
+  TakeLedger(now);
+}
+
+void EscrowBudget::OnConfirmed(Instant now, Instant until) {
+  if (confirmed_until_ != Instant{} && now - confirmed_until_ > kVoidTime) {
+    ledger_.Void();
+    TakeLedger(now);
+  }
+  confirmed_until_ = std::max(confirmed_until_, until);
+  for (auto& [name, budget] : budgets_) {
+    budget.local.SetConfirmed(now, confirmed_until_);
+  }
+}
+
+void EscrowBudget::OnInstances(Instant now,
+                               const std::vector<InstanceEntry>& instances,
+                               bool draining) {
+  if (draining == draining_ &&
+      std::ranges::equal(instances, instances_, IsSame)) {
+    ledger_.OnSameInstances(now);
+    return;
+  }
+  ledger_.OnInstances(now, instances);
+  instances_ = instances;
+  draining_ = draining;
+  for (auto& [workspace, budget] : budgets_) {
+    SetHomes(workspace, budget);
+  }
+}
+
+void EscrowBudget::SetHomes(std::string_view workspace, Budget& budget) {
+  budget.homes = HomesOf(workspace, instances_,
+                         HomeCount(budget.local.burst(), budget.request_tokens,
+                                   instances_.size()));
+  const auto self = std::find(budget.homes.begin(), budget.homes.end(), name_);
+  budget.is_home = self != budget.homes.end() && !draining_;
+  // Only the first home makes the units, so that few try to.
+  if (budget.is_home && self == budget.homes.begin()) {
+    ledger_.MayMint(workspace);
+  } else {
+    ledger_.MayNotMint(workspace);
+  }
+}
+
+SpendResult EscrowBudget::Spend(Instant now,
+                                std::string_view workspace,
+                                std::int64_t tokens) {
+  Budget* budget = Find(workspace);
+  if (budget == nullptr || tokens > budget->local.burst()) {
+    return {false, Instant::max()};
+  }
+  const std::int64_t handed = std::min(budget->handed, tokens);
+  if (budget->local.TrySpend(now, tokens - handed, handed)) {
+    budget->handed -= handed;
+    return {true, now};
+  }
+  return {false, ReadyAt(now, workspace, tokens)};
+}
+
+void EscrowBudget::NoteDemand(Instant now,
+                              std::string_view workspace,
+                              std::int64_t tokens) {
+  if (Budget* budget = Find(workspace)) {
+    budget->local.AddDemand(now, tokens);
+  }
+}
+
+// Time in which the whole budget accrues tokens.
+Micros EscrowBudget::WholeTime(const Budget& budget, std::int64_t tokens) {
+  const std::int64_t rate = std::max<std::int64_t>(1, budget.local.rate());
+  return std::min<Micros>(
+      kLongestEstimate,
+      Micros(std::max<std::int64_t>(0, tokens - budget.request_tokens) *
+             1'000'000 / rate));
+}
+
+Instant EscrowBudget::ReadyAt(Instant now,
+                              std::string_view workspace,
+                              std::int64_t tokens) {
+  Budget* budget = Find(workspace);
+  if (budget == nullptr) {
+    return Instant::max();
+  }
+  const std::int64_t needed =
+      std::max<std::int64_t>(0, tokens - budget->handed);
+  Instant local = budget->local.ReadyAt(now, needed);
+  const bool fits =
+      budget->local.Capacity(now) >= std::min(needed, budget->request_tokens);
+  if (!fits) {
+    local = Instant::max();
+  }
+  const bool denied = budget->denials >= kDenialsBelieved ||
+                      budget->denials + 1 >= std::ssize(budget->homes);
+  const Instant peer = std::max(now + kPeerAnswerTime,
+                                denied ? budget->peer_ready_at : Instant{}) +
+                       WholeTime(*budget, needed);
+  return now >= confirmed_until_ ? std::max(now + 1s, local)
+                                 : std::min(local, peer);
+}
+
+void EscrowBudget::Want(Instant now,
+                        std::string_view workspace,
+                        std::int64_t total,
+                        std::int64_t first) {
+  Budget* budget = Find(workspace);
+  if (budget == nullptr || now < budget->asked_until ||
+      now < budget->ask_again_at || now >= confirmed_until_) {
+    return;
+  }
+  const std::string* home = NextHome(*budget);
+  if (home == nullptr) {
+    return;
+  }
+  BudgetAsk ask;
+  ask.workspace = std::string(workspace);
+  ask.id = budget->asked = next_ask_++;
+  const std::int64_t here = budget->local.Level(now);
+  ask.tokens = std::max<std::int64_t>(0, total - here);
+  ask.fewest = std::clamp<std::int64_t>(first - here, 0, ask.tokens);
+  ask.units_needed = UnitsNeeded(now, *budget);
+  ask.units_held = budget->local.share().Total();
+  budget->asked_until = now + kGrantUseTime;
+  outbox_.push_back({*home, std::move(ask)});
+}
+
+void EscrowBudget::Refund(Instant now,
+                          std::string_view workspace,
+                          std::int64_t tokens) {
+  if (Budget* budget = Find(workspace)) {
+    budget->local.Refund(now, tokens);
+  }
+}
+
+const std::string* EscrowBudget::NextHome(Budget& budget) {
+  for (std::size_t i = 0; i < budget.homes.size(); ++i) {
+    const std::string& home =
+        budget.homes[budget.next_home++ % budget.homes.size()];
+    if (home != name_) {
+      return &home;
+    }
+  }
+  return nullptr;
+}
+
+// Units that the demand here needs; nothing where they could not hold one
+// request, as a home then spends in this instance's stead.
+std::int64_t EscrowBudget::UnitsNeeded(Instant now, Budget& budget) {
+  const LocalShare& local = budget.local;
+  if (draining_ || local.rate() == 0) {
+    return 0;
+  }
+  const double part =
+      budget.local.Demand(now) * kHeadroom / static_cast<double>(local.rate());
+  std::int64_t units = static_cast<std::int64_t>(
+      std::ceil(part * static_cast<double>(kUnitsOfWhole)));
+  if (!policy_.spread ||
+      units * local.burst() / kUnitsOfWhole < budget.request_tokens) {
+    units = 0;
+  }
+  if (budget.is_home) {
+    const auto homes = static_cast<std::int64_t>(budget.homes.size());
+    units = std::max(units, kUnitsOfWhole / (kHomeStockParts * homes));
+  }
+  return units;
+}
+
+std::int64_t EscrowBudget::FloorNeeded(Instant now, Budget& budget) {
+  const std::int64_t rate = budget.local.rate();
+  if (rate == 0) {
+    return 0;
+  }
+  return static_cast<std::int64_t>(
+      std::ceil(budget.local.SteadyDemand(now) * policy_.floor_headroom /
+                static_cast<double>(rate) * kUnitsOfWhole));
+}
+
+void EscrowBudget::OnMessage(Instant now,
+                             std::string_view peer,
+                             const BudgetAsk& ask) {
+  Budget* budget = Find(ask.workspace);
+  if (budget == nullptr || peer == name_) {
+    return;
+  }
+  BudgetGrant grant;
+  grant.workspace = ask.workspace;
+  grant.id = ask.id;
+  if (ask.tokens > 0) {
+    const std::int64_t level = budget->local.Level(now);
+    const std::int64_t tokens = std::min(ask.tokens, level);
+    if (tokens > 0 && tokens >= ask.fewest &&
+        budget->local.TrySpendForPeer(now, tokens)) {
+      grant.tokens = tokens;
+      budget->local.AddDemand(now, tokens);
+    } else {
+      const Instant ready = budget->local.ReadyAt(now, ask.fewest);
+      grant.ready_in = ready == Instant::max() ? Micros::max() : ready - now;
+    }
+    outbox_.push_back({std::string(peer), grant});
+  }
+  GiveShare(now, peer, ask, *budget);
+}
+
+// Evens out units held per unit needed between the two.
+void EscrowBudget::GiveShare(Instant now,
+                             std::string_view peer,
+                             const BudgetAsk& ask,
+                             Budget& budget) {
+  // While the store is out of reach, units given away would be lost.
+  if (ask.units_needed <= 0 ||
+      ledger_.lease_until() - now < kShareLeaseTime / 3) {
+    return;
+  }
+  const std::int64_t needed = UnitsNeeded(now, budget);
+  const std::int64_t held = ledger_.held().contains(ask.workspace)
+                                ? ledger_.held().at(ask.workspace).Total()
+                                : 0;
+  const std::int64_t even =
+      (held * ask.units_needed - ask.units_held * needed) /
+      (needed + ask.units_needed);
+  const std::int64_t units = std::min({even, budget.local.Spare(), held / 2});
+  if (units <= 0 || units < held / kSmallestTransferParts) {
+    return;
+  }
+  ledger_.Give(peer, ask.workspace, units);
+  TakeLedger(now);
+}
+
+bool EscrowBudget::OnMessage(Instant now,
+                             std::string_view /*peer*/,
+                             const BudgetGrant& grant) {
+  Budget* budget = Find(grant.workspace);
+  if (budget == nullptr || grant.id != budget->asked ||
+      now >= budget->asked_until) {
+    return false;
+  }
+  budget->asked_until = Instant{};
+  if (grant.tokens > 0) {
+    budget->denials = 0;
+    budget->ask_again_at = now + policy_.ask_gap;
+    budget->peer_ready_at = Instant{};
+    budget->handed = grant.tokens;
+    return true;
+  }
+  OnDenied(now, *budget, grant.ready_in);
+  return false;
+}
+
+// Once several homes have denied, the best of their estimates holds.
+void EscrowBudget::OnDenied(Instant now, Budget& budget, Micros ready_in) {
+  const Instant ready = now + std::min(ready_in, kLongestEstimate);
+  budget.peer_ready_at =
+      budget.denials == 0 ? ready : std::min(budget.peer_ready_at, ready);
+  budget.denials = std::min(budget.denials + 1, kMostDenials);
+  budget.ask_again_at = now + kDeniedGap * (1 << budget.denials) / 2;
+}
+
+void EscrowBudget::EndHandOver(Instant now) {
+  for (auto& [workspace, budget] : budgets_) {
+    if (budget.handed > 0) {
+      budget.local.AddFromPeer(now, std::exchange(budget.handed, 0));
+    }
+  }
+}
+
+std::vector<BudgetMessage> EscrowBudget::TakeMessages() {
+  return std::exchange(outbox_, {});
+}
+
+ReadQuery EscrowBudget::BeginRound(Instant now) {
+  const bool renewed = now < ledger_.lease_until();
+  for (auto& [workspace, budget] : budgets_) {
+    if (!renewed) {
+      break;
+    }
+    const std::int64_t needed = UnitsNeeded(now, budget);
+    const std::int64_t held = budget.local.share().Total();
+    if (needed == 0 && held > 0 && !budget.is_home) {
+      GiveToHomes(workspace, budget);
+    } else if (held < needed - needed / kShortParts) {
+      AskForShare(now, workspace, budget);
+    } else if (budget.is_home) {
+      GiveSurplus(workspace, needed, budget);
+    }
+  }
+  TakeLedger(now);
+  return ledger_.BeginRound(now);
+}
+
+void EscrowBudget::AskForShare(Instant now,
+                               const std::string& workspace,
+                               Budget& budget) {
+  for (int i = 0; i < kHomesAsked; ++i) {
+    const std::string* home = NextHome(budget);
+    if (home == nullptr) {
+      return;
+    }
+    BudgetAsk ask;
+    ask.workspace = workspace;
+    ask.units_needed = UnitsNeeded(now, budget);
+    ask.units_held = budget.local.share().Total();
+    outbox_.push_back({*home, std::move(ask)});
+  }
+}
+
+// Spreads what is far beyond this home's need over the other homes, as after
+// the units were made.
+void EscrowBudget::GiveSurplus(const std::string& workspace,
+                               std::int64_t needed,
+                               Budget& budget) {
+  const std::int64_t even =
+      kUnitsOfWhole / static_cast<std::int64_t>(budget.homes.size());
+  const std::int64_t held = ShareOf(workspace).Total();
+  if (held <= 2 * std::max(even, needed) || budget.local.Spare() < held) {
+    return;
+  }
+  const std::int64_t part =
+      (held - std::max(even, needed)) /
+      std::max<std::int64_t>(1, std::ssize(budget.homes) - 1);
+  for (const auto& home : budget.homes) {
+    if (home != name_ && part > 0) {
+      ledger_.Give(home, workspace, part);
+    }
+  }
+}
+
+void EscrowBudget::GiveToHomes(const std::string& workspace, Budget& budget) {
+  const std::string* home = NextHome(budget);
+  const auto held = ledger_.held().find(workspace);
+  if (home == nullptr || held == ledger_.held().end()) {
+    return;
+  }
+  const std::int64_t units =
+      std::min(held->second.Total(), budget.local.Spare());
+  if (units > 0) {
+    ledger_.Give(*home, workspace, units);
+  }
+}
+
+Transaction EscrowBudget::OnRows(Instant now, const std::vector<Row>& rows) {
+  Transaction transaction =
+      ledger_.OnRows(now, rows, [&](std::string_view workspace) {
+        Budget* budget = Find(workspace);
+        return budget == nullptr ? 0 : FloorNeeded(now, *budget);
+      });
+  if (ledger_.TakeReformed()) {
+    for (auto& [workspace, budget] : budgets_) {
+      budget.local.Reform(now);
+    }
+  }
+  TakeLedger(now);
+  return transaction;
+}
+
+bool EscrowBudget::OnCommit(Instant now, const std::optional<Commit>& commit) {
+  ledger_.OnCommit(commit);
+  TakeLedger(now);
+  return commit && commit->committed;
+}
+
+// Passes what may be used on to the buckets.
+void EscrowBudget::TakeLedger(Instant now) {
+  for (auto& [workspace, budget] : budgets_) {
+    budget.local.SetShare(now, ShareOf(workspace), ledger_.lease_until());
+  }
+}
+
+bool EscrowBudget::IsHandedOver() const {
+  const bool taker =
+      std::ranges::any_of(instances_, [&](const InstanceEntry& instance) {
+        return instance.state == InstanceState::kLive && instance.name != name_;
+      });
+  return !taker || ledger_.IsEmpty();
+}
+
+std::int64_t EscrowBudget::UsableUnits(Instant now,
+                                       std::string_view workspace) const {
+  const Share share = ShareOf(workspace);
+  return share.floor + (now < ledger_.lease_until() ? share.flexible : 0);
+}
+
+Share EscrowBudget::ShareOf(std::string_view workspace) const {
+  const auto found = ledger_.held().find(workspace);
+  return found == ledger_.held().end() ? Share{} : found->second;
+}
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/budget/smoothed_rate.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+
+#include "core/time.h"
+
+namespace jackdaw {
+
+/// Amount a second, smoothed exponentially.
+class SmoothedRate {
+ public:
+  /// @param over time constant
+  explicit SmoothedRate(Micros over) : over_(over) {}
+
+  /// Adds an amount; a negative one takes back what was added too much.
+  void Add(Instant now, std::int64_t amount) {
+    if (first_at_ == Instant{}) {
+      first_at_ = now;
+    }
+    Decay(now);
+    rate_ = std::max(0.0, rate_ + static_cast<double>(amount) * 1e6 /
+                                      static_cast<double>(over_.count()));
+  }
+  /// The rate, as of the time since the first amount while that is short.
+  double PerSecond(Instant now) {
+    Decay(now);
+    if (first_at_ == Instant{}) {
+      return 0;
+    }
+    const double age = static_cast<double>(
+        std::max(now - first_at_, Micros(kLeastAge)).count());
+    return rate_ / (1 - std::exp(-age / static_cast<double>(over_.count())));
+  }
+
+ private:
+  static constexpr Micros kLeastAge = 5s;
+
+  void Decay(Instant now) {
+    if (now > at_) {
+      const double span = static_cast<double>((now - at_).count()) /
+                          static_cast<double>(over_.count());
+      rate_ *= std::exp(-std::min(span, 100.0));
+      at_ = now;
+    }
+  }
+
+  Micros over_;
+  double rate_ = 0;
+  Instant at_{};
+  Instant first_at_{};
+};
+
+}  // namespace jackdaw
--- /dev/null
+++ b/src/budget/wait_queue.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "budget/equal_split.h"
+#include "core/time.h"
+
+namespace jackdaw {
+
+/// What is to become of a request that asks for tokens.
+struct WaitDecision {
+  enum class Kind : std::uint8_t { kRun, kWait, kRefuse };
+  Kind kind = Kind::kRefuse;
+  /// Names the request while it waits.
+  std::uint64_t id = 0;
+  /// Where refused, when the tokens could be there; Instant::max() for never.
+  Instant retry_at{};
+};
+
+/// Requests that wait for their workspace's budget: a bounded queue for each
+/// workspace, in order of arrival, so that one workspace takes no other's
+/// place. A request that cannot make its deadline is refused at once.
+template <BudgetScheme Budget>
+class WaitQueue {
+ public:
+  /// @param budget scheme to spend from; outlives the queue
+  explicit WaitQueue(Budget& budget) : budget_(budget) {}
+
+  /// A request arrives. @param deadline latest moment to run
+  /// @param limit most requests of the workspace that may wait
+  WaitDecision Offer(Instant now,
+                     std::string_view workspace,
+                     std::int64_t tokens,
+                     Instant deadline,
+                     std::int64_t limit);
+
+  /// Decides on waiting requests whose tokens or deadline have come.
+  std::vector<WaitDecision> Release(Instant now);
+
+  /// Takes a request out that nobody waits for any more.
+  void Remove(std::uint64_t id);
+
+  bool empty() const { return lines_.empty(); }
+
+ private:
+  struct Waiting {
+    std::uint64_t id = 0;
+    std::int64_t tokens = 0;
+    Instant deadline{};
+  };
+  struct Line {
+    std::deque<Waiting> requests;
+    std::int64_t tokens = 0;
+  };
+
+  void ReleaseLine(Instant now,
+                   const std::string& workspace,
+                   Line& line,
+                   std::vector<WaitDecision>& decided);
+
+  Budget& budget_;
+  std::map<std::string, Line, std::less<>> lines_;
+  std::uint64_t next_id_ = 1;
+};
+
+template <BudgetScheme Budget>
+WaitDecision WaitQueue<Budget>::Offer(Instant now,
+                                      std::string_view workspace,
+                                      std::int64_t tokens,
+                                      Instant deadline,
+                                      std::int64_t limit) {
+  budget_.NoteDemand(now, workspace, tokens);
+  const auto found = lines_.find(workspace);
+  const std::int64_t ahead = found == lines_.end() ? 0 : found->second.tokens;
+  Instant ready{};
+  if (ahead == 0) {
+    const SpendResult spend = budget_.Spend(now, workspace, tokens);
+    if (spend.granted) {
+      return {WaitDecision::Kind::kRun, 0, {}};
+    }
+    ready = spend.ready_at;
+  } else {
+    ready = budget_.ReadyAt(now, workspace, ahead + tokens);
+  }
+  const std::int64_t waiting =
+      found == lines_.end()
+          ? 0
+          : static_cast<std::int64_t>(found->second.requests.size());
+  if (ready > deadline || waiting >= limit) {
+    return {WaitDecision::Kind::kRefuse, 0, ready};
+  }
+  Line& line = lines_[std::string(workspace)];
+  line.requests.push_back({next_id_, tokens, deadline});
+  line.tokens += tokens;
+  budget_.Want(now, workspace, line.tokens, line.requests.front().tokens);
+  return {WaitDecision::Kind::kWait, next_id_++, ready};
+}
+
+template <BudgetScheme Budget>
+std::vector<WaitDecision> WaitQueue<Budget>::Release(Instant now) {
+  std::vector<WaitDecision> decided;
+  for (auto line = lines_.begin(); line != lines_.end();) {
+    ReleaseLine(now, line->first, line->second, decided);
+    line = line->second.requests.empty() ? lines_.erase(line) : std::next(line);
+  }
+  return decided;
+}
+
+template <BudgetScheme Budget>
+void WaitQueue<Budget>::ReleaseLine(Instant now,
+                                    const std::string& workspace,
+                                    Line& line,
+                                    std::vector<WaitDecision>& decided) {
+  std::erase_if(line.requests, [&](const Waiting& waiting) {
+    if (waiting.deadline > now) {
+      return false;
+    }
+    decided.push_back({WaitDecision::Kind::kRefuse, waiting.id,
+                       budget_.ReadyAt(now, workspace, line.tokens)});
+    line.tokens -= waiting.tokens;
+    return true;
+  });
+  while (!line.requests.empty()) {
+    const Waiting& front = line.requests.front();
+    if (!budget_.Spend(now, workspace, front.tokens).granted) {
+      budget_.Want(now, workspace, line.tokens, front.tokens);
+      return;
+    }
+    decided.push_back({WaitDecision::Kind::kRun, front.id, {}});
+    line.tokens -= front.tokens;
+    line.requests.pop_front();
+  }
+}
+
+template <BudgetScheme Budget>
+void WaitQueue<Budget>::Remove(std::uint64_t id) {
+  for (auto line = lines_.begin(); line != lines_.end(); ++line) {
+    auto& requests = line->second.requests;
+    const auto found =
+        std::find_if(requests.begin(), requests.end(),
+                     [&](const Waiting& waiting) { return waiting.id == id; });
+    if (found == requests.end()) {
+      continue;
+    }
+    line->second.tokens -= found->tokens;
+    requests.erase(found);
+    if (requests.empty()) {
+      lines_.erase(line);
+    }
+    return;
+  }
+}
+
+}  // namespace jackdaw
--- a/src/decisions/admission.h
+++ b/src/decisions/admission.h
@@ -32,8 +32,16 @@
     budget_.OnConfig(now, *config_);
   }
 
+  /// Decides at once, refusing what the budget cannot take now.
   AdmitResult Admit(Instant now, const RequestInfo& info);
 
+  /// Decides all but the budget.
+  AdmitResult Check(Instant now, const RequestInfo& info);
+
+  /// Refusal of a request that its workspace's budget cannot take.
+  /// @param retry_at when it could be taken, Instant::max() for never
+  static Refused OverBudget(const Admitted& admitted, Instant retry_at);
+
   /// Workspace of a key that may be used now. @returns empty otherwise
   std::string_view WorkspaceOf(std::string_view key_digest) const {
     const auto found = keys_.find(std::string(key_digest));
@@ -87,7 +95,7 @@
 }
 
 template <BudgetScheme Budget>
-AdmitResult Admission<Budget>::Admit(Instant now, const RequestInfo& info) {
+AdmitResult Admission<Budget>::Check(Instant now, const RequestInfo& info) {
   const auto refuse = [](RefusalKind kind, std::string reason,
                          std::string_view workspace = {},
                          Instant retry_at = {}) {
@@ -145,20 +153,34 @@
       now + std::chrono::milliseconds(setting("first_byte_ms"));
   admitted.between_bytes =
       std::chrono::milliseconds(setting("between_bytes_ms"));
-  if (!admitted.workspace.empty()) {
-    const SpendResult spend =
-        budget_.Spend(now, admitted.workspace, admitted.charged_tokens);
-    if (!spend.granted) {
-      const bool never = spend.ready_at == Instant::max();
-      return refuse(
-          never ? RefusalKind::kOverBurst : RefusalKind::kOverRate,
-          std::to_string(admitted.charged_tokens) +
-              " tokens asked, workspace '" + admitted.workspace +
-              (never ? "' may never hold as many" : "' has fewer left"),
-          admitted.workspace, never ? Instant{} : spend.ready_at);
-    }
-  }
   return admitted;
 }
 
+template <BudgetScheme Budget>
+AdmitResult Admission<Budget>::Admit(Instant now, const RequestInfo& info) {
+  AdmitResult checked = Check(now, info);
+  const auto* admitted = std::get_if<Admitted>(&checked);
+  if (admitted == nullptr || admitted->workspace.empty()) {
+    return checked;
+  }
+  const SpendResult spend =
+      budget_.Spend(now, admitted->workspace, admitted->charged_tokens);
+  if (!spend.granted) {
+    return OverBudget(*admitted, spend.ready_at);
+  }
+  return checked;
+}
+
+template <BudgetScheme Budget>
+Refused Admission<Budget>::OverBudget(const Admitted& admitted,
+                                      Instant retry_at) {
+  const bool never = retry_at == Instant::max();
+  return {{never ? RefusalKind::kOverBurst : RefusalKind::kOverRate, Ran::kNo,
+           std::to_string(admitted.charged_tokens) +
+               " tokens asked, workspace '" + admitted.workspace +
+               (never ? "' may never hold as many" : "' has fewer left"),
+           never ? Instant{} : retry_at},
+          admitted.workspace};
+}
+
 }  // namespace jackdaw
--- a/src/decisions/decisions.cc
+++ b/src/decisions/decisions.cc
@@ -12,16 +12,40 @@
 
 }  // namespace
 
-Decisions::Decisions(const MonotonicClock& clock, std::int64_t budget_shares)
+Decisions::Decisions(const MonotonicClock& clock,
+                     std::string name,
+                     std::uint64_t incarnation)
     : clock_(clock),
       duty_("decisions", kRingTasks),
-      admission_(EqualSplit(budget_shares)) {}
+      admission_(EscrowBudget(std::move(name), incarnation)),
+      waiters_(duty_.context(), clock, admission_.budget()) {}
 
 asio::awaitable<Result<AdmitResult>> Decisions::Admit(RequestInfo info) {
-  auto admit = [this, info = std::move(info)]() -> Result<AdmitResult> {
-    return admission_.Admit(clock_.Now(), info);
+  auto admit = [this, info = std::move(info)]() mutable {
+    return AdmitHere(std::move(info));
   };
-  co_return co_await Ask<AdmitResult>(duty_, std::move(admit));
+  co_return co_await AskAsync<AdmitResult>(duty_, std::move(admit));
+}
+
+// Decides, and where the budget will do a moment later, waits for it.
+asio::awaitable<Result<AdmitResult>> Decisions::AdmitHere(RequestInfo info) {
+  const Instant arrived = clock_.Now();
+  AdmitResult checked = admission_.Check(arrived, info);
+  auto* admitted = std::get_if<Admitted>(&checked);
+  if (admitted == nullptr || admitted->workspace.empty()) {
+    co_return checked;
+  }
+  const std::int64_t limit =
+      SettingFor(*admission_.config(), "queue_requests",
+                 "workspace/" + admitted->workspace, ToMillis(arrived));
+  const WaitDecision decision = co_await waiters_.Wait(
+      admitted->workspace, admitted->charged_tokens,
+      std::min(admitted->deadline, admitted->first_byte_deadline), limit);
+  if (decision.kind != WaitDecision::Kind::kRun) {
+    co_return AdmitResult(admission_.OverBudget(*admitted, decision.retry_at));
+  }
+  admitted->first_byte_deadline += clock_.Now() - arrived;
+  co_return checked;
 }
 
 asio::awaitable<Result<std::optional<PickedTarget>>> Decisions::Pick(
@@ -52,6 +76,7 @@
 void Decisions::Refund(std::string workspace, std::int64_t tokens) {
   duty_.TryPost([this, workspace = std::move(workspace), tokens] {
     admission_.Refund(clock_.Now(), workspace, tokens);
+    waiters_.Release();
   });
 }
 
--- a/src/decisions/decisions.h
+++ b/src/decisions/decisions.h
@@ -8,6 +8,7 @@
 #include "core/clock.h"
 #include "core/duty.h"
 #include "decisions/admission.h"
+#include "decisions/budget_waiters.h"
 #include "routing/router.h"
 
 namespace jackdaw {
@@ -16,8 +17,10 @@
 /// other threads through its ring.
 class Decisions {
  public:
-  /// @param budget_shares parts that each budget is cut into
-  Decisions(const MonotonicClock& clock, std::int64_t budget_shares);
+  /// @param name name of the instance @param incarnation its incarnation
+  Decisions(const MonotonicClock& clock,
+            std::string name,
+            std::uint64_t incarnation);
 
   void Start() { duty_.Start(); }
   void Stop() { duty_.Stop(); }
@@ -34,14 +37,32 @@
   void Finish(std::string target, bool failed);
   /// Gives back what a request was charged and did not use.
   void Refund(std::string workspace, std::int64_t tokens);
+  /// Where messages about budgets go; before Start only.
+  void ConnectBudgets(BudgetWaiters::Sender sender) {
+    waiters_.Connect(std::move(sender));
+  }
+  /// Runs `act` on the budgets, on the thread that decides, and lets waiting
+  /// requests go on. @param act called with the budgets and the present moment
+  template <typename T, typename F>
+  boost::asio::awaitable<Result<T>> AskBudgets(F act) {
+    auto run = [this, act = std::move(act)]() mutable -> Result<T> {
+      T value = act(admission_.budget(), clock_.Now());
+      waiters_.Release();
+      return value;
+    };
+    return Ask<T>(duty_, std::move(run));
+  }
   void OnConfig(FleetConfigPtr config);
   void OnReport(std::string target, TargetReport report);
   void OnReportFailure(std::string target);
 
  private:
+  boost::asio::awaitable<Result<AdmitResult>> AdmitHere(RequestInfo info);
+
   const MonotonicClock& clock_;
   Duty duty_;
-  Admission<EqualSplit> admission_;
+  Admission<EscrowBudget> admission_;
+  BudgetWaiters waiters_;
   Router router_;
 };
 
--- a/src/instance/fleet_watcher.cc
+++ b/src/instance/fleet_watcher.cc
@@ -95,10 +95,15 @@
   ReadQuery query;
   query.keys.emplace_back(kConfigRow);
   query.newer_than = row_version_;
+  const std::int64_t asked_us = clock_.Now().time_since_epoch().count();
   Result<std::vector<Row>> rows =
       co_await platform_.Read(std::move(query), clock_.Now() + kAnswerTime);
   NoteStore(rows.has_value());
-  if (!rows || rows.value().empty()) {
+  if (!rows) {
+    co_return;
+  }
+  if (rows.value().empty()) {
+    run_state_.config_confirmed_us = asked_us;
     co_return;
   }
   const Row& row = rows.value().front();
@@ -110,6 +115,7 @@
   }
   row_version_ = row.version;
   Apply(head.value());
+  run_state_.config_confirmed_us = asked_us;
 }
 
 void FleetWatcher::Apply(const ConfigHead& head) {
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -9,6 +9,7 @@
 #include "core/digest.h"
 #include "core/log.h"
 #include "entry/caller_service.h"
+#include "instance/budget_agent.h"
 #include "instance/context.h"
 #include "instance/fleet_watcher.h"
 #include "operator/operator_service.h"
@@ -22,8 +23,6 @@
 
 constexpr std::size_t kRingTasks = 8192;
 constexpr std::size_t kEventsKept = 16'384;
-// Parts that each budget is cut into: the most instances at once.
-constexpr std::int64_t kBudgetShares = 8;
 // Time between two looks at whether all requests are done.
 constexpr auto kDrainCheckTime = std::chrono::milliseconds(50);
 
@@ -62,7 +61,7 @@
   Duty platform_duty{"platform", kRingTasks};
   Duty recorder_duty{"recorder", kRingTasks};
   Duty operator_duty{"operators", kRingTasks};
-  Decisions decisions{clock, kBudgetShares};
+  Decisions decisions{clock, settings.name, incarnation};
   Relay relay{target_duty, clock};
   IntentStore intents{platform_duty, clock, settings.platform};
   RefusalLog refusals{
@@ -91,6 +90,8 @@
                     [this](std::uint64_t version, std::string document) {
                       watcher.Apply({version, "relayed", std::move(document)});
                     }};
+  BudgetAgent budget_agent{platform_duty, clock, settings, view,
+                           run_state,     peers, decisions};
   ReportPoller poller{target_duty, clock, relay, view, decisions};
   CallerService callers{context, settings.name + "-" + RandomHex(4) + "-"};
   std::function<void()> begin_drain;
@@ -135,6 +136,7 @@
   BoundAddresses bound{ToText(entry), ToText(operators), peer};
   parts.watcher.Start(parts.SelfEntry(bound));
   parts.refusals.Start();
+  parts.budget_agent.Start();
   parts.poller.Start();
   parts.decisions.Start();
   for (Duty* duty :
@@ -170,6 +172,7 @@
     timer.expires_after(kDrainCheckTime);
     co_await timer.async_wait(asio::use_awaitable);
   }
+  co_await budget_agent.HandOver();
   Result<bool> stored = false;
   for (int attempt = 0; attempt < 10; ++attempt) {
     stored = co_await AskAsync<bool>(recorder_duty,
--- a/src/instance/run_state.h
+++ b/src/instance/run_state.h
@@ -11,6 +11,9 @@
   std::atomic<bool> leaving{false};
   std::atomic<bool> store_reachable{false};
   std::atomic<std::uint64_t> in_flight{0};
+  /// Start of the newest read that found the configuration in force to be the
+  /// newest, in microseconds since the Unix epoch.
+  std::atomic<std::int64_t> config_confirmed_us{0};
 };
 
 }  // namespace jackdaw
--- a/src/replay/command.cc
+++ b/src/replay/command.cc
@@ -8,6 +8,8 @@
   static constexpr std::array kCommands{
       ReplayCommand{"bench", "one deterministic signature over all decisions",
                     BenchCommand},
+      ReplayCommand{"budgets", "ways to hold budgets, compared under faults",
+                    BudgetsCommand},
   };
   return kCommands;
 }
--- a/src/replay/command.h
+++ b/src/replay/command.h
@@ -18,5 +18,6 @@
 std::span<const ReplayCommand> ReplayCommands();
 
 int BenchCommand(std::span<const std::string> arguments);
+int BudgetsCommand(std::span<const std::string> arguments);
 
 }  // namespace jackdaw
