--- a/src/instance/fleet_watcher.cc
+++ b/src/instance/fleet_watcher.cc
@@ -115,7 +115,10 @@
   }
   row_version_ = row.version;
   Apply(head.value());
-  run_state_.config_confirmed_us = asked_us;
+  const FleetViewPtr view = view_.Get();
+  if (view->config && view->config->version >= head.value().version) {
+    run_state_.config_confirmed_us = asked_us;
+  }
 }
 
 void FleetWatcher::Apply(const ConfigHead& head) {
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -14,6 +14,7 @@
 #include "instance/fleet_watcher.h"
 #include "operator/operator_service.h"
 #include "peer/peer_service.h"
+#include "record/copy_exchange.h"
 #include "targets/report_poller.h"
 
 namespace jackdaw {
@@ -63,12 +64,9 @@
   Duty operator_duty{"operators", kRingTasks};
   Decisions decisions{clock, settings.name, incarnation};
   Relay relay{target_duty, clock};
-  IntentStore intents{platform_duty, clock, settings.platform};
-  RefusalLog refusals{
-      recorder_duty, clock, settings.platform,
-      "refusals/" + settings.name + "-" + std::to_string(incarnation)};
-  InstanceContext context{settings, clock,     run_state, view,    metrics,
-                          events,   decisions, relay,     intents, refusals};
+  IntentStore intents{platform_duty, clock, settings.platform, view};
+  RefusalLog refusals{recorder_duty, clock, settings.platform, view,
+                      RecordOwner{settings.name, incarnation}};
   FleetWatcher watcher{
       platform_duty,
       clock,
@@ -92,6 +90,15 @@
                     }};
   BudgetAgent budget_agent{platform_duty, clock, settings, view,
                            run_state,     peers, decisions};
+  CopyExchange copies{recorder_duty, clock, settings, view,
+                      run_state,     peers, refusals};
+  TargetProbe probe{target_duty, clock, relay};
+  CrashGuard crashes{platform_duty, clock, settings.platform,
+                     settings.name, view,  decisions,
+                     peers,         probe};
+  InstanceContext context{settings, clock,    run_state, view,
+                          metrics,  events,   decisions, relay,
+                          intents,  refusals, crashes};
   ReportPoller poller{target_duty, clock, relay, view, decisions};
   CallerService callers{context, settings.name + "-" + RandomHex(4) + "-"};
   std::function<void()> begin_drain;
@@ -137,7 +144,10 @@
   parts.watcher.Start(parts.SelfEntry(bound));
   parts.refusals.Start();
   parts.budget_agent.Start();
+  parts.copies.Start();
+  parts.crashes.Start();
   parts.poller.Start();
+  parts.intents.Start();
   parts.decisions.Start();
   for (Duty* duty :
        {&parts.caller_duty, &parts.target_duty, &parts.platform_duty,
--- a/src/instance/run_state.h
+++ b/src/instance/run_state.h
@@ -14,6 +14,12 @@
   /// Start of the newest read that found the configuration in force to be the
   /// newest, in microseconds since the Unix epoch.
   std::atomic<std::int64_t> config_confirmed_us{0};
+  /// Bytes of refusal records held for peers.
+  std::atomic<std::uint64_t> copies_held{0};
+  /// Number of the newest refusal record made here, and of the newest that,
+  /// with all before it, is stored or held by a peer.
+  std::atomic<std::uint64_t> records_made{0};
+  std::atomic<std::uint64_t> records_safe{0};
 };
 
 }  // namespace jackdaw
--- a/src/replay/command.cc
+++ b/src/replay/command.cc
@@ -10,6 +10,8 @@
                     BenchCommand},
       ReplayCommand{"budgets", "ways to hold budgets, compared under faults",
                     BudgetsCommand},
+      ReplayCommand{"refusals", "refusal records: puts, bytes, losses",
+                    RefusalsCommand},
   };
   return kCommands;
 }
