--- a/src/budget/escrow_budget.cc
+++ b/src/budget/escrow_budget.cc
@@ -25,6 +25,8 @@
 constexpr int kHomesAsked = 1;
 // Denials after which a peer's estimate is believed.
 constexpr int kDenialsBelieved = 3;
+// Wait told while the configuration is not known to be in force.
+constexpr Micros kUnconfirmedWait = 1s;
 // Longest wait that is told to anybody.
 constexpr Micros kLongestEstimate = 60s;
 // Wait expected for tokens of a peer that was not asked yet.
@@ -168,7 +170,7 @@
   const Instant peer = std::max(now + kPeerAnswerTime,
                                 denied ? budget->peer_ready_at : Instant{}) +
                        WholeTime(*budget, needed);
-  return now >= confirmed_until_ ? std::max(now + 1s, local)
+  return now >= confirmed_until_ ? now + kUnconfirmedWait
                                  : std::min(local, peer);
 }
 
--- a/src/decisions/decisions.cc
+++ b/src/decisions/decisions.cc
@@ -14,11 +14,13 @@
 
 Decisions::Decisions(const MonotonicClock& clock,
                      std::string name,
-                     std::uint64_t incarnation)
+                     std::uint64_t incarnation,
+                     RouterSetup routing)
     : clock_(clock),
       duty_("decisions", kRingTasks),
       admission_(EscrowBudget(std::move(name), incarnation)),
-      waiters_(duty_.context(), clock, admission_.budget()) {}
+      waiters_(duty_.context(), clock, admission_.budget()),
+      router_(std::move(routing)) {}
 
 asio::awaitable<Result<AdmitResult>> Decisions::Admit(RequestInfo info) {
   auto admit = [this, info = std::move(info)]() mutable {
@@ -55,9 +57,13 @@
   auto pick = [this, model = std::move(model), service = std::move(service),
                excluded = std::move(
                    excluded)]() -> Result<std::optional<PickedTarget>> {
-    auto target = router_.Pick(clock_.Now(), {model, service, excluded});
+    RouteNeed need;
+    need.model = model;
+    need.service = service;
+    need.excluded = excluded;
+    auto target = router_.Pick(clock_.Now(), need);
     if (target) {
-      router_.OnDispatched(target->name);
+      router_.OnDispatched(clock_.Now(), target->name, need);
     }
     return target;
   };
@@ -80,10 +86,10 @@
   });
 }
 
-void Decisions::OnConfig(FleetConfigPtr config) {
-  duty_.TryPost([this, config = std::move(config)]() mutable {
+bool Decisions::OnConfig(FleetConfigPtr config) {
+  return duty_.TryPost([this, config = std::move(config)]() mutable {
     try {
-      router_.OnConfig(*config);
+      router_.OnConfig(clock_.Now(), *config);
       retries_.OnConfig(*config);
       admission_.OnConfig(clock_.Now(), std::move(config));
     } catch (const InvariantBreach& breach) {
@@ -93,6 +99,10 @@
   });
 }
 
+void Decisions::OnInstances(std::int64_t instances) {
+  duty_.TryPost([this, instances] { router_.OnInstances(instances); });
+}
+
 void Decisions::OnReport(std::string target, TargetReport report) {
   duty_.TryPost([this, target = std::move(target), report = std::move(report)] {
     router_.OnReport(clock_.Now(), target, report);
--- a/src/decisions/decisions.h
+++ b/src/decisions/decisions.h
@@ -10,6 +10,7 @@
 #include "decisions/admission.h"
 #include "decisions/budget_waiters.h"
 #include "decisions/dispatch.h"
+#include "fairness/usage_priority.h"
 #include "quarantine/crash_ledger.h"
 #include "retry/retry_budget.h"
 #include "routing/router.h"
@@ -21,9 +22,11 @@
 class Decisions {
  public:
   /// @param name name of the instance @param incarnation its incarnation
+  /// @param routing failure domain of this instance, and seed of its choices
   Decisions(const MonotonicClock& clock,
             std::string name,
-            std::uint64_t incarnation);
+            std::uint64_t incarnation,
+            RouterSetup routing = {});
 
   void Start() { duty_.Start(); }
   void Stop() { duty_.Stop(); }
@@ -68,13 +71,17 @@
     };
     return Ask<T>(duty_, std::move(run));
   }
-  void OnConfig(FleetConfigPtr config);
+  /// Puts a configuration in force. @returns false when the ring is full
+  bool OnConfig(FleetConfigPtr config);
+  /// Number of instances that route to the same targets.
+  void OnInstances(std::int64_t instances);
   void OnReport(std::string target, TargetReport report);
   void OnReportFailure(std::string target);
 
  private:
   boost::asio::awaitable<Result<AdmitResult>> AdmitHere(RequestInfo info);
   DispatchAnswer DispatchHere(const DispatchOrder& order);
+  std::int32_t PriorityOf(Instant now, const DispatchOrder& order);
   bool Charge(Instant now,
               const DispatchOrder& order,
               const std::string& target);
@@ -86,6 +93,7 @@
   Router router_;
   RetryBudget retries_;
   CrashLedger ledger_;
+  UsagePriority usage_;
 };
 
 }  // namespace jackdaw
--- a/src/entry/attempts.h
+++ b/src/entry/attempts.h
@@ -19,6 +19,9 @@
   std::string service;
   /// Digest of the request, the same wherever it is sent again.
   std::string digest;
+  std::int64_t prompt_tokens = 0;
+  std::int64_t charged_tokens = 0;
+  PrefixChain prefixes;
   bool idempotent = false;
   Instant deadline{};
   Instant first_byte_deadline{};
@@ -44,6 +47,8 @@
   boost::asio::awaitable<void> Ended(bool whole);
 
   const Refusal& refusal() const { return refusal_; }
+  /// Time spent waiting for a target.
+  Micros waited() const { return waited_; }
 
  private:
   boost::asio::awaitable<bool> Ready();
@@ -63,6 +68,9 @@
   bool any_sent_ = false;
   bool last_sent_ = false;
   int attempts_ = 0;
+  Micros waited_{};
+  // When a model without a copy is expected, if that is too late.
+  Instant load_expected_at_{};
 };
 
 }  // namespace jackdaw
--- a/src/entry/model_service.cc
+++ b/src/entry/model_service.cc
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "core/digest.h"
+#include "entry/key_check.h"
 
 namespace jackdaw {
 namespace {
@@ -33,11 +34,14 @@
 AttemptSubject SubjectOf(const HttpRequest& from,
                          const CallerRequest& request,
                          const Admitted& admitted,
-                         const std::string& model) {
+                         const ModelRequest& model) {
   AttemptSubject subject;
   subject.request_id = request.id;
   subject.workspace = request.workspace;
-  subject.model = model;
+  subject.model = model.model;
+  subject.prompt_tokens = model.prompt_tokens;
+  subject.charged_tokens = admitted.charged_tokens;
+  subject.prefixes = model.prefixes;
   subject.digest = Sha256Hex(std::string(from.Path()) + "\n" + from.body);
   subject.idempotent = true;
   subject.deadline = admitted.deadline;
@@ -70,10 +74,6 @@
 
 }  // namespace
 
-bool ModelService::KeyLives(const CallerRequest& request) const {
-  return context_.view.Get()->live_keys.contains(request.key_digest);
-}
-
 asio::awaitable<void> ModelService::Serve(HttpExchange& exchange,
                                           CallerRequest request) {
   const HttpRequest& from = exchange.request();
@@ -88,6 +88,7 @@
   RequestInfo info;
   info.request_id = request.id;
   info.key_digest = request.key_digest;
+  info.keys_valid_until = KeysValidUntil(context_);
   info.model = model.model;
   info.prompt_tokens = model.prompt_tokens;
   info.max_output_tokens = model.max_tokens;
@@ -108,7 +109,8 @@
   context_.metrics.CountRequest(request.workspace);
   context_.events.Add(EventKind::kRequestAdmitted, request.id,
                       request.workspace, {}, model.model);
-  Attempts attempts(context_, SubjectOf(from, request, admitted, model.model));
+  context_.demand.OnRequest(model.model, admitted.charged_tokens);
+  Attempts attempts(context_, SubjectOf(from, request, admitted, model));
   std::optional<Opened> opened =
       co_await Open(from, request, admitted, attempts);
   if (!opened) {
@@ -160,8 +162,10 @@
     RelayOrder order;
     order.endpoint = endpoint.value();
     order.request = ForTarget(from, request);
-    order.first_byte_deadline =
-        std::min(admitted.deadline, admitted.first_byte_deadline);
+    order.request.headers.push_back(
+        {"X-Priority", std::to_string(target->priority)});
+    order.first_byte_deadline = std::min(
+        admitted.deadline, admitted.first_byte_deadline + attempts.waited());
     order.between_bytes = admitted.between_bytes;
     auto pipe = context_.relay.Start(std::move(order), executor);
     if (!pipe) {
@@ -190,7 +194,15 @@
   std::string body;
   for (;;) {
     std::optional<RelayItem> item =
-        co_await opened.pipe->Pop(std::chrono::steady_clock::time_point::max());
+        co_await opened.pipe->Pop(SteadyIn(kKeyCheckTime));
+    std::optional<Refusal> ended = KeyEnded(context_, request.key_digest);
+    if (ended) {
+      co_await refuser_.Refuse(exchange, request, std::move(*ended));
+      co_return true;
+    }
+    if (!item) {
+      continue;
+    }
     if (item->kind == RelayItem::Kind::kFailure) {
       opened.failed = true;
       co_await opened.attempts->Failed(item->error, true);
@@ -227,10 +239,9 @@
     std::optional<RelayItem> item =
         co_await opened.pipe->Pop(SteadyIn(kKeyCheckTime));
     tokens = scanner.events();
-    if (!KeyLives(request)) {
-      Refusal refusal{RefusalKind::kWithdrawnKey, Ran::kUnknown,
-                      "the key was withdrawn during the stream", Instant{}};
-      co_await refuser_.RefuseStream(exchange, request, std::move(refusal));
+    std::optional<Refusal> ended = KeyEnded(context_, request.key_digest);
+    if (ended) {
+      co_await refuser_.RefuseStream(exchange, request, std::move(*ended));
       co_return true;
     }
     if (!item) {
--- a/src/entry/plain_service.cc
+++ b/src/entry/plain_service.cc
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "core/digest.h"
+#include "entry/key_check.h"
 
 namespace jackdaw {
 namespace {
@@ -69,6 +70,7 @@
   RequestInfo info;
   info.request_id = request.id;
   info.key_digest = request.key_digest;
+  info.keys_valid_until = KeysValidUntil(context_);
   info.service = call.service;
   info.method = from.method;
   info.path = call.path;
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -8,10 +8,12 @@
 
 #include "core/digest.h"
 #include "core/log.h"
+#include "core/signature.h"
 #include "entry/caller_service.h"
 #include "instance/budget_agent.h"
 #include "instance/context.h"
 #include "instance/fleet_watcher.h"
+#include "membership/freshness_exchange.h"
 #include "operator/operator_service.h"
 #include "peer/peer_service.h"
 #include "record/copy_exchange.h"
@@ -34,6 +36,17 @@
   return limits;
 }
 
+// Instances that see the same reports choose differently among targets that
+// look alike, each by the seed of its own name.
+RouterSetup RoutingOf(const InstanceSettings& settings) {
+  RouterSetup setup;
+  setup.failure_domain = settings.failure_domain;
+  Signature seed;
+  seed.Add(settings.name);
+  setup.seed = seed.Short();
+  return setup;
+}
+
 HttpLimits OperatorLimits() {
   HttpLimits limits;
   limits.body_bytes = 64ULL * 1024 * 1024;
@@ -62,11 +75,12 @@
   Duty platform_duty{"platform", kRingTasks};
   Duty recorder_duty{"recorder", kRingTasks};
   Duty operator_duty{"operators", kRingTasks};
-  Decisions decisions{clock, settings.name, incarnation};
+  Decisions decisions{clock, settings.name, incarnation, RoutingOf(settings)};
   Relay relay{target_duty, clock};
   IntentStore intents{platform_duty, clock, settings.platform, view};
   RefusalLog refusals{recorder_duty, clock, settings.platform, view,
                       RecordOwner{settings.name, incarnation}};
+  ViewFreshness freshness;
   FleetWatcher watcher{
       platform_duty,
       clock,
@@ -74,9 +88,10 @@
       view,
       run_state,
       events,
+      freshness,
       [this](FleetConfigPtr config) {
         metrics.SetConfigVersion(static_cast<double>(config->version));
-        decisions.OnConfig(std::move(config));
+        return decisions.OnConfig(std::move(config));
       }};
   PeerService peers{platform_duty,
                     clock,
@@ -90,15 +105,20 @@
                     }};
   BudgetAgent budget_agent{platform_duty, clock, settings, view,
                            run_state,     peers, decisions};
+  FreshnessExchange confirmations{platform_duty, clock, peers, run_state,
+                                  freshness};
   CopyExchange copies{recorder_duty, clock, settings, view,
                       run_state,     peers, refusals};
   TargetProbe probe{target_duty, clock, relay};
   CrashGuard crashes{platform_duty, clock, settings.platform,
                      settings.name, view,  decisions,
                      peers,         probe};
-  InstanceContext context{settings, clock,    run_state, view,
-                          metrics,  events,   decisions, relay,
-                          intents,  refusals, crashes};
+  DemandBoard demand;
+  PlacementDuty placement{settings.name, incarnation, clock,  settings.platform,
+                          view,          run_state,   demand, events};
+  InstanceContext context{settings, clock,     run_state, view,    metrics,
+                          events,   decisions, relay,     intents, refusals,
+                          crashes,  demand,    placement};
   ReportPoller poller{target_duty, clock, relay, view, decisions};
   CallerService callers{context, settings.name + "-" + RandomHex(4) + "-"};
   std::function<void()> begin_drain;
@@ -124,6 +144,7 @@
         &parts_->platform_duty, &parts_->recorder_duty}) {
     duty->Stop();
   }
+  parts_->placement.Stop();
   parts_->decisions.Stop();
 }
 
@@ -146,8 +167,10 @@
   parts.budget_agent.Start();
   parts.copies.Start();
   parts.crashes.Start();
+  parts.confirmations.Start();
   parts.poller.Start();
   parts.intents.Start();
+  parts.placement.Start();
   parts.decisions.Start();
   for (Duty* duty :
        {&parts.caller_duty, &parts.target_duty, &parts.platform_duty,
--- a/src/replay/command.cc
+++ b/src/replay/command.cc
@@ -10,6 +10,13 @@
                     BenchCommand},
       ReplayCommand{"budgets", "ways to hold budgets, compared under faults",
                     BudgetsCommand},
+      ReplayCommand{"membership", "membership: cost, detection, propagation",
+                    MembershipCommand},
+      ReplayCommand{"placement", "ways to place models, compared in figures",
+                    PlacementCommand},
+      ReplayCommand{"routing",
+                    "routing policies and retries against fake engines",
+                    RoutingCommand},
       ReplayCommand{"refusals", "refusal records: puts, bytes, losses",
                     RefusalsCommand},
   };
--- a/src/routing/target_report.cc
+++ b/src/routing/target_report.cc
@@ -21,7 +21,8 @@
       {"leaving", report.leaving},
       {"incarnation", report.incarnation},
       {"models", boost::json::value_from(report.models)},
-      {"adapters", boost::json::value_from(report.adapters)}});
+      {"adapters", boost::json::value_from(report.adapters)},
+      {"items", ToJson(report.items)}});
 }
 
 Result<TargetReport> DecodeReport(std::string_view body) {
@@ -36,6 +37,8 @@
   report.incarnation = reader.IntegerOr("incarnation", 0, kMaxIncarnation, 0);
   report.models = reader.TextsOr("models");
   report.adapters = reader.TextsOr("adapters");
+  BOOST_OUTCOME_TRY(report.items, ReadEngineItems(reader.ItemsOr("items"),
+                                                  reader.PathOf("items")));
   BOOST_OUTCOME_TRY(reader.Finish());
   return report;
 }
