--- a/src/decisions/decisions.h
+++ b/src/decisions/decisions.h
@@ -8,6 +8,7 @@
 #include "core/clock.h"
 #include "core/duty.h"
 #include "decisions/admission.h"
+#include "decisions/budget_waiters.h"
 #include "decisions/dispatch.h"
 #include "fairness/usage_priority.h"
 #include "quarantine/crash_ledger.h"
@@ -20,10 +21,11 @@
 /// other threads through its ring.
 class Decisions {
  public:
-  /// @param budget_shares parts that each budget is cut into
+  /// @param name name of the instance @param incarnation its incarnation
   /// @param routing failure domain of this instance, and seed of its choices
   Decisions(const MonotonicClock& clock,
-            std::int64_t budget_shares,
+            std::string name,
+            std::uint64_t incarnation,
             RouterSetup routing = {});
 
   void Start() { duty_.Start(); }
@@ -50,6 +52,21 @@
   void Finish(std::string target, bool failed);
   /// Gives back what a request was charged and did not use.
   void Refund(std::string workspace, std::int64_t tokens);
+  /// Where messages about budgets go; before Start only.
+  void ConnectBudgets(BudgetWaiters::Sender sender) {
+    waiters_.Connect(std::move(sender));
+  }
+  /// Runs `act` on the budgets, on the thread that decides, and lets waiting
+  /// requests go on. @param act called with the budgets and the present moment
+  template <typename T, typename F>
+  boost::asio::awaitable<Result<T>> AskBudgets(F act) {
+    auto run = [this, act = std::move(act)]() mutable -> Result<T> {
+      T value = act(admission_.budget(), clock_.Now());
+      waiters_.Release();
+      return value;
+    };
+    return Ask<T>(duty_, std::move(run));
+  }
   /// Puts a configuration in force. @returns false when the ring is full
   bool OnConfig(FleetConfigPtr config);
   /// Number of instances that route to the same targets.
@@ -58,6 +75,7 @@
   void OnReportFailure(std::string target);
 
  private:
+  boost::asio::awaitable<Result<AdmitResult>> AdmitHere(RequestInfo info);
   DispatchAnswer DispatchHere(const DispatchOrder& order);
   std::int32_t PriorityOf(Instant now, const DispatchOrder& order);
   bool Charge(Instant now,
@@ -66,7 +84,8 @@
 
   const MonotonicClock& clock_;
   Duty duty_;
-  Admission<EqualSplit> admission_;
+  Admission<EscrowBudget> admission_;
+  BudgetWaiters waiters_;
   Router router_;
   RetryBudget retries_;
   CrashLedger ledger_;
--- a/src/instance/fleet_watcher.cc
+++ b/src/instance/fleet_watcher.cc
@@ -121,6 +121,7 @@
   if (rows.value().empty()) {
     freshness_.OnStoreRead(asked_at, store_version_);
     PublishFreshness(freshness_, run_state_);
+    ConfirmConfig(asked_at);
     co_return;
   }
   const Row& row = rows.value().front();
@@ -135,6 +136,16 @@
   Apply(head.value());
   freshness_.OnStoreRead(asked_at, store_version_);
   PublishFreshness(freshness_, run_state_);
+  ConfirmConfig(asked_at);
+}
+
+// The configuration in force was the newest at this moment, unless the one
+// that was read could not be used or has not reached the decisions yet.
+void FleetWatcher::ConfirmConfig(Instant at) {
+  const FleetConfigPtr config = view_.Get()->config;
+  if (!hand_over_ && config && config->version >= store_version_) {
+    run_state_.config_confirmed_us = at.time_since_epoch().count();
+  }
 }
 
 // Gives the configuration to the decisions: when it is new, when they had no
--- a/src/instance/fleet_watcher.h
+++ b/src/instance/fleet_watcher.h
@@ -59,6 +59,7 @@
   boost::asio::awaitable<void> PollInstances();
   void NoteStore(bool reachable);
   void HandOver();
+  void ConfirmConfig(Instant at);
   std::vector<std::string> OtherNames(const FleetView& view) const;
 
   Duty& duty_;
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -11,6 +11,7 @@
 #include "core/signature.h"
 #include "drain/drain_plan.h"
 #include "entry/caller_service.h"
+#include "instance/budget_agent.h"
 #include "instance/context.h"
 #include "instance/fleet_watcher.h"
 #include "membership/freshness_exchange.h"
@@ -26,8 +27,6 @@
 
 constexpr std::size_t kRingTasks = 8192;
 constexpr std::size_t kEventsKept = 16'384;
-// Parts that each budget is cut into: the most instances at once.
-constexpr std::int64_t kBudgetShares = 8;
 // Time between two looks at whether all requests are done.
 constexpr auto kDrainCheckTime = std::chrono::milliseconds(50);
 
@@ -79,7 +78,7 @@
   Duty platform_duty{"platform", kRingTasks};
   Duty recorder_duty{"recorder", kRingTasks};
   Duty operator_duty{"operators", kRingTasks};
-  Decisions decisions{clock, kBudgetShares, RoutingOf(settings)};
+  Decisions decisions{clock, settings.name, incarnation, RoutingOf(settings)};
   Relay relay{target_duty, clock};
   IntentStore intents{platform_duty, clock, settings.platform, view};
   RefusalLog refusals{recorder_duty, clock, settings.platform, view,
@@ -107,6 +106,8 @@
                     [this](std::uint64_t version, std::string document) {
                       watcher.Apply({version, "relayed", std::move(document)});
                     }};
+  BudgetAgent budget_agent{platform_duty, clock, settings, view,
+                           run_state,     peers, decisions};
   FreshnessExchange confirmations{platform_duty, clock, peers, run_state,
                                   freshness};
   CopyExchange copies{recorder_duty, clock, settings, view,
@@ -132,8 +133,6 @@
       operator_duty.context(), OperatorLimits(),
       [this](HttpExchange& exchange) { return operators.Handle(exchange); }};
   std::promise<void> drained;
-  // Run on the platform thread when a shutdown hands over what is held.
-  std::vector<std::function<asio::awaitable<void>()>> hand_over;
 };
 
 Instance::Instance(InstanceSettings settings)
@@ -177,6 +176,7 @@
   BoundAddresses bound{ToText(entry), ToText(operators), peer};
   parts.watcher.Start(parts.SelfEntry(bound));
   parts.refusals.Start();
+  parts.budget_agent.Start();
   parts.copies.Start();
   parts.confirmations.Start();
   parts.crashes.Start();
@@ -248,9 +248,7 @@
       break;
     }
     case DrainAction::kHandOver:
-      for (auto& hook : hand_over) {
-        co_await hook();
-      }
+      co_await budget_agent.HandOver();
       break;
     case DrainAction::kRefuseNew:
       run_state.refusing = true;
--- a/src/instance/run_state.h
+++ b/src/instance/run_state.h
@@ -18,6 +18,9 @@
   std::atomic<std::int64_t> entry_kept_until_ms{0};
   std::atomic<bool> store_reachable{false};
   std::atomic<std::uint64_t> in_flight{0};
+  /// Start of the newest read that found the configuration in force to be the
+  /// newest, in microseconds since the Unix epoch.
+  std::atomic<std::int64_t> config_confirmed_us{0};
   /// Bytes of refusal records held for peers.
   std::atomic<std::uint64_t> copies_held{0};
   /// Moment until which keys may be used on this view, in microseconds since
