--- a/src/ctl/withdraw_command.cc
+++ b/src/ctl/withdraw_command.cc
@@ -34,7 +34,7 @@
     }
     item["withdrawn"] = true;
     PutItem(document.content, keys, std::move(item));
-    const auto version = client.PutConfig(document);
+    auto version = client.PutConfig(document);
     if (version || version.error().kind != ErrorKind::kConflict ||
         i == kEditTries) {
       return version;
--- a/src/instance/tests/answers_test.cc
+++ b/src/instance/tests/answers_test.cc
@@ -186,6 +186,7 @@
     FleetFixture fleet;
     fleet.WaitServing();
     std::vector<std::future<Result<HttpResponse>>> callers;
+    callers.reserve(8);
     for (int i = 0; i < 8; ++i) {
       callers.push_back(std::async(std::launch::async, [&] {
         return FetchNow(
--- a/src/record/tests/refusal_buffer_test.cc
+++ b/src/record/tests/refusal_buffer_test.cc
@@ -9,7 +9,9 @@
 namespace {
 
 constexpr Instant kNow{Micros(1'700'000'000'000'000)};
-const RecordOwner kOwner{"entry-1", 7};
+RecordOwner Owner() {
+  return {"entry-1", 7};
+}
 
 RefusalRecord RecordAt(Instant when) {
   RefusalRecord record;
@@ -20,7 +22,7 @@
 }
 
 RefusalBuffer BufferOf(int records) {
-  RefusalBuffer buffer(kOwner, 1 << 20, kNow);
+  RefusalBuffer buffer(Owner(), 1 << 20, kNow);
   for (int i = 0; i < records; ++i) {
     buffer.Add(kNow, RecordAt(kNow));
   }
@@ -52,7 +54,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(ALossBecomesARecord) {
-  RefusalBuffer buffer(kOwner, 400, kNow);
+  RefusalBuffer buffer(Owner(), 400, kNow);
   for (int i = 0; i < 10; ++i) {
     buffer.Add(kNow, RecordAt(kNow));
   }
@@ -77,7 +79,7 @@
     buffer.Add(now, RecordAt(now));
     if (const auto piece = buffer.NextCopy(now, "p"); piece) {
       const HeldState held =
-          keeper.OnCopy(now, kOwner, piece->first, piece->records, 0, true);
+          keeper.OnCopy(now, Owner(), piece->first, piece->records, 0, true);
       buffer.OnHeld("p", held.held_through, held.stored_through);
     }
     whole = whole || buffer.all_safe();
@@ -89,16 +91,16 @@
   CopyKeeper keeper(1 << 20);
   RefusalBuffer buffer = BufferOf(2);
   const auto piece = buffer.NextCopy(kNow, "p");
-  keeper.OnCopy(kNow, kOwner, piece->first, piece->records, 0, true);
+  keeper.OnCopy(kNow, Owner(), piece->first, piece->records, 0, true);
   BOOST_TEST(!keeper.NextRecovery(kNow + 14s, kNow).has_value());
   BOOST_TEST(keeper.NextRecovery(kNow + 15s, kNow).has_value());
-  keeper.OnCopy(kNow + 15s, kOwner, 0, {}, 0, false);
+  keeper.OnCopy(kNow + 15s, Owner(), 0, {}, 0, false);
   BOOST_TEST(!keeper.NextRecovery(kNow + 20s, kNow + 18s).has_value());
   const auto cut = keeper.NextRecovery(kNow + 20s, kNow);
   BOOST_TEST_REQUIRE(cut.has_value());
   // Both writers use one name for the same records.
   BOOST_TEST(cut->batch.name == buffer.AnyBatch()->name);
-  keeper.OnStored(kNow, kOwner, 3);
+  keeper.OnStored(kNow, Owner(), 3);
   const auto gone = [](const RecordOwner&) { return true; };
   BOOST_TEST(keeper.TakeEnded(gone)->last == 3U);
 }
@@ -120,14 +122,15 @@
   RefusalBuffer buffer = BufferOf(2);
   const auto piece = buffer.NextCopy(kNow, "p");
   const HeldState held =
-      keeper.OnCopy(kNow, kOwner, piece->first, piece->records, 0, true);
+      keeper.OnCopy(kNow, Owner(), piece->first, piece->records, 0, true);
   BOOST_TEST(held.held_through == 0U);
   BOOST_TEST(!buffer.all_safe());
 }
 
 BOOST_AUTO_TEST_CASE(MissingNumbersAreGaps) {
   const RecordOwner other{"entry-2", 1};
-  const auto gaps = FindGaps({{kOwner, 9, 12}, {other, 5, 6}, {kOwner, 1, 4}});
+  const auto gaps =
+      FindGaps({{Owner(), 9, 12}, {other, 5, 6}, {Owner(), 1, 4}});
   BOOST_TEST_REQUIRE(gaps.size() == 1U);
   BOOST_TEST(gaps[0].at("lost").to_number<int>() == 4);
 }
--- a/src/replay/once_command.cc
+++ b/src/replay/once_command.cc
@@ -40,6 +40,7 @@
   IntentLimits limits;
   limits.interval = interval;
   std::vector<std::unique_ptr<IntentBook>> books;
+  books.reserve(kInstances);
   for (int i = 0; i < kInstances; ++i) {
     books.push_back(std::make_unique<IntentBook>(limits));
   }
