--- a/src/instance/tests/answers_test.cc
+++ b/src/instance/tests/answers_test.cc
@@ -11,7 +11,8 @@
 
 void SetFaults(const Endpoint& standin, std::string faults) {
   HttpRequest request{"POST", "/standin/faults", {}, std::move(faults)};
-  BOOST_TEST_REQUIRE(FetchNow(standin, std::move(request), 10s).has_value());
+  const auto answer = FetchNow(standin, std::move(request), 10s);
+  BOOST_TEST_REQUIRE(answer.has_value());
 }
 
 // Runs of all calls that the stand-in has counted.
--- a/src/once/tests/intent_book_test.cc
+++ b/src/once/tests/intent_book_test.cc
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include "once/tests/once_world.h"
+#include "replay/once_world.h"
 
 namespace jackdaw {
 namespace {
--- a/src/placement/tests/order_safety_test.cc
+++ b/src/placement/tests/order_safety_test.cc
@@ -1,7 +1,7 @@
 #include <array>
 #include <boost/test/unit_test.hpp>
 
-#include "placement/tests/order_world.h"
+#include "replay/order_world.h"
 
 namespace jackdaw {
 namespace {
--- a/src/once/tests/once_world.h
+++ b/src/replay/once_world.h
@@ -32,11 +32,16 @@
     }
   }
 
+  /// One step with faults.
+  void StepOnce() {
+    now_ += Micros(random_.Below(8000));
+    faults_ = true;
+    Step();
+  }
+
   void Run(int steps) {
     for (int i = 0; i < steps; ++i) {
-      now_ += Micros(random_.Below(8000));
-      faults_ = true;
-      Step();
+      StepOnce();
     }
     faults_ = false;
     outage_ = false;
--- a/src/placement/tests/fake_engine.h
+++ b/src/replay/order_engine.h
@@ -9,7 +9,7 @@
 
 /// A model engine in a test: carries out orders, with or without a look at
 /// fencing numbers, and notes when its memory was overcommitted.
-struct FakeEngine {
+struct OrderEngine {
   struct Slot {
     std::int64_t memory_mb = 0;
     EngineItemState state = EngineItemState::kLoading;
--- a/src/placement/tests/order_world.h
+++ b/src/replay/order_world.h
@@ -9,8 +9,8 @@
 #include "core/random.h"
 #include "placement/copy_set.h"
 #include "placement/target_controller.h"
-#include "placement/tests/fake_engine.h"
 #include "platform/memory_table.h"
+#include "replay/order_engine.h"
 
 namespace jackdaw {
 
@@ -73,7 +73,7 @@
     return Holds();
   }
 
-  std::array<FakeEngine, kTargets> engines;
+  std::array<OrderEngine, kTargets> engines;
   int unloads = 0;
   int takeovers = 0;
 
