--- /dev/null
+++ b/src/budget/escrow_rounds.cc
@@ -0,0 +1,137 @@
+// Rounds of the escrow scheme with the table service, and the moves of shares
+// that they bring about.
+#include <algorithm>
+
+#include "budget/escrow_budget.h"
+#include "budget/homes.h"
+#include "budget/terms.h"
+
+namespace jackdaw {
+namespace {
+
+// Units are asked for once this part of those needed is missing: each move
+// costs the tokens of the units and the time until they arrive.
+constexpr std::int64_t kShortParts = 4;
+// Homes asked for units in each round while too few are held.
+constexpr int kHomesAsked = 1;
+
+}  // namespace
+
+ReadQuery EscrowBudget::BeginRound(Instant now) {
+  const bool renewed = now < ledger_.lease_until();
+  for (auto& [workspace, budget] : budgets_) {
+    if (!renewed) {
+      break;
+    }
+    const std::int64_t needed = UnitsNeeded(now, budget);
+    const std::int64_t held = budget.local.share().Total();
+    if (needed == 0 && held > 0 && !budget.is_home) {
+      GiveToHomes(workspace, budget);
+    } else if (held < needed - needed / kShortParts) {
+      AskForShare(now, workspace, budget);
+    } else if (budget.is_home) {
+      GiveSurplus(workspace, needed, budget);
+    }
+  }
+  TakeLedger(now);
+  return ledger_.BeginRound(now);
+}
+
+void EscrowBudget::AskForShare(Instant now,
+                               const std::string& workspace,
+                               Budget& budget) {
+  for (int i = 0; i < kHomesAsked; ++i) {
+    const std::string* home = NextHome(budget);
+    if (home == nullptr) {
+      return;
+    }
+    BudgetAsk ask;
+    ask.workspace = workspace;
+    ask.units_needed = UnitsNeeded(now, budget);
+    ask.units_held = budget.local.share().Total();
+    outbox_.push_back({*home, std::move(ask)});
+  }
+}
+
+// Spreads what is far beyond this home's need over the other homes, as after
+// the units were made.
+void EscrowBudget::GiveSurplus(const std::string& workspace,
+                               std::int64_t needed,
+                               Budget& budget) {
+  const std::int64_t even =
+      kUnitsOfWhole / static_cast<std::int64_t>(budget.homes.size());
+  const std::int64_t held = ShareOf(workspace).Total();
+  if (held <= 2 * std::max(even, needed) || budget.local.Spare() < held) {
+    return;
+  }
+  const std::int64_t part =
+      (held - std::max(even, needed)) /
+      std::max<std::int64_t>(1, std::ssize(budget.homes) - 1);
+  for (const auto& home : budget.homes) {
+    if (home != name_ && part > 0) {
+      ledger_.Give(home, workspace, part);
+    }
+  }
+}
+
+void EscrowBudget::GiveToHomes(const std::string& workspace, Budget& budget) {
+  const std::string* home = NextHome(budget);
+  const auto held = ledger_.held().find(workspace);
+  if (home == nullptr || held == ledger_.held().end()) {
+    return;
+  }
+  const std::int64_t units =
+      std::min(held->second.Total(), budget.local.Spare());
+  if (units > 0) {
+    ledger_.Give(*home, workspace, units);
+  }
+}
+
+Transaction EscrowBudget::OnRows(Instant now, const std::vector<Row>& rows) {
+  Transaction transaction =
+      ledger_.OnRows(now, rows, [&](std::string_view workspace) {
+        Budget* budget = Find(workspace);
+        return budget == nullptr ? 0 : FloorNeeded(now, *budget);
+      });
+  if (ledger_.TakeReformed()) {
+    for (auto& [workspace, budget] : budgets_) {
+      budget.local.Reform(now);
+    }
+  }
+  TakeLedger(now);
+  return transaction;
+}
+
+bool EscrowBudget::OnCommit(Instant now, const std::optional<Commit>& commit) {
+  ledger_.OnCommit(commit);
+  TakeLedger(now);
+  return commit && commit->committed;
+}
+
+// Passes what may be used on to the buckets.
+void EscrowBudget::TakeLedger(Instant now) {
+  for (auto& [workspace, budget] : budgets_) {
+    budget.local.SetShare(now, ShareOf(workspace), ledger_.lease_until());
+  }
+}
+
+bool EscrowBudget::IsHandedOver() const {
+  const bool taker =
+      std::ranges::any_of(instances_, [&](const InstanceEntry& instance) {
+        return instance.state == InstanceState::kLive && instance.name != name_;
+      });
+  return !taker || ledger_.IsEmpty();
+}
+
+std::int64_t EscrowBudget::UsableUnits(Instant now,
+                                       std::string_view workspace) const {
+  const Share share = ShareOf(workspace);
+  return share.floor + (now < ledger_.lease_until() ? share.flexible : 0);
+}
+
+Share EscrowBudget::ShareOf(std::string_view workspace) const {
+  const auto found = ledger_.held().find(workspace);
+  return found == ledger_.held().end() ? Share{} : found->second;
+}
+
+}  // namespace jackdaw
--- a/src/entry/model_service.cc
+++ b/src/entry/model_service.cc
@@ -1,12 +1,11 @@
 #include "entry/model_service.h"
 
 #include <algorithm>
-#include <variant>
 
 #include "config/model_name.h"
 #include "core/digest.h"
+#include "entry/admit.h"
 #include "entry/answer_reader.h"
-#include "entry/key_check.h"
 #include "entry/stream_answer.h"
 #include "entry/stream_assembler.h"
 
@@ -72,30 +71,14 @@
   }
   const ModelRequest& model = parsed.value();
   RequestInfo info;
-  info.request_id = request.id;
-  info.key_digest = request.key_digest;
-  info.keys_valid_until = KeysValidUntil(context_);
   info.model = model.model;
   info.prompt_tokens = model.prompt_tokens;
   info.max_output_tokens = model.max_tokens;
-  Result<AdmitResult> decided = co_await context_.decisions.Admit(info);
-  if (!decided) {
-    Refusal refusal{RefusalKind::kOverloaded, Ran::kNo, decided.error().Line(),
-                    context_.clock.Now() + 1s};
-    co_await refuser_.Refuse(exchange, request, std::move(refusal));
-    co_return;
-  }
-  if (const auto* refused = std::get_if<Refused>(&decided.value())) {
-    request.workspace = refused->workspace;
-    co_await refuser_.Refuse(exchange, request, refused->refusal);
-    co_return;
+  std::optional<Admitted> admitted = co_await AdmitOrRefuse(
+      context_, refuser_, exchange, request, std::move(info), model.model);
+  if (admitted) {
+    co_await Run(exchange, request, model, *admitted);
   }
-  const Admitted admitted = std::get<Admitted>(decided.value());
-  request.workspace = admitted.workspace;
-  context_.metrics.CountRequest(request.workspace);
-  context_.events.Add(EventKind::kRequestAdmitted, request.id,
-                      request.workspace, {}, model.model);
-  co_await Run(exchange, request, model, admitted);
 }
 
 asio::awaitable<void> ModelService::Run(HttpExchange& exchange,
--- a/src/entry/plain_service.cc
+++ b/src/entry/plain_service.cc
@@ -1,10 +1,9 @@
 #include "entry/plain_service.h"
 
 #include <boost/asio/this_coro.hpp>
-#include <variant>
 
 #include "core/digest.h"
-#include "entry/key_check.h"
+#include "entry/admit.h"
 
 namespace jackdaw {
 namespace {
@@ -68,30 +67,17 @@
   call.service = std::string(rest.substr(0, slash));
   call.path = slash == rest.size() ? "/" : std::string(rest.substr(slash));
   RequestInfo info;
-  info.request_id = request.id;
-  info.key_digest = request.key_digest;
-  info.keys_valid_until = KeysValidUntil(context_);
   info.service = call.service;
   info.method = from.method;
   info.path = call.path;
-  Result<AdmitResult> decided = co_await context_.decisions.Admit(info);
-  if (!decided) {
-    Refusal refusal{RefusalKind::kOverloaded, Ran::kNo, decided.error().Line(),
-                    context_.clock.Now() + 1s};
-    co_await refuser_.Refuse(exchange, request, std::move(refusal));
+  std::optional<Admitted> admitted =
+      co_await AdmitOrRefuse(context_, refuser_, exchange, request,
+                             std::move(info), call.service + call.path);
+  if (!admitted) {
     co_return;
   }
-  if (const auto* refused = std::get_if<Refused>(&decided.value())) {
-    request.workspace = refused->workspace;
-    co_await refuser_.Refuse(exchange, request, refused->refusal);
-    co_return;
-  }
-  call.admitted = std::get<Admitted>(decided.value());
+  call.admitted = *admitted;
   call.first_byte = call.admitted.first_byte_deadline - context_.clock.Now();
-  request.workspace = call.admitted.workspace;
-  context_.metrics.CountRequest(request.workspace);
-  context_.events.Add(EventKind::kRequestAdmitted, request.id,
-                      request.workspace, {}, call.service + call.path);
   co_await Run(exchange, request, std::move(call));
 }
 
--- a/src/replay/order_world.h
+++ b/src/replay/order_world.h
@@ -99,7 +99,8 @@
     });
   }
   TargetController& Controller(int i, int t) {
-    return controllers_[static_cast<std::size_t>(i * kTargets + t)];
+    return controllers_[static_cast<std::size_t>(i) * kTargets +
+                        static_cast<std::size_t>(t)];
   }
 
   void Act(int i, int t) {
