Build the conflict error outside the coroutine that awaits with it

Cause: a withdrawal whose first answer was lost ended the instance by a double free: GCC 12 destroyed the braced Error of a co_await expression twice. No other co_await takes a braced temporary.

No functional change

--- a/src/operator/config_writer.cc
+++ b/src/operator/config_writer.cc
@@ -60,6 +60,13 @@
   }
 }
 
+// Built outside a coroutine: GCC 12 destroys braced temporaries of a co_await
+// expression twice.
+Error Raced() {
+  return {ErrorKind::kConflict, "another operator changed the configuration",
+          "read it again and repeat the change"};
+}
+
 }  // namespace
 
 Result<ConfigWrite> ParseConfigWrite(const HttpRequest& request) {
@@ -147,10 +154,8 @@
   }
   if (!commit.value().committed) {
     // The client of the platform may have sent the write a second time.
-    co_return co_await ReadBack(
-        write, Error{ErrorKind::kConflict,
-                     "another operator changed the configuration",
-                     "read it again and repeat the change"});
+    const Error raced = Raced();
+    co_return co_await ReadBack(write, raced);
   }
   co_return write.expected + 1;
 }
