--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -19,6 +19,21 @@
   std::chrono::steady_clock::time_point steady_origin_;
 };
 
+/// Monotonic clock that also counts the time for which the machine was
+/// suspended, so that what lapsed meanwhile is seen as lapsed.
+class BootClock {
+ public:
+  BootClock();
+
+  /// Current moment.
+  /// @returns microseconds since the Unix epoch, never decreasing
+  Instant Now() const;
+
+ private:
+  Instant wall_origin_;
+  Micros boot_origin_;
+};
+
 /// Clock moved by hand, for replay and tests.
 class VirtualClock {
  public:
@@ -31,6 +46,7 @@
   Instant now_;
 };
 
-static_assert(ClockSource<MonotonicClock> && ClockSource<VirtualClock>);
+static_assert(ClockSource<MonotonicClock> && ClockSource<BootClock> &&
+              ClockSource<VirtualClock>);
 
 }  // namespace jackdaw
--- a/src/core/log.cc
+++ b/src/core/log.cc
@@ -1,5 +1,6 @@
 #include "core/log.h"
 
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -9,6 +10,9 @@
 namespace jackdaw {
 namespace {
 
+// Lines that may wait for the thread that writes them.
+constexpr std::size_t kLogRing = 4096;
+
 bool json_format = false;
 std::string process_name;
 
@@ -68,6 +72,25 @@
   spdlog::set_default_logger(std::move(logger));
 }
 
+void SetUpStandardOutputLogging(std::string_view process,
+                                std::string_view level) {
+  json_format = true;
+  process_name = process;
+  spdlog::init_thread_pool(kLogRing, 1);
+  auto logger = std::make_shared<spdlog::async_logger>(
+      process_name, std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+      spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
+  logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%fZ","level":"%l",%v)",
+                      spdlog::pattern_time_type::utc);
+  logger->set_level(spdlog::level::from_str(std::string(level)));
+  logger->flush_on(spdlog::level::info);
+  spdlog::set_default_logger(std::move(logger));
+}
+
+void FlushLogging() {
+  spdlog::shutdown();
+}
+
 void Log(LogLevel level,
          std::string_view message,
          std::initializer_list<LogField> fields) {
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -20,6 +20,15 @@
                   std::string_view format,
                   std::string_view level);
 
+/// Sets up JSON lines on standard output, written by a thread of their own
+/// behind a bounded ring. A full ring drops its oldest lines, which a later
+/// line counts; writing never blocks the caller.
+void SetUpStandardOutputLogging(std::string_view process,
+                                std::string_view level);
+
+/// Writes what still waits; called before the process ends.
+void FlushLogging();
+
 /// Writes one line with a message and its fields.
 void Log(LogLevel level,
          std::string_view message,
--- a/src/daemons/jackdawd.cc
+++ b/src/daemons/jackdawd.cc
@@ -7,6 +7,7 @@
 
 #include "core/log.h"
 #include "core/object_reader.h"
+#include "gateway/gateway.h"
 #include "instance/instance.h"
 
 namespace {
@@ -30,6 +31,26 @@
   return settings;
 }
 
+// Runs an instance on the platform until SIGTERM or SIGINT.
+int RunGateway(const std::string& path, std::string_view text, bool check) {
+  auto settings = jackdaw::serving::ParseGatewaySettings(text);
+  if (!settings) {
+    Error error = settings.error();
+    error.message = path + ": " + error.message;
+    return Fail(error);
+  }
+  if (check) {
+    std::cout << "settings are valid\n";
+    return 0;
+  }
+  jackdaw::SetUpStandardOutputLogging(settings.value().name,
+                                      settings.value().log_level);
+  jackdaw::serving::Gateway gateway(settings.value(), path);
+  const auto ran = gateway.Run();
+  jackdaw::FlushLogging();
+  return ran ? 0 : Fail(ran.error());
+}
+
 // Runs until SIGTERM or SIGINT, or until an operator drains the instance.
 int Run(const jackdaw::InstanceSettings& settings) {
   jackdaw::SetUpLogging(settings.name, settings.log_format, settings.log_level);
@@ -78,7 +99,13 @@
       return Fail({jackdaw::ErrorKind::kInvalidSetting, "--settings is missing",
                    "name the JSON file: jackdawd --settings FILE"});
     }
-    const auto settings = LoadSettings(parsed["settings"].as<std::string>());
+    const auto path = parsed["settings"].as<std::string>();
+    const auto text = jackdaw::ReadFile(path);
+    if (text && jackdaw::serving::IsGatewaySettings(text.value())) {
+      return RunGateway(path, text.value(),
+                        parsed.count("check-settings") != 0);
+    }
+    const auto settings = LoadSettings(path);
     if (!settings) {
       return Fail(settings.error());
     }
--- /dev/null
+++ b/src/fleet/leader_row.cc
@@ -0,0 +1,31 @@
+#include "fleet/leader_row.h"
+
+#include <boost/json.hpp>
+
+#include "core/object_reader.h"
+
+namespace jackdaw::serving {
+
+std::string EncodeLeaderLease(const LeaderLease& lease) {
+  return boost::json::serialize(
+      boost::json::value{{"holder", lease.holder},
+                         {"boot", lease.boot},
+                         {"term", lease.term},
+                         {"renewals", lease.renewals},
+                         {"released", lease.released}});
+}
+
+Result<LeaderLease> DecodeLeaderLease(std::string_view document) {
+  BOOST_OUTCOME_TRY(const boost::json::value value, ParseJson(document));
+  ObjectReader reader(value, "");
+  LeaderLease lease;
+  lease.holder = reader.Text("holder");
+  lease.boot = reader.Text("boot");
+  lease.term = reader.Integer("term", 0, INT64_MAX);
+  lease.renewals = reader.Integer("renewals", 0, INT64_MAX);
+  lease.released = reader.FlagOr("released", false);
+  BOOST_OUTCOME_TRY(reader.Finish());
+  return lease;
+}
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/fleet/leadership.cc
@@ -0,0 +1,87 @@
+#include "fleet/leadership.h"
+
+namespace jackdaw::serving {
+namespace {
+
+// Pace of renewals.
+constexpr Micros kRenewAfter = 900ms;
+// Margin for the time that a write spends on its way.
+constexpr Micros kMargin = 300ms;
+
+}  // namespace
+
+Leadership::Leadership(std::string self, std::string boot, Micros lease_time)
+    : self_(std::move(self)), boot_(std::move(boot)), lease_time_(lease_time) {}
+
+bool Leadership::IsOwn(const LeaderLease& lease) const {
+  return lease.holder == self_ && lease.boot == boot_ && !lease.released;
+}
+
+void Leadership::OnRead(const LeaderLease* lease, Instant now) {
+  if (lease == nullptr) {
+    known_ = true;
+    lease_ = {};
+    seen_at_ = now;
+    return;
+  }
+  if (known_ && lease->row_version <= lease_.row_version) {
+    return;
+  }
+  known_ = true;
+  lease_ = *lease;
+  seen_at_ = now;
+}
+
+LeaseStep Leadership::Next(Instant now) const {
+  if (!known_) {
+    return LeaseStep::kNone;
+  }
+  if (IsOwn(lease_)) {
+    return now - renewed_at_ >= kRenewAfter ? LeaseStep::kRenew
+                                            : LeaseStep::kNone;
+  }
+  const bool vacant =
+      lease_.holder.empty() || lease_.released || lease_.holder == self_;
+  const bool lapsed = now - seen_at_ > lease_time_ + kMargin;
+  return vacant || lapsed ? LeaseStep::kAcquire : LeaseStep::kNone;
+}
+
+LeaderLease Leadership::Proposal(LeaseStep step) const {
+  LeaderLease next = lease_;
+  if (step == LeaseStep::kAcquire) {
+    next.holder = self_;
+    next.boot = boot_;
+    next.term = lease_.term + 1;
+    next.renewals = 0;
+    next.released = false;
+  } else {
+    ++next.renewals;
+  }
+  return next;
+}
+
+void Leadership::OnApplied(const LeaderLease& lease, Instant sent_at) {
+  const bool acquired = lease.term != lease_.term;
+  const bool from_other =
+      acquired && !lease_.holder.empty() && lease_.holder != self_;
+  if (acquired) {
+    // The last holder ordered until half its lease after its last renewal.
+    orders_from_ = from_other
+                       ? seen_at_ + lease_time_ / 2 + lease_time_ + kMargin
+                       : sent_at;
+  }
+  lease_ = lease;
+  seen_at_ = sent_at;
+  renewed_at_ = sent_at;
+  orders_until_ = sent_at + lease_time_ / 2;
+}
+
+bool Leadership::Holds() const {
+  return known_ && IsOwn(lease_);
+}
+
+bool Leadership::MayOrder(Instant now) const {
+  return Holds() && now >= orders_from_ && now < orders_until_;
+}
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/fleet/member.cc
@@ -0,0 +1,109 @@
+#include "fleet/member.h"
+
+#include <array>
+#include <boost/json.hpp>
+
+#include "core/object_reader.h"
+
+namespace jackdaw::serving {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::array<std::string_view, 4> kStates = {"starting", "ready",
+                                                     "draining", "gone"};
+// Rates are written in thousandths.
+constexpr double kMilli = 1000;
+constexpr std::int64_t kMostMilli = 1'000'000'000'000;
+
+MemberState StateOf(std::string_view text) {
+  for (std::size_t i = 0; i < kStates.size(); ++i) {
+    if (kStates[i] == text) {
+      return static_cast<MemberState>(i);
+    }
+  }
+  return MemberState::kGone;
+}
+
+std::int64_t Milli(double value) {
+  return static_cast<std::int64_t>(value * kMilli);
+}
+
+json::array EncodeDemand(const Member& member) {
+  json::array demand;
+  for (const ModelDemand& item : member.demand) {
+    demand.push_back({{"service", item.key.service},
+                      {"model", item.key.model},
+                      {"requests", Milli(item.demand.requests)},
+                      {"tokens", Milli(item.demand.tokens)},
+                      {"unmet", Milli(item.demand.unmet)}});
+  }
+  return demand;
+}
+
+double FromMilli(ObjectReader& reader, std::string_view key) {
+  return static_cast<double>(reader.IntegerOr(key, 0, kMostMilli, 0)) / kMilli;
+}
+
+Result<ModelDemand> DecodeDemand(const json::value& value) {
+  ObjectReader reader(value, "/demand");
+  ModelDemand item;
+  item.key.service = reader.Text("service");
+  item.key.model = reader.Text("model");
+  item.demand.requests = FromMilli(reader, "requests");
+  item.demand.tokens = FromMilli(reader, "tokens");
+  item.demand.unmet = FromMilli(reader, "unmet");
+  BOOST_OUTCOME_TRY(reader.Finish());
+  return item;
+}
+
+}  // namespace
+
+std::string EncodeMember(const Member& member) {
+  json::array crashes;
+  for (const CrashCount& count : member.crashes) {
+    crashes.push_back(
+        {{"digest", std::to_string(count.digest)}, {"breaks", count.breaks}});
+  }
+  return json::serialize(
+      json::value{{"name", member.name},
+                  {"entry", ToText(member.entry)},
+                  {"peer", ToText(member.peer)},
+                  {"failure_domain", member.failure_domain},
+                  {"boot", member.boot},
+                  {"beat", member.beat},
+                  {"state", kStates[static_cast<std::size_t>(member.state)]},
+                  {"shares_epoch", member.shares_epoch},
+                  {"demand", EncodeDemand(member)},
+                  {"crashes", std::move(crashes)}});
+}
+
+Result<Member> DecodeMember(std::string_view document) {
+  BOOST_OUTCOME_TRY(const json::value value, ParseJson(document));
+  ObjectReader reader(value, "");
+  Member member;
+  member.name = reader.Text("name");
+  BOOST_OUTCOME_TRY(member.entry, ParseEndpoint(reader.Text("entry")));
+  BOOST_OUTCOME_TRY(member.peer, ParseEndpoint(reader.Text("peer")));
+  member.failure_domain = reader.Text("failure_domain");
+  member.boot = reader.Text("boot");
+  member.beat = reader.Integer("beat", 0, kMostMilli);
+  member.state = StateOf(reader.Text("state"));
+  member.shares_epoch = reader.IntegerOr("shares_epoch", 0, kMostMilli, 0);
+  for (const auto& item : reader.ItemsOr("demand")) {
+    BOOST_OUTCOME_TRY(ModelDemand demand, DecodeDemand(item));
+    member.demand.push_back(std::move(demand));
+  }
+  for (const auto& item : reader.ItemsOr("crashes")) {
+    ObjectReader crash(item, "/crashes");
+    CrashCount count;
+    count.digest = std::strtoull(crash.Text("digest").c_str(), nullptr, 10);
+    count.breaks = static_cast<int>(crash.Integer("breaks", 0, 1000));
+    BOOST_OUTCOME_TRY(crash.Finish());
+    member.crashes.push_back(count);
+  }
+  BOOST_OUTCOME_TRY(reader.Finish());
+  return member;
+}
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/fleet/member_table.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fleet/member.h"
+
+namespace jackdaw::serving {
+
+/// A member and when its row was last seen to change.
+struct MemberView {
+  Member member;
+  Instant changed_at{};
+};
+
+/// The instances of the fleet, from their rows. A member counts as live while
+/// its row changes; clocks of other machines play no part.
+class MemberTable {
+ public:
+  /// Takes the rows of one read of the whole table.
+  void OnRead(std::vector<Member> members, Instant now);
+  /// Own row as written.
+  void OnOwn(const Member& member, Instant now);
+
+  /// Members whose rows changed lately and that have not gone.
+  /// @param read_at last moment at which the rows were read; rows do not age
+  /// while they cannot be read
+  std::vector<MemberView> Live(Instant read_at) const;
+  /// Members that take new callers.
+  std::vector<MemberView> Ready(Instant read_at) const;
+  const std::map<std::string, MemberView>& all() const { return members_; }
+  const MemberView* Find(const std::string& name) const;
+
+ private:
+  std::map<std::string, MemberView> members_;
+};
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/fleet/order_desk.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "fleet/leadership.h"
+#include "fleet/model_plan.h"
+#include "gateway/target_board.h"
+#include "http/client.h"
+#include "platform/order_codec.h"
+
+namespace jackdaw::serving {
+
+/// The leader's orders to targets. Each order names the count of orders that
+/// the target has accepted, so one without an answer cannot be carried out
+/// after a later one; until then what it would load counts as held.
+class OrderDesk {
+ public:
+  OrderDesk(HttpClient& http,
+            TargetBoard& board,
+            const Leadership& leadership,
+            const MonotonicClock& clock,
+            const BootClock& boot_clock,
+            std::string holder);
+
+  /// Targets that hold an adapter; it is loaded where none does.
+  /// @returns ids of targets, empty where it could not be loaded
+  boost::asio::awaitable<std::vector<std::string>>
+  PlaceAdapter(Service service, std::string model, std::string adapter);
+
+  /// What the targets of a service hold or may come to hold.
+  std::vector<EngineView> Views(const Service& service) const;
+  /// Loads that may begin now from the weight store.
+  int LoadsFree(const EngineOffer& offer) const;
+  /// Carries out a planned change; returns when it is done or has failed.
+  boost::asio::awaitable<void> RunMove(Service service, ModelMove move);
+  /// The instance has become the leader: what the last one ordered is unknown.
+  void OnTerm(Instant now);
+
+ private:
+  /// What the desk knows of one incarnation of a target.
+  struct Desk {
+    std::int64_t born_ms = -1;
+    /// Orders accepted; unset until the target was asked.
+    std::optional<std::int64_t> orders;
+    std::optional<std::string> loading;
+    std::optional<std::string> unloading;
+    /// Until then an order without an answer may still be carried out.
+    Instant uncertain_until{};
+    Instant busy_until{};
+    bool sending = false;
+    /// When each adapter was last asked for.
+    std::map<std::string, Instant> adapter_asked;
+    /// Adapters whose load may still be carried out.
+    std::set<std::string> adapters_pending;
+  };
+
+  using Answer = std::optional<platform::OrderAnswer>;
+
+  Desk& DeskOf(const Target& target);
+  boost::asio::awaitable<Answer> Send(TargetPtr target, platform::Order order);
+  boost::asio::awaitable<bool> Refresh(TargetPtr target);
+  boost::asio::awaitable<bool> AwaitModel(TargetPtr target,
+                                          std::string model,
+                                          bool held,
+                                          Instant deadline);
+  boost::asio::awaitable<bool> LoadAdapterAt(TargetPtr target,
+                                             std::string model,
+                                             std::string adapter);
+  boost::asio::awaitable<void> Pause(Micros span);
+  TargetPtr ChooseAdapterHost(const Service& service,
+                              const std::string& model) const;
+  std::optional<std::string> AdapterToUnload(const Target& target,
+                                             const Desk& desk) const;
+  std::vector<std::string> HoldersOf(const Service& service,
+                                     const std::string& name) const;
+
+  HttpClient& http_;
+  TargetBoard& board_;
+  const Leadership& leadership_;
+  const MonotonicClock& clock_;
+  const BootClock& boot_clock_;
+  std::string holder_;
+  std::map<std::string, Desk> desks_;
+  std::set<std::string> adapters_loading_;
+  std::deque<Instant> store_loads_;
+};
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/fleet/peer_desk.cc
@@ -0,0 +1,221 @@
+#include "fleet/peer_desk.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/json.hpp>
+
+#include "core/log.h"
+#include "core/object_reader.h"
+
+namespace jackdaw::serving {
+namespace {
+
+namespace json = boost::json;
+
+// Time for another instance to answer.
+constexpr Micros kUnitsTime = 80ms;
+constexpr Micros kAdapterTime = 400ms;
+// Instances that are asked for units, one after the other.
+constexpr std::size_t kMostAsked = 3;
+// Time for which the others are not asked again after they gave nothing.
+constexpr Micros kNothing = 150ms;
+// Idle connections kept to each instance.
+constexpr std::size_t kKept = 2;
+// Units are written in thousandths.
+constexpr double kMilli = 1000;
+
+HttpRequest Post(std::string target, const json::value& body) {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = std::move(target);
+  request.headers.push_back({"Content-Type", "application/json"});
+  request.body = json::serialize(body);
+  return request;
+}
+
+}  // namespace
+
+PeerDesk::PeerDesk(boost::asio::io_context& context,
+                   const MonotonicClock& clock,
+                   FleetAgent& agent,
+                   TargetBoard& board,
+                   QuotaBook& quotas)
+    : context_(context),
+      clock_(clock),
+      agent_(agent),
+      board_(board),
+      quotas_(quotas),
+      http_(context, clock, kKept),
+      random_(static_cast<std::uint64_t>(ToMillis(clock.Now()))) {}
+
+void PeerDesk::BorrowUnits(std::string workspace,
+                           double units,
+                           std::function<void(double)> done) {
+  const auto nothing = nothing_until_.find(workspace);
+  if (nothing != nothing_until_.end() && clock_.Now() < nothing->second) {
+    done(0);
+    return;
+  }
+  boost::asio::co_spawn(
+      context_, AskForUnits(std::move(workspace), units),
+      [done = std::move(done)](const std::exception_ptr& failure,
+                               double given) {
+        if (failure != nullptr) {
+          Log(LogLevel::kError, "duty_failed", {{"duty", "borrow"}});
+        }
+        done(failure == nullptr ? given : 0);
+      });
+}
+
+boost::asio::awaitable<double> PeerDesk::AskForUnits(std::string workspace,
+                                                     double units) {
+  std::vector<MemberView> peers = agent_.Peers();
+  for (std::size_t i = peers.size(); i > 1; --i) {
+    std::swap(peers[i - 1], peers[random_.Below(i)]);
+  }
+  double given = 0;
+  for (std::size_t i = 0; i < std::min(kMostAsked, peers.size()); ++i) {
+    const json::value body{
+        {"workspace", workspace},
+        {"units", static_cast<std::int64_t>((units - given) * kMilli) + 1}};
+    HttpRequest request = Post("/peer/units", body);
+    const Result<HttpResponse> answer = co_await http_.Fetch(
+        peers[i].member.peer, std::move(request), clock_.Now() + kUnitsTime);
+    if (!answer || answer.value().status != 200) {
+      continue;
+    }
+    const auto value = ParseJson(answer.value().body);
+    if (!value) {
+      continue;
+    }
+    ObjectReader reader(value.value(), "");
+    const double part =
+        static_cast<double>(reader.Integer("units", 0, INT64_MAX)) / kMilli;
+    if (reader.Finish() && part > 0) {
+      quotas_.Receive(workspace, part, clock_.Now());
+      given += part;
+    }
+    if (given >= units) {
+      break;
+    }
+  }
+  if (given < units) {
+    nothing_until_[workspace] = clock_.Now() + kNothing;
+  }
+  co_return given;
+}
+
+void PeerDesk::LoadAdapter(std::string service,
+                           std::string model,
+                           std::string adapter,
+                           std::function<void(TargetPtr)> done) {
+  boost::asio::co_spawn(
+      context_,
+      AskForAdapter(std::move(service), std::move(model), std::move(adapter)),
+      [done = std::move(done)](const std::exception_ptr& failure,
+                               TargetPtr target) {
+        if (failure != nullptr) {
+          Log(LogLevel::kError, "duty_failed", {{"duty", "adapter"}});
+        }
+        done(failure == nullptr ? std::move(target) : nullptr);
+      });
+}
+
+boost::asio::awaitable<std::vector<std::string>> PeerDesk::PlaceHere(
+    std::string service,
+    std::string model,
+    std::string adapter) {
+  const ConfigPtr config = agent_.config();
+  const Service* found =
+      config == nullptr ? nullptr : config->FindService(service);
+  if (found == nullptr) {
+    co_return std::vector<std::string>();
+  }
+  Service copy = *found;
+  co_return co_await agent_.desk().PlaceAdapter(
+      std::move(copy), std::move(model), std::move(adapter));
+}
+
+TargetPtr PeerDesk::TakeHolders(const std::vector<std::string>& ids,
+                                const std::string& name) {
+  TargetPtr first;
+  for (const std::string& id : ids) {
+    if (const TargetPtr target = board_.Find(id)) {
+      board_.SetAdapter(*target, name, true);
+      first = first == nullptr ? target : first;
+    }
+  }
+  return first;
+}
+
+boost::asio::awaitable<TargetPtr> PeerDesk::AskForAdapter(std::string service,
+                                                          std::string model,
+                                                          std::string adapter) {
+  const std::string name = model + "/" + adapter;
+  if (agent_.leads()) {
+    const std::vector<std::string> ids =
+        co_await PlaceHere(service, model, adapter);
+    co_return TakeHolders(ids, name);
+  }
+  const Member* leader = agent_.Leader();
+  if (leader == nullptr) {
+    co_return nullptr;
+  }
+  const json::value body{
+      {"service", service}, {"model", model}, {"adapter", adapter}};
+  HttpRequest request = Post("/peer/adapter", body);
+  const Endpoint address = leader->peer;
+  const Result<HttpResponse> answer = co_await http_.Fetch(
+      address, std::move(request), clock_.Now() + kAdapterTime);
+  if (!answer || answer.value().status != 200) {
+    co_return nullptr;
+  }
+  const auto value = ParseJson(answer.value().body);
+  if (!value) {
+    co_return nullptr;
+  }
+  ObjectReader reader(value.value(), "");
+  const std::vector<std::string> ids = reader.TextsOr("targets");
+  co_return TakeHolders(ids, name);
+}
+
+boost::asio::awaitable<void> PeerDesk::Serve(HttpExchange& exchange) {
+  const auto value = ParseJson(exchange.request().body);
+  if (!value) {
+    HttpResponse malformed = JsonResponse(400, R"({"error":"not JSON"})");
+    co_await exchange.Respond(std::move(malformed));
+    co_return;
+  }
+  ObjectReader reader(value.value(), "");
+  if (exchange.request().Path() == "/peer/units") {
+    const std::string workspace = reader.Text("workspace");
+    const double units =
+        static_cast<double>(reader.Integer("units", 0, INT64_MAX)) / kMilli;
+    const double given =
+        reader.Finish() ? quotas_.Give(workspace, units, clock_.Now()) : 0;
+    HttpResponse answer = JsonResponse(
+        200, json::serialize(json::value{
+                 {"units", static_cast<std::int64_t>(given * kMilli)}}));
+    co_await exchange.Respond(std::move(answer));
+    co_return;
+  }
+  if (exchange.request().Path() == "/peer/adapter" && agent_.leads()) {
+    const std::string service = reader.Text("service");
+    const std::string model = reader.Text("model");
+    const std::string adapter = reader.Text("adapter");
+    const std::vector<std::string> ids =
+        co_await PlaceHere(service, model, adapter);
+    json::array targets;
+    for (const std::string& id : ids) {
+      targets.emplace_back(id);
+    }
+    HttpResponse answer = JsonResponse(
+        200, json::serialize(json::value{{"targets", std::move(targets)}}));
+    co_await exchange.Respond(std::move(answer));
+    co_return;
+  }
+  HttpResponse unknown = JsonResponse(404, R"({"error":"no such call"})");
+  co_await exchange.Respond(std::move(unknown));
+}
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/fleet/store_watch.cc
@@ -0,0 +1,125 @@
+#include "fleet/store_watch.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "core/log.h"
+
+namespace jackdaw::serving {
+namespace {
+
+// Time for the store to answer a read.
+constexpr Micros kReadTime = 1500ms;
+// Time for which the store holds a call that waits for changes, and the
+// margin for its answer. Silent connections end sooner by TCP's own probes.
+constexpr Micros kWait = 10s;
+constexpr Micros kWaitMargin = 1500ms;
+// First and longest pause after a call that failed.
+constexpr Micros kPauseFirst = 60ms;
+constexpr Micros kPauseMost = 500ms;
+
+}  // namespace
+
+StoreWatch::StoreWatch(platform::StoreClient& store,
+                       const MonotonicClock& clock,
+                       std::string table,
+                       Sink sink)
+    : store_(store),
+      clock_(clock),
+      table_(std::move(table)),
+      sink_(std::move(sink)) {}
+
+boost::asio::awaitable<void> StoreWatch::Pause(Micros span) {
+  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+  timer.expires_after(span);
+  co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+}
+
+void StoreWatch::OnFailure(const Error& error) {
+  ++failures_;
+  if (!lost_) {
+    lost_ = true;
+    Log(LogLevel::kWarn, "store_lost",
+        {{"table", table_}, {"error", error.Line()}});
+  }
+}
+
+void StoreWatch::OnSuccess() {
+  failures_ = 0;
+  if (lost_) {
+    lost_ = false;
+    Log(LogLevel::kInfo, "store_back", {{"table", table_}});
+    sink_.on_back();
+  }
+}
+
+boost::asio::awaitable<bool> StoreWatch::ReadWhole() {
+  platform::RowSet all;
+  std::string from;
+  for (;;) {
+    const Result<platform::RowSet> read = co_await store_.Read(
+        table_, std::string(), from, std::string(), clock_.Now() + kReadTime);
+    if (!read) {
+      OnFailure(read.error());
+      co_return false;
+    }
+    if (from.empty()) {
+      all.version = read.value().version;
+    }
+    for (const auto& row : read.value().rows) {
+      all.rows.push_back(row);
+    }
+    if (!read.value().more || read.value().rows.empty()) {
+      break;
+    }
+    from = read.value().rows.back().at.key + '\x01';
+  }
+  OnSuccess();
+  // A read may lag behind what was seen already.
+  if (all.version < version_) {
+    co_return false;
+  }
+  version_ = all.version;
+  sink_.on_whole(all);
+  co_return true;
+}
+
+boost::asio::awaitable<bool> StoreWatch::ReadChanges() {
+  const Result<platform::RowChanges> changes = co_await store_.Watch(
+      table_, version_, kWait, clock_.Now() + kWait + kWaitMargin);
+  if (!changes) {
+    OnFailure(changes.error());
+    co_return false;
+  }
+  OnSuccess();
+  if (changes.value().history_gone) {
+    Log(LogLevel::kInfo, "store_history_gone", {{"table", table_}});
+    whole_ = false;
+    co_return true;
+  }
+  const platform::RowSet& set = changes.value().set;
+  version_ = std::max(version_, set.version);
+  if (!set.rows.empty()) {
+    sink_.on_changes(set);
+  }
+  co_return true;
+}
+
+boost::asio::awaitable<void> StoreWatch::Run() {
+  for (;;) {
+    bool going = false;
+    if (!whole_) {
+      whole_ = co_await ReadWhole();
+      going = whole_;
+    } else {
+      going = co_await ReadChanges();
+    }
+    if (!going) {
+      co_await Pause(std::min(kPauseMost, kPauseFirst * (1 + failures_)));
+    }
+  }
+}
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/fleet/store_watch.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <string>
+
+#include "core/clock.h"
+#include "platform/store_client.h"
+
+namespace jackdaw::serving {
+
+/// Follows one table of the store: reads it whole, then its changes. Where
+/// the history is gone, it is read whole again.
+class StoreWatch {
+ public:
+  /// Receives the rows. Called on the event loop.
+  struct Sink {
+    /// All rows of the table, as of one moment.
+    std::function<void(const platform::RowSet&)> on_whole;
+    /// Rows that were written or dropped since.
+    std::function<void(const platform::RowSet&)> on_changes;
+    /// The store answers again after it did not.
+    std::function<void()> on_back;
+  };
+
+  StoreWatch(platform::StoreClient& store,
+             const MonotonicClock& clock,
+             std::string table,
+             Sink sink);
+
+  /// Runs for ever; spawned once.
+  boost::asio::awaitable<void> Run();
+
+ private:
+  boost::asio::awaitable<bool> ReadWhole();
+  boost::asio::awaitable<bool> ReadChanges();
+  boost::asio::awaitable<void> Pause(Micros span);
+  void OnFailure(const Error& error);
+  void OnSuccess();
+
+  platform::StoreClient& store_;
+  const MonotonicClock& clock_;
+  std::string table_;
+  Sink sink_;
+  bool whole_ = false;
+  bool lost_ = false;
+  std::int64_t version_ = 0;
+  int failures_ = 0;
+};
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/gateway/caller_connection.cc
@@ -0,0 +1,257 @@
+#include "gateway/caller_connection.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include "core/log.h"
+#include "http/endpoint.h"
+
+namespace jackdaw::serving {
+namespace {
+
+namespace http = boost::beast::http;
+
+// Bytes taken from a connection in one read.
+constexpr std::size_t kReadBytes = 16UL * 1024;
+// Bytes of later requests that are read ahead while one is under way.
+constexpr std::size_t kReadAhead = 64UL * 1024;
+// Time for a caller to take bytes that stand in the way of the next ones.
+constexpr Micros kWriteTime = 20s;
+
+// Whether framing is ambiguous: both a length and chunks, several lengths, or
+// an encoding that is not just `chunked`.
+bool HasConflictingFraming(const http::request_header<>& head) {
+  const auto lengths = head.count(http::field::content_length);
+  const auto encodings = head.count(http::field::transfer_encoding);
+  if (lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0)) {
+    return true;
+  }
+  return encodings == 1 && !boost::beast::iequals(
+                               head[http::field::transfer_encoding], "chunked");
+}
+
+int StatusOf(const boost::system::error_code& failure) {
+  if (failure == http::error::header_limit) {
+    return 431;
+  }
+  return failure == http::error::body_limit ? 413 : 400;
+}
+
+std::string_view Reason(int status) {
+  const auto text = http::obsolete_reason(static_cast<http::status>(status));
+  return {text.data(), text.size()};
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket,
+                                   CallerHandler& handler,
+                                   DeadlineQueue& deadlines,
+                                   const MonotonicClock& clock)
+    : socket_(std::move(socket)),
+      handler_(handler),
+      deadlines_(deadlines),
+      clock_(clock) {
+  boost::system::error_code ignored;
+  socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+}
+
+CallerConnection::~CallerConnection() {
+  deadlines_.Clear(deadline_);
+}
+
+std::string CallerConnection::peer() const {
+  boost::system::error_code failure;
+  const auto endpoint = socket_.remote_endpoint(failure);
+  return failure ? std::string() : ToText(endpoint);
+}
+
+void CallerConnection::Start() {
+  BeginRequest();
+  Read();
+}
+
+void CallerConnection::BeginRequest() {
+  const CallerLimits limits = handler_.limits();
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(limits.header_bytes);
+  parser_->body_limit(limits.body_bytes);
+  continued_ = false;
+  began_ = Instant{};
+  SetIdleDeadline();
+}
+
+void CallerConnection::SetIdleDeadline() {
+  deadlines_.Set(deadline_, clock_.Now() + handler_.limits().idle_time,
+                 [this] { Close(); });
+}
+
+void CallerConnection::Read() {
+  if (reading_ || closed_ || input_.size() > kReadAhead) {
+    return;
+  }
+  reading_ = true;
+  socket_.async_read_some(
+      input_.prepare(kReadBytes),
+      [self = shared_from_this()](const auto& failure, std::size_t size) {
+        self->reading_ = false;
+        if (!self->closed_) {
+          self->OnRead(failure, size);
+        }
+      });
+}
+
+void CallerConnection::OnRead(const boost::system::error_code& failure,
+                              std::size_t size) {
+  if (failure) {
+    Close();
+    return;
+  }
+  input_.commit(size);
+  if (task_ == nullptr && !ended_) {
+    Parse();
+  }
+  Read();
+}
+
+void CallerConnection::Parse() {
+  if (input_.size() == 0) {
+    return;
+  }
+  if (began_ == Instant{}) {
+    began_ = clock_.Now();
+    deadlines_.Set(deadline_, began_ + handler_.limits().header_time,
+                   [this] { Refuse(408, "header_timeout"); });
+  }
+  boost::system::error_code failure;
+  while (input_.size() > 0 && !parser_->is_done()) {
+    const std::size_t used = parser_->put(input_.data(), failure);
+    input_.consume(used);
+    if (failure == http::error::need_more) {
+      break;
+    }
+    if (failure) {
+      Refuse(StatusOf(failure), "malformed_request");
+      return;
+    }
+  }
+  if (!parser_->is_header_done()) {
+    if (input_.size() > handler_.limits().header_bytes) {
+      Refuse(431, "header_too_large");
+    }
+    return;
+  }
+  if (HasConflictingFraming(parser_->get().base())) {
+    Refuse(400, "conflicting_framing");
+    return;
+  }
+  if (parser_->is_done()) {
+    OnRequest();
+    return;
+  }
+  deadlines_.Set(deadline_, clock_.Now() + handler_.limits().idle_time,
+                 [this] { Refuse(408, "body_timeout"); });
+  const bool waits = boost::beast::iequals(parser_->get()[http::field::expect],
+                                           "100-continue");
+  if (waits && !continued_ && !writing_) {
+    continued_ = true;
+    Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void CallerConnection::OnRequest() {
+  deadlines_.Clear(deadline_);
+  CallerRequest request = parser_->release();
+  keep_ = request.keep_alive();
+  auto task = handler_.Begin(shared_from_this(), std::move(request), began_);
+  if (!ended_ && !closed_) {
+    task_ = std::move(task);
+  }
+}
+
+void CallerConnection::Refuse(int status, std::string_view kind) {
+  Log(LogLevel::kInfo, "request_rejected",
+      {{"caller", peer()},
+       {"status", std::to_string(status)},
+       {"reason", std::string(kind)}});
+  keep_ = false;
+  std::string answer = "HTTP/1.1 " + std::to_string(status) + " ";
+  answer += Reason(status);
+  answer += "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+  Write(std::move(answer));
+  EndAnswer(false);
+}
+
+void CallerConnection::Write(std::string bytes) {
+  if (closed_) {
+    return;
+  }
+  output_ = std::move(bytes);
+  writing_ = true;
+  deadlines_.Set(deadline_, clock_.Now() + kWriteTime, [this] { Close(); });
+  boost::asio::async_write(
+      socket_, boost::asio::buffer(output_),
+      [self = shared_from_this()](const auto& failure, std::size_t) {
+        self->writing_ = false;
+        if (self->closed_) {
+          return;
+        }
+        self->deadlines_.Clear(self->deadline_);
+        if (failure) {
+          self->Close();
+        } else if (self->ended_) {
+          self->Finish();
+        } else if (self->task_ != nullptr) {
+          self->task_->OnCallerReady();
+        }
+      });
+}
+
+void CallerConnection::EndAnswer(bool keep) {
+  keep_ = keep_ && keep;
+  ended_ = true;
+  task_.reset();
+  if (!writing_) {
+    Finish();
+  }
+}
+
+// Prepares for the next request, part of which may have been read already.
+void CallerConnection::Finish() {
+  ended_ = false;
+  if (!keep_ || closed_) {
+    Close();
+    return;
+  }
+  BeginRequest();
+  Parse();
+  Read();
+}
+
+void CallerConnection::Abort() {
+  task_.reset();
+  Close();
+}
+
+void CallerConnection::CloseIfIdle() {
+  if (task_ == nullptr && !ended_ && began_ == Instant{}) {
+    Close();
+  }
+}
+
+void CallerConnection::Close() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  deadlines_.Clear(deadline_);
+  boost::system::error_code ignored;
+  socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  socket_.close(ignored);
+  if (const auto task = std::move(task_)) {
+    task->OnCallerGone();
+  }
+}
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/gateway/caller_listener.cc
@@ -0,0 +1,82 @@
+#include "gateway/caller_listener.h"
+
+#include "core/log.h"
+
+namespace jackdaw::serving {
+namespace {
+
+// Connections that may wait to be accepted.
+constexpr int kBacklog = 1024;
+// Accepted connections between two clean-ups of the list.
+constexpr std::size_t kCleanUpEvery = 128;
+
+}  // namespace
+
+CallerListener::CallerListener(boost::asio::io_context& context,
+                               CallerHandler& handler,
+                               DeadlineQueue& deadlines,
+                               const MonotonicClock& clock)
+    : context_(context),
+      handler_(handler),
+      deadlines_(deadlines),
+      clock_(clock),
+      acceptor_(context) {}
+
+Result<void> CallerListener::Listen(const Endpoint& endpoint) {
+  boost::system::error_code failure;
+  acceptor_.open(endpoint.protocol(), failure);
+  if (!failure) {
+    acceptor_.set_option(boost::asio::socket_base::reuse_address(true),
+                         failure);
+    acceptor_.bind(endpoint, failure);
+  }
+  if (!failure) {
+    acceptor_.listen(kBacklog, failure);
+  }
+  if (failure) {
+    return Error{
+        ErrorKind::kAddressInUse,
+        "cannot listen on " + ToText(endpoint) + ": " + failure.message(),
+        "end what listens there or change the setting 'entry'"};
+  }
+  Accept();
+  return success();
+}
+
+void CallerListener::Accept() {
+  acceptor_.async_accept(context_, [this](const auto& failure,
+                                          boost::asio::ip::tcp::socket socket) {
+    if (failure == boost::asio::error::operation_aborted) {
+      return;
+    }
+    if (failure) {
+      Log(LogLevel::kWarn, "accept_failed", {{"error", failure.message()}});
+    } else {
+      auto connection = std::make_shared<CallerConnection>(
+          std::move(socket), handler_, deadlines_, clock_);
+      connections_.push_back(connection);
+      connection->Start();
+    }
+    if (++accepted_ % kCleanUpEvery == 0) {
+      open();
+    }
+    Accept();
+  });
+}
+
+std::size_t CallerListener::open() {
+  connections_.remove_if([](const auto& weak) { return weak.expired(); });
+  return connections_.size();
+}
+
+void CallerListener::StopAccepting() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  for (const auto& weak : connections_) {
+    if (const auto connection = weak.lock()) {
+      connection->CloseIfIdle();
+    }
+  }
+}
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/gateway/caller_listener.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <list>
+#include <memory>
+
+#include "core/error.h"
+#include "gateway/caller_connection.h"
+#include "http/endpoint.h"
+
+namespace jackdaw::serving {
+
+/// Accepts callers' connections and keeps track of those that are open.
+class CallerListener {
+ public:
+  CallerListener(boost::asio::io_context& context,
+                 CallerHandler& handler,
+                 DeadlineQueue& deadlines,
+                 const MonotonicClock& clock);
+
+  /// Binds and starts to accept. @returns kAddressInUse where it cannot
+  Result<void> Listen(const Endpoint& endpoint);
+  /// Stops accepting and closes connections without a request.
+  void StopAccepting();
+  /// Connections that are open.
+  std::size_t open();
+
+ private:
+  void Accept();
+
+  boost::asio::io_context& context_;
+  CallerHandler& handler_;
+  DeadlineQueue& deadlines_;
+  const MonotonicClock& clock_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::list<std::weak_ptr<CallerConnection>> connections_;
+  std::size_t accepted_ = 0;
+};
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/gateway/deadline_queue.cc
@@ -0,0 +1,65 @@
+#include "gateway/deadline_queue.h"
+
+#include <utility>
+
+namespace jackdaw::serving {
+namespace {
+
+// Deadlines that fall within one tick share a wake-up.
+constexpr Micros kTick = 4ms;
+
+}  // namespace
+
+DeadlineQueue::DeadlineQueue(boost::asio::io_context& context,
+                             const MonotonicClock& clock)
+    : clock_(clock), timer_(context) {}
+
+void DeadlineQueue::Set(Handle& handle, Instant deadline, Callback callback) {
+  Clear(handle);
+  handle.at_ =
+      entries_.emplace(deadline, [this, &handle, run = std::move(callback)] {
+        handle.set_ = false;
+        run();
+      });
+  handle.set_ = true;
+  Arm();
+}
+
+void DeadlineQueue::Clear(Handle& handle) {
+  if (handle.set_) {
+    entries_.erase(handle.at_);
+    handle.set_ = false;
+  }
+}
+
+// A timer that is armed too early is left: its tick finds nothing due.
+void DeadlineQueue::Arm() {
+  if (entries_.empty()) {
+    return;
+  }
+  const Instant first = entries_.begin()->first;
+  if (armed_ && armed_for_ <= first + kTick) {
+    return;
+  }
+  armed_ = true;
+  armed_for_ = first + kTick;
+  timer_.expires_after(std::max(Micros(0), armed_for_ - clock_.Now()));
+  timer_.async_wait([this](const auto& failure) {
+    if (!failure) {
+      OnTick();
+    }
+  });
+}
+
+void DeadlineQueue::OnTick() {
+  armed_ = false;
+  const Instant now = clock_.Now();
+  while (!entries_.empty() && entries_.begin()->first <= now) {
+    const Callback run = std::move(entries_.begin()->second);
+    entries_.erase(entries_.begin());
+    run();
+  }
+  Arm();
+}
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/gateway/demand_meter.cc
@@ -0,0 +1,46 @@
+#include "gateway/demand_meter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jackdaw::serving {
+namespace {
+
+// Time over which demand is averaged.
+constexpr double kAverageSeconds = 1.5;
+// Requests per second below which a model is forgotten.
+constexpr double kForgotten = 0.005;
+
+}  // namespace
+
+void DemandMeter::OnRequest(const ModelKey& key, double tokens, bool unmet) {
+  Demand& count = counts_[key];
+  count.requests += 1;
+  count.tokens += tokens;
+  count.unmet += unmet ? 1 : 0;
+}
+
+void DemandMeter::EndPeriod(Instant now) {
+  const double span = std::max(
+      0.05, std::chrono::duration<double>(now - period_began_).count());
+  const double keep =
+      period_began_ == Instant{} ? 0 : std::exp(-span / kAverageSeconds);
+  period_began_ = now;
+  for (auto& [key, average] : averages_) {
+    average.requests *= keep;
+    average.tokens *= keep;
+    average.unmet *= keep;
+  }
+  for (const auto& [key, count] : counts_) {
+    Demand& average = averages_[key];
+    average.requests += (1 - keep) * count.requests / span;
+    average.tokens += (1 - keep) * count.tokens / span;
+    average.unmet += (1 - keep) * count.unmet / span;
+  }
+  counts_.clear();
+  std::erase_if(averages_, [](const auto& item) {
+    return item.second.requests < kForgotten;
+  });
+}
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/gateway/exchange_ports.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "core/clock.h"
+#include "gateway/crash_memory.h"
+#include "gateway/deadline_queue.h"
+#include "gateway/demand_meter.h"
+#include "gateway/exchange_counts.h"
+#include "gateway/fleet_help.h"
+#include "gateway/link_pool.h"
+#include "gateway/retry_gate.h"
+#include "gateway/target_board.h"
+#include "quota/quota_book.h"
+#include "serving/config.h"
+
+namespace jackdaw::serving {
+
+using ConfigPtr = std::shared_ptr<const ServingConfig>;
+
+/// The parts of an instance that a request uses.
+struct ExchangePorts {
+  const MonotonicClock& clock;
+  DeadlineQueue& deadlines;
+  TargetBoard& board;
+  LinkPool& links;
+  QuotaBook& quotas;
+  RetryGate& retries;
+  CrashMemory& crashes;
+  DemandMeter& demand;
+  ExchangeCounts& counts;
+  FleetHelp& help;
+};
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/gateway/fleet_help.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "gateway/target_board.h"
+
+namespace jackdaw::serving {
+
+/// What a request may ask of the other instances.
+class FleetHelp {
+ public:
+  virtual ~FleetHelp() = default;
+  /// Asks other instances for units of a workspace's quota.
+  /// @param done called once with the units that were given, maybe 0
+  virtual void BorrowUnits(std::string workspace,
+                           double units,
+                           std::function<void(double)> done) = 0;
+  /// Asks for an adapter to be loaded at a target that holds its model.
+  /// @param done called once with the target, or null
+  virtual void LoadAdapter(std::string service,
+                           std::string model,
+                           std::string adapter,
+                           std::function<void(TargetPtr)> done) = 0;
+};
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,201 @@
+#include "gateway/gateway.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <functional>
+
+#include "core/log.h"
+#include "core/object_reader.h"
+#include "platform/directory.h"
+
+namespace jackdaw::serving {
+namespace {
+
+// A caller may keep the directory's answer this long before it has to ask
+// again; short, so that instances that stop are left soon.
+constexpr Micros kDirectoryKeep = 2s;
+// Time for which an instance that stops still takes requests: callers have
+// asked the directory again by then.
+constexpr Micros kStopTaking = 2500ms;
+// Time kept back at the end of a stop.
+constexpr Micros kStopMargin = 700ms;
+// Pace at which a stop looks whether the work is done.
+constexpr Micros kStopLook = 100ms;
+// How soon a caller may try another instance.
+constexpr std::string_view kElsewhere =
+    "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.05\r\n"
+    "Content-Length: 0\r\nConnection: close\r\n\r\n";
+
+// Connections of control calls.
+HttpLimits ControlLimits() {
+  HttpLimits limits;
+  limits.connections = 512;
+  return limits;
+}
+
+}  // namespace
+
+Gateway::Gateway(const GatewaySettings& settings, std::string settings_path)
+    : settings_(settings),
+      settings_path_(std::move(settings_path)),
+      context_(1),
+      signals_(context_, SIGTERM, SIGINT, SIGHUP),
+      deadlines_(context_, clock_),
+      board_(settings.failure_domain),
+      links_(context_, clock_),
+      quotas_(settings.quotas),
+      retries_(settings.retries),
+      agent_(context_,
+             settings_,
+             clock_,
+             boot_clock_,
+             board_,
+             links_,
+             quotas_,
+             retries_,
+             crashes_,
+             demand_),
+      peers_(context_, clock_, agent_, board_, quotas_),
+      ports_{clock_,   deadlines_, board_,  links_,  quotas_,
+             retries_, crashes_,   demand_, counts_, peers_},
+      listener_(context_, *this, deadlines_, clock_),
+      ready_server_(
+          context_,
+          ControlLimits(),
+          [this](HttpExchange& exchange) { return ServeReady(exchange); }),
+      directory_server_(
+          context_,
+          ControlLimits(),
+          [this](HttpExchange& exchange) { return ServeDirectory(exchange); }),
+      peer_server_(context_, ControlLimits(), [this](HttpExchange& exchange) {
+        return peers_.Serve(exchange);
+      }) {}
+
+Result<void> Gateway::Listen() {
+  BOOST_OUTCOME_TRY(listener_.Listen(settings_.entry));
+  BOOST_OUTCOME_TRY(ready_server_.Listen(settings_.ready));
+  BOOST_OUTCOME_TRY(directory_server_.Listen(settings_.directory));
+  BOOST_OUTCOME_TRY(peer_server_.Listen(settings_.peer));
+  return success();
+}
+
+Result<void> Gateway::Run() {
+  BOOST_OUTCOME_TRY(Listen());
+  AwaitSignal();
+  agent_.Start();
+  Log(LogLevel::kInfo, "start",
+      {{"version", JACKDAW_VERSION},
+       {"entry", ToText(settings_.entry)},
+       {"store", ToText(settings_.store)}});
+  context_.run();
+  Log(LogLevel::kInfo, "stopped",
+      {{"requests", std::to_string(counts_.begun)}});
+  return success();
+}
+
+void Gateway::AwaitSignal() {
+  signals_.async_wait([this](const auto& failure, int signal) {
+    if (failure) {
+      return;
+    }
+    if (signal == SIGHUP) {
+      OnReload();
+    } else {
+      OnStop();
+    }
+    AwaitSignal();
+  });
+}
+
+// Settings that differ take effect at the next start; a wrong file is named.
+void Gateway::OnReload() {
+  const auto text = ReadFile(settings_path_);
+  const auto settings = text ? ParseGatewaySettings(text.value())
+                             : Result<GatewaySettings>(text.error());
+  if (!settings) {
+    Log(LogLevel::kError, "reload_refused",
+        {{"error", settings.error().Line()}});
+    return;
+  }
+  Log(LogLevel::kInfo, "reloaded", {{"path", settings_path_}});
+}
+
+void Gateway::OnStop() {
+  if (stop_at_ != Instant{}) {
+    return;
+  }
+  stop_at_ = clock_.Now();
+  Log(LogLevel::kInfo, "stop_asked",
+      {{"under_way", std::to_string(counts_.under_way)}});
+  agent_.BeginDrain();
+  boost::asio::co_spawn(context_, RunDrain(), boost::asio::detached);
+}
+
+boost::asio::awaitable<void> Gateway::RunDrain() {
+  const Instant end_at = stop_at_ + settings_.stop_time - kStopMargin;
+  boost::asio::steady_timer timer(context_);
+  for (;;) {
+    const Instant now = clock_.Now();
+    const bool idle = counts_.under_way == 0 && now > stop_at_ + kStopTaking;
+    if (idle || now >= end_at) {
+      break;
+    }
+    timer.expires_after(kStopLook);
+    co_await timer.async_wait(
+        boost::asio::as_tuple(boost::asio::use_awaitable));
+  }
+  listener_.StopAccepting();
+  co_await agent_.Leave();
+  Log(LogLevel::kInfo, "drained",
+      {{"under_way", std::to_string(counts_.under_way)}});
+  context_.stop();
+}
+
+CallerLimits Gateway::limits() const {
+  const ConfigPtr config = agent_.config();
+  return config == nullptr ? CallerLimits{} : config->limits;
+}
+
+std::shared_ptr<CallerTask> Gateway::Begin(
+    std::shared_ptr<CallerConnection> connection,
+    CallerRequest request,
+    Instant began) {
+  if (stop_at_ != Instant{} && clock_.Now() > stop_at_ + kStopTaking) {
+    connection->Write(std::string(kElsewhere));
+    connection->EndAnswer(false);
+    return nullptr;
+  }
+  auto exchange =
+      std::make_shared<Exchange>(std::move(connection), std::move(request),
+                                 agent_.config(), ports_, began, closing());
+  exchange->Start();
+  return exchange;
+}
+
+boost::asio::awaitable<void> Gateway::ServeReady(HttpExchange& exchange) {
+  const bool asked = platform::IsReadyCall(exchange.request());
+  const int status = !asked ? 404 : agent_.ready() ? 200 : 503;
+  HttpResponse answer = JsonResponse(status, "{}");
+  co_await exchange.Respond(std::move(answer));
+}
+
+boost::asio::awaitable<void> Gateway::ServeDirectory(HttpExchange& exchange) {
+  if (!platform::IsDirectoryCall(exchange.request())) {
+    HttpResponse unknown = JsonResponse(404, "{}");
+    co_await exchange.Respond(std::move(unknown));
+    co_return;
+  }
+  const std::vector<Endpoint> addresses = agent_.EntryAddresses();
+  HttpResponse answer =
+      addresses.empty()
+          ? JsonResponse(503, "{}")
+          : platform::DirectoryAnswer(
+                addresses, std::min(kDirectoryKeep, settings_.directory_time));
+  co_await exchange.Respond(std::move(answer));
+}
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/gateway/link_pool.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <unordered_map>
+#include <vector>
+
+#include "core/clock.h"
+#include "gateway/target.h"
+#include "gateway/target_link.h"
+
+namespace jackdaw::serving {
+
+/// Idle connections to targets, kept for the next request. A connection
+/// belongs to one incarnation of a target.
+class LinkPool {
+ public:
+  LinkPool(boost::asio::io_context& context, const MonotonicClock& clock)
+      : context_(context), clock_(clock) {}
+
+  /// A kept connection that was used at or after `idle_since`.
+  /// @returns null when there is none
+  LinkPtr Take(const Target& target, Instant idle_since);
+  /// A connection that is not open yet.
+  LinkPtr Make() { return std::make_shared<TargetLink>(context_); }
+  /// Takes back a connection whose answer was read to its explicit end.
+  /// @param keep_seconds for how long the target keeps it; 0 where unknown
+  void Give(const Target& target, LinkPtr link, int keep_seconds);
+  /// Closes the idle connections to a target that is gone.
+  void Drop(const Target& target);
+
+ private:
+  boost::asio::io_context& context_;
+  const MonotonicClock& clock_;
+  std::unordered_map<const Target*, std::vector<LinkPtr>> idle_;
+};
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/gateway/request_trace.cc
@@ -0,0 +1,40 @@
+#include "gateway/request_trace.h"
+
+namespace jackdaw::serving {
+namespace {
+
+// Steps kept of one request.
+constexpr std::size_t kMostSteps = 24;
+// Steps at the begin that never give way.
+constexpr std::size_t kFirstSteps = 8;
+
+}  // namespace
+
+void RequestTrace::Add(Instant now, std::string_view step, std::string detail) {
+  if (steps_.size() >= kMostSteps) {
+    steps_.erase(steps_.begin() + kFirstSteps);
+    ++dropped_;
+  }
+  std::string text(step);
+  if (!detail.empty()) {
+    text += ' ';
+    text += detail;
+  }
+  steps_.push_back({now, std::move(text)});
+}
+
+std::string RequestTrace::Text() const {
+  std::string out;
+  for (const Step& step : steps_) {
+    out += out.empty() ? "+" : "; +";
+    out += std::to_string((step.at - began_) / 1ms);
+    out += "ms ";
+    out += step.text;
+  }
+  if (dropped_ > 0) {
+    out += "; " + std::to_string(dropped_) + " steps left out";
+  }
+  return out;
+}
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/gateway/retry_gate.cc
@@ -0,0 +1,56 @@
+#include "gateway/retry_gate.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace jackdaw::serving {
+namespace {
+
+// Part of the budget that is used; the rest covers sends that an instance
+// counts in another window than the targets do.
+constexpr double kUsedPart = 0.75;
+// The slices span more than one window, so that no window sees more.
+constexpr std::int64_t kSlicesPerWindow = 20;
+
+}  // namespace
+
+RetryGate::Counts& RetryGate::At(std::string_view service, Instant now) {
+  Counts& counts = services_[std::string(service)];
+  const Micros length = terms_.window / kSlicesPerWindow;
+  const std::int64_t slice = now.time_since_epoch() / length;
+  const std::int64_t passed =
+      std::clamp<std::int64_t>(slice - counts.slice, 0, kSlices);
+  for (std::int64_t i = 1; i <= passed; ++i) {
+    const std::size_t at = static_cast<std::size_t>(counts.slice + i) % kSlices;
+    counts.requests[at] = 0;
+    counts.retries[at] = 0;
+  }
+  if (passed == static_cast<std::int64_t>(kSlices)) {
+    counts.requests.fill(0);
+    counts.retries.fill(0);
+  }
+  counts.slice = std::max(counts.slice, slice);
+  return counts;
+}
+
+void RetryGate::OnRequest(std::string_view service, Instant now) {
+  Counts& counts = At(service, now);
+  ++counts.requests[static_cast<std::size_t>(counts.slice) % kSlices];
+}
+
+bool RetryGate::TryRetry(std::string_view service, Instant now) {
+  Counts& counts = At(service, now);
+  const int requests =
+      std::accumulate(counts.requests.begin(), counts.requests.end(), 0);
+  const int retries =
+      std::accumulate(counts.retries.begin(), counts.retries.end(), 0);
+  const double allowed =
+      kUsedPart * (terms_.ratio * requests + terms_.extra / instances_);
+  if (retries + 1 > allowed) {
+    return false;
+  }
+  ++counts.retries[static_cast<std::size_t>(counts.slice) % kSlices];
+  return true;
+}
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/gateway/target.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "serving/target_entry.h"
+
+namespace jackdaw::serving {
+
+/// What an instance believes of one target: its entry, the load that it told,
+/// and what came of the instance's own requests.
+struct Target {
+  TargetEntry entry;
+  /// The entry has gone or says draining: no new request is sent.
+  bool leaving = false;
+  /// Requests of this instance that it has not finished.
+  int in_flight = 0;
+  /// Requests of this instance that have no first byte of an answer yet, and
+  /// their prompt tokens that are probably not cached.
+  int awaiting = 0;
+  std::int64_t awaiting_tokens = 0;
+  /// Load as told with an answer, and own sends and ends since.
+  bool has_load = false;
+  int told_running = 0;
+  int told_waiting = 0;
+  int sent_since = 0;
+  int ended_since = 0;
+  Instant told_at{};
+  /// Share of own requests that the target failed, recent ones first.
+  double failure_share = 0;
+  Instant judged_at{};
+  /// No request is sent before this, unless nothing else is left.
+  Instant suspected_until{};
+  int failures_in_row = 0;
+  /// Time to the first byte of an answer beyond what was expected.
+  double excess_ms = 0;
+  /// Adapters (`model/adapter`) that it is believed to hold.
+  std::set<std::string, std::less<>> adapters;
+  /// When each prompt part was last sent there, under model and adapter.
+  std::unordered_map<std::uint64_t, Instant> prompt_parts;
+
+  bool HoldsModel(std::string_view model) const {
+    for (const auto& held : entry.models) {
+      if (held.name == model) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /// Requests that probably run or wait there now.
+  int LikelyLoad() const {
+    const int told = told_running + told_waiting + sent_since - ended_since;
+    return std::max(in_flight, has_load ? told : 0);
+  }
+};
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/gateway/target_link.cc
@@ -0,0 +1,103 @@
+#include "gateway/target_link.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "http/connection_watch.h"
+
+namespace jackdaw::serving {
+namespace {
+
+// Bytes taken from a connection in one read.
+constexpr std::size_t kReadBytes = 16UL * 1024;
+
+}  // namespace
+
+TargetLink::TargetLink(boost::asio::io_context& context) : socket_(context) {}
+
+void TargetLink::Open(const Endpoint& address, LinkUser& user) {
+  user_ = &user;
+  socket_.async_connect(address,
+                        [self = shared_from_this()](const auto& failure) {
+                          if (self->closed_) {
+                            return;
+                          }
+                          if (failure) {
+                            self->OnFailure(failure);
+                            return;
+                          }
+                          self->open_ = true;
+                          WatchConnection(self->socket_);
+                          self->Read();
+                          self->user_->OnLinkOpen();
+                        });
+}
+
+void TargetLink::Send(std::string bytes) {
+  output_ = std::move(bytes);
+  sending_ = true;
+  used_ = true;
+  boost::asio::async_write(
+      socket_, boost::asio::buffer(output_),
+      [self = shared_from_this()](const auto& failure, std::size_t) {
+        self->sending_ = false;
+        if (failure && !self->closed_) {
+          self->OnFailure(failure);
+        }
+      });
+}
+
+void TargetLink::Read() {
+  if (reading_ || closed_) {
+    return;
+  }
+  reading_ = true;
+  socket_.async_read_some(
+      input_.prepare(kReadBytes),
+      [self = shared_from_this()](const auto& failure, std::size_t size) {
+        self->reading_ = false;
+        if (self->closed_) {
+          return;
+        }
+        if (failure) {
+          self->OnFailure(failure);
+          return;
+        }
+        self->input_.commit(size);
+        if (self->user_ == nullptr) {
+          self->Close();
+          return;
+        }
+        self->user_->OnLinkBytes();
+        if (!self->paused_) {
+          self->Read();
+        }
+      });
+}
+
+void TargetLink::ResumeReading() {
+  if (paused_) {
+    paused_ = false;
+    Read();
+  }
+}
+
+void TargetLink::OnFailure(const boost::system::error_code& failure) {
+  LinkUser* user = user_;
+  Close();
+  if (user != nullptr) {
+    user->OnLinkEnd(failure == boost::asio::error::eof ? LinkEnd::kClosed
+                                                       : LinkEnd::kBroken);
+  }
+}
+
+void TargetLink::Close() {
+  user_ = nullptr;
+  if (!closed_) {
+    closed_ = true;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+  }
+}
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/gateway/target_link.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <memory>
+#include <string>
+
+#include "core/time.h"
+#include "http/endpoint.h"
+
+namespace jackdaw::serving {
+
+/// How a connection to a target ended.
+enum class LinkEnd : std::uint8_t {
+  /// The target closed its side in order.
+  kClosed,
+  /// It was reset, timed out, or could not be opened.
+  kBroken,
+};
+
+/// Receives what happens on a connection while a request uses it.
+class LinkUser {
+ public:
+  virtual ~LinkUser() = default;
+  virtual void OnLinkOpen() = 0;
+  /// New bytes stand in the link's input.
+  virtual void OnLinkBytes() = 0;
+  virtual void OnLinkEnd(LinkEnd end) = 0;
+};
+
+/// A connection to a target that carries one request at a time. It is read
+/// all the time, so that a close, or bytes that no request asked for, are
+/// seen before the next request is sent.
+class TargetLink : public std::enable_shared_from_this<TargetLink> {
+ public:
+  explicit TargetLink(boost::asio::io_context& context);
+
+  /// Opens the connection; the user hears OnLinkOpen or OnLinkEnd.
+  void Open(const Endpoint& address, LinkUser& user);
+  /// Gives the open connection to a request.
+  void Attach(LinkUser& user) { user_ = &user; }
+  /// The request has ended; bytes that come now make the connection useless.
+  void Detach() { user_ = nullptr; }
+  /// Sends a request. Only one send is under way at a time.
+  void Send(std::string bytes);
+  /// Stops and resumes reading, for a caller that is slower than the target.
+  void PauseReading() { paused_ = true; }
+  void ResumeReading();
+  /// Closes the connection at once; no more calls to the user.
+  void Close();
+
+  boost::beast::flat_buffer& input() { return input_; }
+  bool usable() const { return open_ && !closed_ && input_.size() == 0; }
+  bool open() const { return open_; }
+  bool sending() const { return sending_; }
+  /// The connection has carried a request before.
+  bool used() const { return used_; }
+  void set_used() { used_ = true; }
+  Instant keep_until() const { return keep_until_; }
+  void set_keep_until(Instant until) { keep_until_ = until; }
+  Instant idle_since() const { return idle_since_; }
+  void set_idle_since(Instant since) { idle_since_ = since; }
+
+ private:
+  void Read();
+  void OnFailure(const boost::system::error_code& failure);
+
+  boost::asio::ip::tcp::socket socket_;
+  boost::beast::flat_buffer input_;
+  std::string output_;
+  LinkUser* user_ = nullptr;
+  bool open_ = false;
+  bool closed_ = false;
+  bool sending_ = false;
+  bool reading_ = false;
+  bool paused_ = false;
+  bool used_ = false;
+  Instant keep_until_{};
+  Instant idle_since_{};
+};
+
+using LinkPtr = std::shared_ptr<TargetLink>;
+
+}  // namespace jackdaw::serving
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,8 +1,5 @@
 #include "http/client.h"
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -14,6 +11,8 @@
 #include <optional>
 #include <vector>
 
+#include "http/connection_watch.h"
+
 namespace jackdaw {
 namespace {
 
@@ -30,29 +29,6 @@
 constexpr Micros kConnectTime = 2s;
 // Time that an idle connection is kept.
 constexpr Micros kKeptTime = 15s;
-// Time for the server's system to acknowledge bytes, after which the
-// connection counts as lost; a slow server acknowledges at once.
-constexpr int kAcknowledgeMs = 2000;
-// Pace of probes on a connection that waits for bytes, and how many may fail.
-constexpr int kProbeSeconds = 1;
-constexpr int kProbes = 2;
-
-// Sets a socket so that a connection which something between the two ends has
-// forgotten fails within seconds.
-void WatchConnection(asio::ip::tcp::socket& socket) {
-  beast::error_code ignored;
-  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-  socket.set_option(asio::socket_base::keep_alive(true), ignored);
-  const auto set = [&](int option, int value) {
-    ::setsockopt(socket.native_handle(), IPPROTO_TCP, option, &value,
-                 sizeof value);
-  };
-  set(TCP_USER_TIMEOUT, kAcknowledgeMs);
-  set(TCP_KEEPIDLE, kProbeSeconds);
-  set(TCP_KEEPINTVL, kProbeSeconds);
-  set(TCP_KEEPCNT, kProbes);
-}
-
 Error FromFailure(const beast::error_code& failure, const Endpoint& endpoint) {
   if (failure == beast::error::timeout) {
     return {ErrorKind::kTimeout, ToText(endpoint) + " gave no answer in time",
--- /dev/null
+++ b/src/serving/call_head.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jackdaw::serving {
+
+/// One part of a prompt that requests may share.
+struct PromptPart {
+  std::uint64_t id = 0;
+  std::int64_t tokens = 0;
+};
+
+/// What a caller's headers say of its request, decoded once.
+struct CallHead {
+  /// Names this attempt of the caller.
+  std::string id;
+  std::string host;
+  /// Path and query as sent.
+  std::string target;
+  std::string method;
+  /// Empty where the caller sent none.
+  std::string key;
+  /// How long the caller waits, in milliseconds from its send.
+  std::optional<std::int64_t> wait_ms;
+  std::string model;
+  std::string adapter;
+  std::int64_t prompt_tokens = 0;
+  std::int64_t most_output_tokens = 0;
+  bool has_tokens = false;
+  std::vector<PromptPart> prompt_parts;
+  /// Last event that the caller has of a stream that it resumes.
+  std::optional<std::int64_t> last_event;
+
+  /// Path without the query.
+  std::string_view Path() const {
+    return std::string_view(target).substr(0, target.find('?'));
+  }
+  /// Model and adapter as one name, empty for a plain request.
+  std::string ModelName() const {
+    return adapter.empty() ? model : model + "/" + adapter;
+  }
+  std::int64_t Tokens() const { return prompt_tokens + most_output_tokens; }
+};
+
+/// What a target's answer head says beside its status.
+struct AnswerHead {
+  /// Attempt that the answer belongs to; empty where the target named none.
+  std::string id;
+  /// The target states that it has not run the request and will not.
+  bool not_executed = false;
+  /// The target that answered, where it says so.
+  std::string target_id;
+  /// The body is the target's own.
+  bool is_signed = false;
+  /// Whether the target tells its load, and what it is.
+  bool has_load = false;
+  int running = 0;
+  int waiting = 0;
+  int slots = 0;
+  /// Seconds for which the target keeps an idle connection; 0 where unknown.
+  int keep_seconds = 0;
+};
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/serving/config.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/time.h"
+
+namespace jackdaw::serving {
+
+/// What may be repeated of a request, taken from its route.
+enum class CallKind : std::uint8_t { kIdempotent, kAtMostOnce, kStream };
+
+/// Part of a route's traffic that goes to one service.
+struct ServiceShare {
+  std::string service;
+  std::int64_t weight = 1;
+};
+
+/// Where requests of a host and path go, and how they are handled.
+struct Route {
+  std::string name;
+  std::string host;
+  std::string prefix;
+  CallKind kind = CallKind::kAtMostOnce;
+  /// A stream that another target may continue after a broken connection.
+  bool resumable = false;
+  /// No key is asked for.
+  bool open = false;
+  /// Longest time that a request may wait for its whole answer.
+  Micros time_limit{};
+  /// Time within which an answer is on time.
+  Micros latency_objective{};
+  /// Longest pause between two events of a stream that is on time.
+  Micros pause_objective{};
+  /// 0 is the most urgent.
+  int priority = 5;
+  int most_attempts = 1;
+  std::vector<ServiceShare> services;
+
+  /// Whether a second target may be given the request after a first one may
+  /// have run it.
+  bool Repeatable() const {
+    return kind == CallKind::kIdempotent ||
+           (kind == CallKind::kStream && resumable);
+  }
+};
+
+/// A model that targets of a service can be ordered to hold.
+struct ModelOffer {
+  std::string name;
+  double weights_mb = 0;
+  double adapter_mb = 0;
+  int adapters = 0;
+  Micros load_time{};
+};
+
+/// What every model engine of a service has.
+struct EngineOffer {
+  int slots = 0;
+  double kv_tokens = 0;
+  double weights_mb = 0;
+  int adapter_slots = 0;
+  /// Loads from the weight store that may begin, per second over all targets.
+  double loads_per_second = 0;
+  std::vector<ModelOffer> models;
+};
+
+/// A set of interchangeable targets.
+struct Service {
+  std::string name;
+  std::string health_path;
+  int most_connections = 0;
+  std::optional<EngineOffer> engine;
+};
+
+/// A customer with a rate and a burst over the whole fleet.
+struct Workspace {
+  std::string name;
+  std::optional<int> priority;
+  /// Units (tokens or requests) per second; 0 is unlimited.
+  double rate = 0;
+  double burst = 0;
+  bool counts_tokens = false;
+  /// Units of a request that names no token count.
+  double plain_units = 1;
+};
+
+/// Bounds on what a caller may send and how long it may take.
+struct CallerLimits {
+  std::uint32_t header_bytes = 16 * 1024;
+  std::uint64_t body_bytes = 4ULL * 1024 * 1024;
+  Micros header_time = 3s;
+  Micros idle_time = 15s;
+};
+
+/// One version of the configuration that operators set, in full.
+struct ServingConfig {
+  std::int64_t version = 0;
+  std::vector<Route> routes;
+  std::vector<Service> services;
+  std::vector<Workspace> workspaces;
+  /// Digest of a key, and the index of the workspace that holds it.
+  std::unordered_map<std::string, std::size_t> key_owners;
+  CallerLimits limits;
+
+  /// Finds the route with the longest prefix that begins the path.
+  /// @param path path without the query @returns null when none matches
+  const Route* FindRoute(std::string_view host, std::string_view path) const;
+  const Service* FindService(std::string_view name) const;
+  /// @returns null for a key that no workspace holds
+  const Workspace* FindOwner(std::string_view key) const;
+};
+
+/// Digest under which a key is stored and compared.
+std::string KeyDigest(std::string_view key);
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/serving/target_entry.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/time.h"
+#include "http/endpoint.h"
+
+namespace jackdaw::serving {
+
+/// What a target says of whether it takes new work.
+enum class TargetState : std::uint8_t { kReady, kDraining };
+
+/// A model that a target holds in its accelerator memory.
+struct HeldModel {
+  std::string name;
+  std::int64_t version = 0;
+  std::vector<std::string> adapters;
+};
+
+/// What a target registered of itself in the platform's store.
+struct TargetEntry {
+  std::string id;
+  std::string service;
+  Endpoint address;
+  std::string failure_domain;
+  TargetState state = TargetState::kReady;
+  /// Unix milliseconds of the start; tells incarnations of one id apart.
+  std::int64_t born_ms = 0;
+  int slots = 0;
+  std::vector<HeldModel> models;
+  /// Models whose weights lie on the target's disk or in its host memory, so
+  /// that loading them draws on nothing shared.
+  std::vector<std::string> near_models;
+  /// Orders that the target has accepted since its start.
+  std::int64_t orders_accepted = 0;
+};
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/settings/gateway_settings.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "core/error.h"
+#include "core/time.h"
+#include "gateway/retry_gate.h"
+#include "http/endpoint.h"
+#include "quota/quota_book.h"
+
+namespace jackdaw::serving {
+
+/// Settings of an instance that serves callers of the platform, from its JSON
+/// file.
+struct GatewaySettings {
+  std::string name;
+  std::string failure_domain;
+  /// Where callers connect.
+  Endpoint entry;
+  /// Where the platform asks whether the instance is ready.
+  Endpoint ready;
+  /// Where callers ask which instances to use.
+  Endpoint directory;
+  /// Where other instances and operators ask.
+  Endpoint peer;
+  Endpoint store;
+  std::string log_level = "info";
+  /// Time to end all work after a request to stop.
+  Micros stop_time{};
+  /// Time without a renewal after which another instance may lead.
+  Micros lease_time{};
+  /// Time for which callers may keep the answer of the directory.
+  Micros directory_time{};
+  RetryTerms retries;
+  QuotaTerms quotas;
+};
+
+/// Reads the settings document.
+/// @returns the settings, or the first error with its path and remedy
+Result<GatewaySettings> ParseGatewaySettings(std::string_view document);
+
+/// Whether a document holds settings of this kind.
+bool IsGatewaySettings(std::string_view document);
+
+}  // namespace jackdaw::serving
