Order targets by a ledger made of their reports, not of the lagging list

Ruled out: orders carried out late (no unanswered order before), fencing (term rose), adapters' memory.

--- a/src/fleet/model_plan.cc
+++ b/src/fleet/model_plan.cc
@@ -1,7 +1,6 @@
 #include "fleet/model_plan.h"
 
 #include <algorithm>
-#include <set>
 
 namespace jackdaw::serving {
 namespace {
@@ -28,14 +27,7 @@
                    const ModelLoads& loads) {
   Counts counts;
   for (const EngineView& engine : engines) {
-    std::set<std::string> models(engine.models.begin(), engine.models.end());
-    if (engine.loading) {
-      models.insert(*engine.loading);
-    }
-    if (engine.unloading) {
-      models.erase(*engine.unloading);
-    }
-    for (const std::string& model : models) {
+    for (const std::string& model : engine.models) {
       ++counts.copies[model];
     }
   }
--- a/src/fleet/model_plan.h
+++ b/src/fleet/model_plan.h
@@ -17,10 +17,6 @@
   std::vector<std::string> models;
   /// Models whose weights lie near, so that a load draws on nothing shared.
   std::vector<std::string> near_models;
-  /// Model of an order that may still be carried out; its memory is taken.
-  std::optional<std::string> loading;
-  /// Model of an unload that may still be carried out.
-  std::optional<std::string> unloading;
   /// An order is under way, or one without an answer may still come.
   bool busy = false;
 
--- a/src/fleet/order_desk.cc
+++ b/src/fleet/order_desk.cc
@@ -14,8 +14,6 @@
 
 // Time for a target to answer an order or a report.
 constexpr Micros kAnswerTime = 700ms;
-// Time for which an order without an answer may still be carried out.
-constexpr Micros kUncertain = 14s;
 // Time for an adapter to come from the store.
 constexpr Micros kAdapterTime = 18ms;
 // Pace at which an entry is looked at while an order is carried out.
@@ -31,29 +29,6 @@
 // Looks at an adapter that another request is loading.
 constexpr int kAdapterLooks = 40;
 
-double AdapterMb(const EngineOffer& offer, std::string_view name) {
-  const auto model = name.substr(0, name.find('/'));
-  for (const ModelOffer& item : offer.models) {
-    if (item.name == model) {
-      return item.adapter_mb;
-    }
-  }
-  return 0;
-}
-
-double HeldMb(const EngineOffer& offer, const Target& target) {
-  double held = 0;
-  for (const HeldModel& model : target.entry.models) {
-    for (const ModelOffer& item : offer.models) {
-      held += item.name == model.name ? item.weights_mb : 0;
-    }
-  }
-  for (const std::string& adapter : target.adapters) {
-    held += AdapterMb(offer, adapter);
-  }
-  return held;
-}
-
 }  // namespace
 
 OrderDesk::OrderDesk(HttpClient& http,
@@ -74,13 +49,13 @@
   store_loads_.assign(4, now);
 }
 
-OrderDesk::Desk& OrderDesk::DeskOf(const Target& target) {
+EngineLedger& OrderDesk::LedgerOf(const Target& target) {
   Desk& desk = desks_[target.entry.id];
   if (desk.born_ms != target.entry.born_ms) {
     desk = {};
     desk.born_ms = target.entry.born_ms;
   }
-  return desk;
+  return desk.ledger;
 }
 
 boost::asio::awaitable<void> OrderDesk::Pause(Micros span) {
@@ -114,8 +89,7 @@
         {{"target", target->entry.id}, {"error", report.error().Line()}});
     co_return false;
   }
-  Desk& desk = DeskOf(*target);
-  desk.orders = report.value().orders_accepted;
+  LedgerOf(*target).OnReport(report.value(), clock_.Now());
   for (const std::string& name : report.value().adapters) {
     target->adapters.insert(name);
   }
@@ -123,16 +97,27 @@
 }
 
 // Sends an order once. @returns no value where no answer came
-boost::asio::awaitable<OrderDesk::Answer> OrderDesk::Send(
-    TargetPtr target,
-    platform::Order order) {
-  if (!DeskOf(*target).orders && !co_await Refresh(target)) {
+boost::asio::awaitable<OrderDesk::Answer>
+OrderDesk::Send(TargetPtr target, EngineOffer offer, platform::Order order) {
+  if (!LedgerOf(*target).orders()) {
+    co_await Refresh(target);
+  }
+  const auto accepted = LedgerOf(*target).orders();
+  if (!accepted) {
+    co_return platform::OrderAnswer::kConflict;
+  }
+  const std::string name =
+      order.adapter.empty() ? order.model : order.model + "/" + order.adapter;
+  if (order.load &&
+      !LedgerOf(*target).HasRoom(offer, *target, name, clock_.Now())) {
+    Log(LogLevel::kInfo, "order_without_room",
+        {{"target", target->entry.id}, {"model", name}});
     co_return platform::OrderAnswer::kRefused;
   }
   if (!leadership_.MayOrder(boot_clock_.Now())) {
     co_return platform::OrderAnswer::kFenced;
   }
-  order.expected_orders = *DeskOf(*target).orders;
+  order.expected_orders = *accepted;
   order.holder = holder_;
   order.fencing_token = leadership_.term();
   order.target_id = target->entry.id;
@@ -140,19 +125,11 @@
       http_.Prepare(target->entry.address, platform::EncodeOrder(order),
                     clock_.Now() + kAnswerTime, ConnectionChoice::kFresh);
   const Result<HttpResponse> head = co_await call->Start();
-  Desk& desk = DeskOf(*target);
   Answer answer;
   if (head) {
     answer = platform::DecodeOrderAnswer(head.value().status);
-    if (answer == platform::OrderAnswer::kAccepted) {
-      ++*desk.orders;
-    } else {
-      desk.orders.reset();
-    }
-  } else {
-    desk.orders.reset();
-    desk.uncertain_until = clock_.Now() + kUncertain;
   }
+  LedgerOf(*target).OnOrder(order, answer, clock_.Now());
   Log(LogLevel::kInfo, "order",
       {{"target", target->entry.id},
        {"op", order.load ? "load" : "unload"},
@@ -184,8 +161,7 @@
   const Instant now = clock_.Now();
   for (const TargetPtr& target : board_.Usable(service.name)) {
     const auto desk = desks_.find(target->entry.id);
-    const bool busy = desk != desks_.end() &&
-                      (desk->second.sending || now < desk->second.busy_until);
+    const bool busy = desk != desks_.end() && desk->second.ledger.Busy(now);
     if (!target->HoldsModel(model) || busy) {
       continue;
     }
@@ -202,15 +178,14 @@
 }
 
 // The adapter that was asked for least lately.
-std::optional<std::string> OrderDesk::AdapterToUnload(const Target& target,
-                                                      const Desk& desk) const {
+std::optional<std::string> OrderDesk::AdapterToUnload(const Target& target) {
+  const auto& asked_at = LedgerOf(target).adapter_asked;
   std::optional<std::string> oldest;
   Instant oldest_at{};
   for (const std::string& name : target.adapters) {
-    const auto asked = desk.adapter_asked.find(name);
-    const Instant at =
-        asked == desk.adapter_asked.end() ? Instant{} : asked->second;
-    if (!desk.adapters_pending.contains(name) && (!oldest || at < oldest_at)) {
+    const auto asked = asked_at.find(name);
+    const Instant at = asked == asked_at.end() ? Instant{} : asked->second;
+    if (!oldest || at < oldest_at) {
       oldest = name;
       oldest_at = at;
     }
@@ -219,24 +194,19 @@
 }
 
 boost::asio::awaitable<bool> OrderDesk::LoadAdapterAt(TargetPtr target,
+                                                      EngineOffer offer,
                                                       std::string model,
                                                       std::string adapter) {
   const std::string name = model + "/" + adapter;
   platform::Order order;
   order.model = model;
   order.adapter = adapter;
-  DeskOf(*target).adapters_pending.insert(name);
-  Answer answer = co_await Send(target, order);
-  if (answer == platform::OrderAnswer::kConflict) {
-    answer = co_await Send(target, order);
-  }
-  Desk& desk = DeskOf(*target);
+  const Answer answer = co_await Send(target, offer, order);
   if (!answer) {
     // It may still come; its place stays taken.
-    target->adapters.insert(name);
+    board_.SetAdapter(*target, name, true);
     co_return false;
   }
-  desk.adapters_pending.erase(name);
   const bool loaded = answer == platform::OrderAnswer::kAccepted ||
                       answer == platform::OrderAnswer::kHolds;
   if (answer == platform::OrderAnswer::kAccepted) {
@@ -244,11 +214,37 @@
   }
   if (loaded) {
     board_.SetAdapter(*target, name, true);
-    DeskOf(*target).adapter_asked[name] = clock_.Now();
+    LedgerOf(*target).adapter_asked[name] = clock_.Now();
   }
   co_return loaded;
 }
 
+// Unloads adapters until one more fits.
+boost::asio::awaitable<bool> OrderDesk::MakeAdapterRoom(TargetPtr target,
+                                                        EngineOffer offer,
+                                                        std::string name) {
+  if (!LedgerOf(*target).orders()) {
+    co_await Refresh(target);
+  }
+  while (!LedgerOf(*target).HasRoom(offer, *target, name, clock_.Now())) {
+    const auto victim = AdapterToUnload(*target);
+    if (!victim) {
+      co_return false;
+    }
+    platform::Order order;
+    order.load = false;
+    order.model = victim->substr(0, victim->find('/'));
+    order.adapter = victim->substr(victim->find('/') + 1);
+    const Answer answer = co_await Send(target, offer, order);
+    if (answer != platform::OrderAnswer::kAccepted &&
+        answer != platform::OrderAnswer::kHolds) {
+      co_return false;
+    }
+    board_.SetAdapter(*target, *victim, false);
+  }
+  co_return true;
+}
+
 boost::asio::awaitable<std::vector<std::string>> OrderDesk::PlaceAdapter(
     Service service,
     std::string model,
@@ -261,7 +257,7 @@
   std::vector<std::string> holders = HoldersOf(service, name);
   const Instant now = clock_.Now();
   for (const std::string& id : holders) {
-    desks_[id].adapter_asked[name] = now;
+    desks_[id].ledger.adapter_asked[name] = now;
   }
   if (!holders.empty() || !service.engine) {
     co_return holders;
@@ -271,30 +267,12 @@
     co_return holders;
   }
   adapters_loading_.insert(name);
-  DeskOf(*target).sending = true;
-  const EngineOffer& offer = *service.engine;
-  bool room = true;
-  while (room &&
-         (static_cast<int>(target->adapters.size()) >= offer.adapter_slots ||
-          HeldMb(offer, *target) + AdapterMb(offer, name) > offer.weights_mb)) {
-    const auto victim = AdapterToUnload(*target, DeskOf(*target));
-    if (!victim) {
-      room = false;
-      break;
-    }
-    platform::Order order;
-    order.load = false;
-    order.model = victim->substr(0, victim->find('/'));
-    order.adapter = victim->substr(victim->find('/') + 1);
-    const Answer answer = co_await Send(target, order);
-    room = answer == platform::OrderAnswer::kAccepted ||
-           answer == platform::OrderAnswer::kHolds;
-    if (room) {
-      board_.SetAdapter(*target, *victim, false);
-    }
+  LedgerOf(*target).sending = true;
+  bool loaded = co_await MakeAdapterRoom(target, *service.engine, name);
+  if (loaded) {
+    loaded = co_await LoadAdapterAt(target, *service.engine, model, adapter);
   }
-  const bool loaded = room && co_await LoadAdapterAt(target, model, adapter);
-  DeskOf(*target).sending = false;
+  LedgerOf(*target).sending = false;
   adapters_loading_.erase(name);
   if (loaded) {
     holders.push_back(target->entry.id);
@@ -308,21 +286,19 @@
   for (const TargetPtr& target : board_.Usable(service.name)) {
     EngineView view;
     view.id = target->entry.id;
-    for (const HeldModel& model : target->entry.models) {
-      view.models.push_back(model.name);
-    }
     view.near_models = target->entry.near_models;
     const auto found = desks_.find(target->entry.id);
+    std::set<std::string> models;
     if (found != desks_.end() &&
         found->second.born_ms == target->entry.born_ms) {
-      const Desk& desk = found->second;
-      view.busy =
-          desk.sending || now < desk.busy_until || now < desk.uncertain_until;
-      if (view.busy) {
-        view.loading = desk.loading;
-        view.unloading = desk.unloading;
+      models = found->second.ledger.Models(target->entry, now);
+      view.busy = found->second.ledger.Busy(now);
+    } else {
+      for (const HeldModel& model : target->entry.models) {
+        models.insert(model.name);
       }
     }
+    view.models.assign(models.begin(), models.end());
     views.push_back(std::move(view));
   }
   std::sort(
@@ -344,9 +320,10 @@
   }
   const int at_once = std::max(
       1, static_cast<int>(std::floor(offer.loads_per_second * load_seconds)));
-  const auto loading = std::count_if(
-      desks_.begin(), desks_.end(),
-      [](const auto& item) { return item.second.loading.has_value(); });
+  const auto loading =
+      std::count_if(store_loads_.begin(), store_loads_.end(), [&](Instant at) {
+        return std::chrono::duration<double>(now - at).count() < load_seconds;
+      });
   const int by_rate = static_cast<int>(std::floor(
                           kLoadPart * offer.loads_per_second * window)) -
                       static_cast<int>(lately);
@@ -380,11 +357,8 @@
   for (const ModelOffer& model : service.engine->models) {
     load_time = model.name == move.load ? model.load_time : load_time;
   }
-  {
-    Desk& desk = DeskOf(*target);
-    desk.loading = move.load;
-    desk.busy_until = clock_.Now() + kUnloadTime + kLoadMargin + load_time;
-  }
+  LedgerOf(*target).Begin(clock_.Now() + kUnloadTime + kLoadMargin +
+                          load_time * 4);
   if (move.from_store) {
     store_loads_.push_back(clock_.Now());
     if (store_loads_.size() > 256) {
@@ -396,15 +370,13 @@
     platform::Order order;
     order.load = false;
     order.model = model;
-    DeskOf(*target).unloading = model;
-    const Answer answer = co_await Send(target, order);
+    const Answer answer = co_await Send(target, *service.engine, order);
     going = answer == platform::OrderAnswer::kAccepted ||
             answer == platform::OrderAnswer::kHolds;
     if (going) {
       going =
           co_await AwaitModel(target, model, false, clock_.Now() + kUnloadTime);
     }
-    DeskOf(*target).unloading.reset();
     if (!going) {
       break;
     }
@@ -412,17 +384,13 @@
   if (going) {
     platform::Order order;
     order.model = move.load;
-    const Answer answer = co_await Send(target, order);
+    const Answer answer = co_await Send(target, *service.engine, order);
     if (answer == platform::OrderAnswer::kAccepted) {
       co_await AwaitModel(target, move.load, true,
                           clock_.Now() + load_time * 4 + kLoadMargin);
     }
   }
-  Desk& desk = DeskOf(*target);
-  if (clock_.Now() >= desk.uncertain_until) {
-    desk.loading.reset();
-  }
-  desk.busy_until = Instant{};
+  LedgerOf(*target).End();
 }
 
 }  // namespace jackdaw::serving
--- a/src/fleet/order_desk.h
+++ b/src/fleet/order_desk.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/clock.h"
+#include "fleet/engine_ledger.h"
 #include "fleet/leadership.h"
 #include "fleet/model_plan.h"
 #include "gateway/target_board.h"
@@ -48,37 +49,31 @@
   /// What the desk knows of one incarnation of a target.
   struct Desk {
     std::int64_t born_ms = -1;
-    /// Orders accepted; unset until the target was asked.
-    std::optional<std::int64_t> orders;
-    std::optional<std::string> loading;
-    std::optional<std::string> unloading;
-    /// Until then an order without an answer may still be carried out.
-    Instant uncertain_until{};
-    Instant busy_until{};
-    bool sending = false;
-    /// When each adapter was last asked for.
-    std::map<std::string, Instant> adapter_asked;
-    /// Adapters whose load may still be carried out.
-    std::set<std::string> adapters_pending;
+    EngineLedger ledger;
   };
 
   using Answer = std::optional<platform::OrderAnswer>;
 
-  Desk& DeskOf(const Target& target);
-  boost::asio::awaitable<Answer> Send(TargetPtr target, platform::Order order);
+  EngineLedger& LedgerOf(const Target& target);
+  boost::asio::awaitable<Answer> Send(TargetPtr target,
+                                      EngineOffer offer,
+                                      platform::Order order);
+  boost::asio::awaitable<bool> MakeAdapterRoom(TargetPtr target,
+                                               EngineOffer offer,
+                                               std::string name);
   boost::asio::awaitable<bool> Refresh(TargetPtr target);
   boost::asio::awaitable<bool> AwaitModel(TargetPtr target,
                                           std::string model,
                                           bool held,
                                           Instant deadline);
   boost::asio::awaitable<bool> LoadAdapterAt(TargetPtr target,
+                                             EngineOffer offer,
                                              std::string model,
                                              std::string adapter);
   boost::asio::awaitable<void> Pause(Micros span);
   TargetPtr ChooseAdapterHost(const Service& service,
                               const std::string& model) const;
-  std::optional<std::string> AdapterToUnload(const Target& target,
-                                             const Desk& desk) const;
+  std::optional<std::string> AdapterToUnload(const Target& target);
   std::vector<std::string> HoldersOf(const Service& service,
                                      const std::string& name) const;
 
