--- /dev/null
+++ b/src/fleet/tests/leadership_test.cc
@@ -0,0 +1,87 @@
+#include "fleet/leadership.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jackdaw::serving {
+namespace {
+
+constexpr Instant kStart{Micros(1'700'000'000'000'000)};
+constexpr Micros kLease = 3s;
+
+LeaderLease LeaseOf(std::string holder, std::int64_t version) {
+  LeaderLease lease;
+  lease.holder = std::move(holder);
+  lease.boot = "b";
+  lease.term = 7;
+  lease.row_version = version;
+  return lease;
+}
+
+BOOST_AUTO_TEST_CASE(AVacantLeaseIsTakenAndOrdersFollowAtOnce) {
+  Leadership own("a", "boot", kLease);
+  BOOST_TEST(static_cast<int>(own.Next(kStart)) ==
+             static_cast<int>(LeaseStep::kNone));
+  own.OnRead(nullptr, kStart);
+  BOOST_TEST(static_cast<int>(own.Next(kStart)) ==
+             static_cast<int>(LeaseStep::kAcquire));
+  own.OnApplied(own.Proposal(LeaseStep::kAcquire), kStart);
+  BOOST_TEST(own.MayOrder(kStart + 1ms));
+  BOOST_TEST(own.term() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(OrdersEndWellBeforeTheLeaseLapses) {
+  Leadership own("a", "boot", kLease);
+  own.OnRead(nullptr, kStart);
+  own.OnApplied(own.Proposal(LeaseStep::kAcquire), kStart);
+  BOOST_TEST(own.MayOrder(kStart + kLease / 2 - 1ms));
+  BOOST_TEST(!own.MayOrder(kStart + kLease / 2));
+}
+
+BOOST_AUTO_TEST_CASE(ASuccessorWaitsUntilNoOrderOfTheLastHolderIsUnderWay) {
+  Leadership own("a", "boot", kLease);
+  const LeaderLease other = LeaseOf("z", 5);
+  own.OnRead(&other, kStart);
+  BOOST_TEST(static_cast<int>(own.Next(kStart + kLease)) ==
+             static_cast<int>(LeaseStep::kNone));
+  const Instant lapsed = kStart + kLease + 301ms;
+  BOOST_TEST(static_cast<int>(own.Next(lapsed)) ==
+             static_cast<int>(LeaseStep::kAcquire));
+  own.OnApplied(own.Proposal(LeaseStep::kAcquire), lapsed);
+  BOOST_TEST(own.term() == 8);
+  // The last order of the other was sent half a lease after its renewal; the
+  // first one here comes at least a whole lease later.
+  BOOST_TEST(!own.MayOrder(kStart + kLease / 2 + kLease));
+}
+
+BOOST_AUTO_TEST_CASE(ARenewalSeenKeepsOthersFromTheLease) {
+  Leadership own("a", "boot", kLease);
+  for (int i = 0; i < 10; ++i) {
+    const LeaderLease other = LeaseOf("z", 5 + i);
+    own.OnRead(&other, kStart + i * 2s);
+    BOOST_TEST(static_cast<int>(own.Next(kStart + i * 2s + 1999ms)) ==
+               static_cast<int>(LeaseStep::kNone));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnOldReadDoesNotCountAsARenewal) {
+  Leadership own("a", "boot", kLease);
+  const LeaderLease other = LeaseOf("z", 5);
+  own.OnRead(&other, kStart);
+  own.OnRead(&other, kStart + 3s);
+  BOOST_TEST(static_cast<int>(own.Next(kStart + kLease + 301ms)) ==
+             static_cast<int>(LeaseStep::kAcquire));
+}
+
+BOOST_AUTO_TEST_CASE(ARestartedHolderTakesItsOwnLeaseAtOnceUnderANewTerm) {
+  Leadership own("z", "boot", kLease);
+  const LeaderLease before = LeaseOf("z", 5);
+  own.OnRead(&before, kStart);
+  BOOST_TEST(static_cast<int>(own.Next(kStart)) ==
+             static_cast<int>(LeaseStep::kAcquire));
+  own.OnApplied(own.Proposal(LeaseStep::kAcquire), kStart);
+  BOOST_TEST(own.term() == 8);
+  BOOST_TEST(own.MayOrder(kStart + 1ms));
+}
+
+}  // namespace
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/fleet/tests/model_plan_test.cc
@@ -0,0 +1,73 @@
+#include "fleet/model_plan.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jackdaw::serving {
+namespace {
+
+EngineOffer Offer() {
+  EngineOffer offer;
+  offer.weights_mb = 200;
+  offer.loads_per_second = 2;
+  for (int i = 0; i < 5; ++i) {
+    offer.models.push_back({"m" + std::to_string(i), 72, 0, 0, 1s});
+  }
+  return offer;
+}
+
+EngineView Engine(std::string id, std::vector<std::string> models) {
+  EngineView view;
+  view.id = std::move(id);
+  view.models = std::move(models);
+  return view;
+}
+
+ModelLoads Loads(const std::map<std::string, double>& tokens) {
+  ModelLoads loads;
+  for (const auto& [model, count] : tokens) {
+    loads[model] = {count / 1000, count, 0};
+  }
+  return loads;
+}
+
+BOOST_AUTO_TEST_CASE(AModelThatIsAskedForAndHeldNowhereComesFirst) {
+  const auto move =
+      PlanMove(Offer(), {Engine("a", {"m0", "m1"}), Engine("b", {"m0", "m2"})},
+               Loads({{"m0", 90'000}, {"m1", 5000}, {"m3", 500}}), 2);
+  BOOST_REQUIRE(move.has_value());
+  BOOST_TEST(move->load == "m3");
+  // The copy that bears nothing gives way.
+  BOOST_TEST(move->engine == "b");
+  BOOST_REQUIRE(move->unload.size() == 1);
+  BOOST_TEST(move->unload[0] == "m2");
+}
+
+BOOST_AUTO_TEST_CASE(TheLastCopyOfAModelInUseIsKept) {
+  const auto move = PlanMove(
+      Offer(), {Engine("a", {"m0", "m1"}), Engine("b", {"m2", "m3"})},
+      Loads({{"m0", 60'000}, {"m1", 900}, {"m2", 900}, {"m3", 900}}), 2);
+  BOOST_TEST(!move.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(NothingMovesWithoutARateForLoads) {
+  const auto move =
+      PlanMove(Offer(), {Engine("a", {"m0"})}, Loads({{"m3", 500}}), 0);
+  BOOST_TEST(!move.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ANearCopyNeedsNoRate) {
+  EngineView engine = Engine("a", {"m0"});
+  engine.near_models = {"m3"};
+  const auto move = PlanMove(Offer(), {engine}, Loads({{"m3", 500}}), 0);
+  BOOST_REQUIRE(move.has_value());
+  BOOST_TEST(!move->from_store);
+}
+
+BOOST_AUTO_TEST_CASE(ABusyTargetIsLeftAlone) {
+  EngineView engine = Engine("a", {"m0"});
+  engine.busy = true;
+  BOOST_TEST(!PlanMove(Offer(), {engine}, Loads({{"m3", 500}}), 2).has_value());
+}
+
+}  // namespace
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/fleet/tests/share_plan_test.cc
@@ -0,0 +1,127 @@
+#include "fleet/share_plan.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+#include "core/random.h"
+
+namespace jackdaw::serving {
+namespace {
+
+constexpr Instant kStart{Micros(1'700'000'000'000'000)};
+
+Member MemberOf(const std::string& name,
+                std::int64_t beat,
+                std::int64_t epoch) {
+  Member member;
+  member.name = name;
+  member.boot = "b";
+  member.beat = beat;
+  member.state = MemberState::kReady;
+  member.shares_epoch = epoch;
+  return member;
+}
+
+double Sum(const ShareTable& table) {
+  double sum = 0;
+  for (const ShareEntry& entry : table.entries) {
+    sum += entry.bound;
+  }
+  return sum;
+}
+
+BOOST_AUTO_TEST_CASE(ANewMemberGetsItsPartOnlyAfterTheOthersGaveTheirs) {
+  MemberTable members;
+  members.OnRead({MemberOf("a", 1, 0), MemberOf("b", 1, 0)}, kStart);
+  ShareTable table = PlanShares({}, members, kStart);
+  BOOST_TEST(table.Find("a")->share == 0.5);
+  members.OnRead({MemberOf("a", 2, table.epoch), MemberOf("b", 2, table.epoch),
+                  MemberOf("c", 1, 0)},
+                 kStart + 1s);
+  table = PlanShares(table, members, kStart + 1s);
+  BOOST_TEST(table.Find("c")->share < 1e-6);
+  BOOST_TEST(table.Find("a")->share < 0.34);
+  members.OnRead(
+      {MemberOf("a", 3, table.epoch), MemberOf("b", 3, table.epoch - 1),
+       MemberOf("c", 2, table.epoch)},
+      kStart + 2s);
+  // Only `a` has applied the lower part: only that is free.
+  table = PlanShares(table, members, kStart + 2s);
+  BOOST_TEST(table.Find("c")->share > 0.16);
+  BOOST_TEST(table.Find("c")->share < 0.17);
+}
+
+BOOST_AUTO_TEST_CASE(ASilentMemberKeepsItsPartUntilItCannotSpendIt) {
+  MemberTable members;
+  members.OnRead({MemberOf("a", 1, 0), MemberOf("b", 1, 0)}, kStart);
+  ShareTable table = PlanShares({}, members, kStart);
+  const auto read = [&](Instant at, std::int64_t beat) {
+    members.OnRead({MemberOf("a", beat, table.epoch), MemberOf("b", 1, 1)}, at);
+    table = PlanShares(table, members, at);
+  };
+  read(kStart + 10s, 2);
+  BOOST_TEST(table.Find("a")->share == 0.5);
+  read(kStart + kShareReclaimed + 1s, 3);
+  BOOST_TEST(table.Find("a")->share == 1.0);
+  static_assert(kShareKept < kShareReclaimed);
+}
+
+// Members join, leave, fall silent, restart and apply what they read late;
+// what they may hold never exceeds the whole.
+BOOST_AUTO_TEST_CASE(PartsNeverExceedTheWholeInRandomHistories) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    Random random(seed);
+    struct Holder {
+      ShareTable seen;
+      double held = 0;
+      std::int64_t epoch = 0;
+      std::int64_t beat = 0;
+    };
+    std::map<std::string, Holder> holders;
+    std::map<std::string, Member> rows;
+    ShareTable table;
+    Instant now = kStart;
+    for (int step = 0; step < 400; ++step) {
+      now += 500ms;
+      const std::string name(1, static_cast<char>('a' + random.Below(6)));
+      Holder& holder = holders[name];
+      if (random.OneIn(3)) {
+        holder.seen = table;
+      } else if (random.OneIn(2)) {
+        const ShareEntry* own = holder.seen.Find(name);
+        if (holder.seen.epoch >= holder.epoch) {
+          holder.held = own == nullptr ? 0 : own->share;
+          holder.epoch = holder.seen.epoch;
+        }
+      } else {
+        rows[name] = MemberOf(name, ++holder.beat, holder.epoch);
+      }
+      MemberTable members;
+      std::vector<Member> read;
+      for (const auto& [key, row] : rows) {
+        read.push_back(row);
+      }
+      members.OnRead(read, now);
+      table = PlanShares(table, members, now);
+      double sum = 0;
+      for (const auto& [key, other] : holders) {
+        sum += other.held;
+      }
+      BOOST_REQUIRE_LE(sum, 1.0 + 1e-5);
+      BOOST_REQUIRE_LE(Sum(table), 1.0 + 1e-5);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(TheTableReadsBackAsWritten) {
+  ShareTable table;
+  table.epoch = 9;
+  table.entries = {{"a", 0.25, 0.5}, {"b", 0.5, 0.5}};
+  const auto read = DecodeShares(EncodeShares(table));
+  BOOST_REQUIRE(read);
+  BOOST_TEST((read.value().entries == table.entries));
+  BOOST_TEST(!DecodeShares("[]"));
+}
+
+}  // namespace
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/gateway/tests/event_splitter_test.cc
@@ -0,0 +1,57 @@
+#include "gateway/event_splitter.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jackdaw::serving {
+namespace {
+
+BOOST_AUTO_TEST_CASE(OnlyWholeEventsAreHandedOn) {
+  EventSplitter events;
+  std::string out;
+  events.Add("id: 1\ndata: a\n\nid: 2\nda");
+  BOOST_TEST(events.TakeWhole(out) == 1);
+  BOOST_TEST(out == "id: 1\ndata: a\n\n");
+  events.Add("ta: b\n\n");
+  BOOST_TEST(events.TakeWhole(out) == 1);
+  BOOST_TEST(out == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  BOOST_TEST(*events.last_event() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AStreamThatGoesOnElsewhereRepeatsNothing) {
+  EventSplitter events;
+  std::string out;
+  events.Add("id: 7\r\ndata: a\r\n\r\nid: 8\r\ndata: hal");
+  BOOST_TEST(events.TakeWhole(out) == 1);
+  events.DropRest();
+  out.clear();
+  events.Add("id: 7\r\ndata: a\r\n\r\nid: 8\r\ndata: half\r\n\r\n");
+  BOOST_TEST(events.TakeWhole(out) == 1);
+  BOOST_TEST(out == "id: 8\r\ndata: half\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(WhatFollowsTheLastEventOfAnEndedStreamIsKept) {
+  EventSplitter events;
+  std::string out;
+  events.Add("id: 1\ndata: a\n\n: end");
+  events.TakeWhole(out);
+  BOOST_TEST(events.TakeRest() == ": end");
+  BOOST_TEST(events.TakeRest().empty());
+}
+
+BOOST_AUTO_TEST_CASE(EveryCutOfTheBytesGivesTheSameEvents) {
+  const std::string stream =
+      "weight: 3\nid: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+  for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+    EventSplitter events;
+    std::string out;
+    events.Add(stream.substr(0, cut));
+    int taken = events.TakeWhole(out);
+    events.Add(stream.substr(cut));
+    taken += events.TakeWhole(out);
+    BOOST_TEST(taken == 3);
+    BOOST_TEST(out == stream);
+  }
+}
+
+}  // namespace
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/gateway/tests/retry_gate_test.cc
@@ -0,0 +1,62 @@
+#include "gateway/retry_gate.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+
+#include "core/random.h"
+
+namespace jackdaw::serving {
+namespace {
+
+constexpr Instant kStart{Micros(1'700'000'000'000'000)};
+
+// Whatever the traffic, the second sends of all instances within any window
+// stay within the ratio of the requests and the extra.
+BOOST_AUTO_TEST_CASE(AllInstancesTogetherStayWithinTheBudget) {
+  const RetryTerms terms{0.2, 52, 10s};
+  constexpr int kInstances = 6;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    Random random(seed);
+    std::vector<RetryGate> gates(kInstances, RetryGate(terms));
+    for (RetryGate& gate : gates) {
+      gate.SetInstances(kInstances);
+    }
+    std::deque<std::pair<Instant, bool>> events;
+    Instant now = kStart;
+    int requests = 0;
+    int retries = 0;
+    for (int step = 0; step < 30'000; ++step) {
+      now += 4ms;
+      RetryGate& gate = gates[random.Below(kInstances)];
+      const bool retry = random.OneIn(2);
+      if (!retry) {
+        gate.OnRequest("s", now);
+        events.emplace_back(now, false);
+        ++requests;
+      } else if (gate.TryRetry("s", now)) {
+        events.emplace_back(now, true);
+        ++retries;
+      }
+      while (!events.empty() && now - events.front().first > terms.window) {
+        (events.front().second ? retries : requests) -= 1;
+        events.pop_front();
+      }
+      BOOST_REQUIRE_LE(retries, terms.ratio * requests + terms.extra);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AQuietInstanceMayRetryAFewTimes) {
+  RetryGate gate(RetryTerms{0.2, 52, 10s});
+  gate.SetInstances(6);
+  BOOST_TEST(gate.TryRetry("s", kStart));
+  int granted = 1;
+  while (gate.TryRetry("s", kStart + 1s)) {
+    ++granted;
+  }
+  BOOST_TEST(granted <= 52 / 6);
+  BOOST_TEST(gate.TryRetry("s", kStart + 15s));
+}
+
+}  // namespace
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/gateway/tests/target_board_test.cc
@@ -0,0 +1,116 @@
+#include "gateway/target_board.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jackdaw::serving {
+namespace {
+
+constexpr Instant kStart{Micros(1'700'000'000'000'000)};
+
+TargetEntry EntryOf(std::string id, std::string domain) {
+  TargetEntry entry;
+  entry.id = std::move(id);
+  entry.service = "s";
+  entry.failure_domain = std::move(domain);
+  entry.slots = 6;
+  entry.born_ms = 1;
+  entry.models = {{"m", 1, {}}};
+  return entry;
+}
+
+class Fixture {
+ protected:
+  Fixture() : board_("here") {
+    engine_.slots = 64;
+    call_.model = "m";
+    call_.prompt_tokens = 1000;
+    call_.prompt_parts = {{1, 300}, {2, 700}};
+    need_.service = "s";
+    need_.engine = &engine_;
+    need_.call = &call_;
+  }
+
+  std::string Choice(Instant now = kStart) {
+    const TargetPick pick = board_.Pick(need_, now);
+    return pick.target == nullptr ? "" : pick.target->entry.id;
+  }
+
+  TargetBoard board_;
+  EngineOffer engine_;
+  CallHead call_;
+  TargetNeed need_;
+};
+
+BOOST_FIXTURE_TEST_SUITE(Board, Fixture)
+
+BOOST_AUTO_TEST_CASE(TheOwnFailureDomainComesFirst) {
+  board_.Update(EntryOf("a", "there"));
+  board_.Update(EntryOf("b", "here"));
+  BOOST_TEST(Choice() == "b");
+}
+
+BOOST_AUTO_TEST_CASE(ATargetThatReadThePromptBeforeIsPreferred) {
+  board_.Update(EntryOf("a", "here"));
+  board_.Update(EntryOf("b", "here"));
+  const TargetPtr b = board_.Find("b");
+  board_.OnSent(*b, call_, kStart);
+  AnswerHead answer;
+  board_.OnFirstByte(*b, call_, answer, 50, kStart, kStart + 40ms);
+  board_.OnEnded(*b, call_, TargetOutcome::kAnswered, true, kStart + 100ms);
+  BOOST_TEST(Choice(kStart + 200ms) == "b");
+}
+
+BOOST_AUTO_TEST_CASE(PromptsThatAreBeingReadSpreadOut) {
+  board_.Update(EntryOf("a", "here"));
+  board_.Update(EntryOf("b", "here"));
+  call_.prompt_parts.clear();
+  const std::string first = Choice();
+  board_.OnSent(*board_.Find(first), call_, kStart);
+  BOOST_TEST(Choice() != first);
+}
+
+BOOST_AUTO_TEST_CASE(ALeavingTargetGetsNothing) {
+  TargetEntry entry = EntryOf("a", "here");
+  board_.Update(entry);
+  entry.state = TargetState::kDraining;
+  BOOST_TEST(board_.Update(entry));
+  BOOST_TEST(Choice().empty());
+}
+
+BOOST_AUTO_TEST_CASE(ABrokenTargetIsLeftForAWhileUnlessItIsTheOnlyOne) {
+  board_.Update(EntryOf("a", "here"));
+  board_.Update(EntryOf("b", "here"));
+  const TargetPtr a = board_.Find("a");
+  board_.OnSent(*a, call_, kStart);
+  board_.OnEnded(*a, call_, TargetOutcome::kBroken, false, kStart);
+  BOOST_TEST(Choice(kStart + 1ms) == "b");
+  board_.Remove("b");
+  BOOST_TEST(Choice(kStart + 1ms) == "a");
+}
+
+BOOST_AUTO_TEST_CASE(AModelThatNoTargetHoldsIsNamed) {
+  board_.Update(EntryOf("a", "here"));
+  call_.model = "other";
+  BOOST_TEST(static_cast<int>(board_.Pick(need_, kStart).outcome) ==
+             static_cast<int>(PickOutcome::kNoModel));
+  call_.model = "m";
+  call_.adapter = "a1";
+  BOOST_TEST(static_cast<int>(board_.Pick(need_, kStart).outcome) ==
+             static_cast<int>(PickOutcome::kNoAdapter));
+}
+
+BOOST_AUTO_TEST_CASE(ANewIncarnationForgetsWhatWasKnown) {
+  TargetEntry entry = EntryOf("a", "here");
+  board_.Update(entry);
+  board_.SetAdapter(*board_.Find("a"), "m/a1", true);
+  entry.born_ms = 2;
+  BOOST_TEST(board_.Update(entry));
+  BOOST_TEST(board_.Find("a")->adapters.empty());
+  entry.born_ms = 1;
+  BOOST_TEST(!board_.Update(entry));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/quota/tests/quota_book_test.cc
@@ -0,0 +1,135 @@
+#include "quota/quota_book.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+
+#include "core/random.h"
+
+namespace jackdaw::serving {
+namespace {
+
+constexpr Instant kStart{Micros(1'700'000'000'000'000)};
+
+ServingConfig ConfigWith(double rate, double burst) {
+  ServingConfig config;
+  config.version = 1;
+  Workspace school;
+  school.name = "school";
+  school.rate = rate;
+  school.burst = burst;
+  school.counts_tokens = true;
+  config.workspaces.push_back(school);
+  return config;
+}
+
+QuotaTerms Terms() {
+  QuotaTerms terms;
+  terms.overshoot = 0.1;
+  terms.slack = 11'000;
+  return terms;
+}
+
+BOOST_AUTO_TEST_CASE(ARestartBeginsWithoutUnits) {
+  QuotaBook book(Terms());
+  book.OnConfig(ConfigWith(1000, 1000), kStart);
+  book.SetShare(0.5, kStart);
+  BOOST_TEST(!book.Spend("school", 100, kStart).granted);
+  BOOST_TEST(book.Spend("school", 100, kStart + 1s).granted);
+}
+
+BOOST_AUTO_TEST_CASE(ARefusalNamesTheMomentAtWhichUnitsSuffice) {
+  QuotaBook book(Terms());
+  book.OnConfig(ConfigWith(1000, 1000), kStart);
+  book.SetShare(0.5, kStart);
+  const SpendOutcome refused = book.Spend("school", 250, kStart);
+  BOOST_TEST((refused.retry_at == kStart + 500ms));
+  BOOST_TEST(!book.Spend("school", 250, kStart + 499ms).granted);
+  BOOST_TEST(book.Spend("school", 250, kStart + 501ms).granted);
+}
+
+BOOST_AUTO_TEST_CASE(AWorkspaceWithoutAQuotaIsNotLimited) {
+  QuotaBook book(Terms());
+  book.OnConfig(ConfigWith(0, 0), kStart);
+  BOOST_TEST(book.Spend("school", 1e9, kStart).granted);
+  BOOST_TEST(book.Spend("unknown", 1e9, kStart).granted);
+}
+
+// Six instances with skewed demand for many times the quota, who give units to
+// each other, never spend more in any window than the bound allows.
+BOOST_AUTO_TEST_CASE(NoWindowSeesMoreThanTheBound) {
+  constexpr double kRate = 20'000;
+  constexpr double kBurst = 20'000;
+  constexpr int kInstances = 6;
+  const QuotaTerms terms = Terms();
+  const double window = std::chrono::duration<double>(terms.window).count();
+  const double bound =
+      (kRate * window + kBurst) * (1 + terms.overshoot) + terms.slack;
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    Random random(seed);
+    std::vector<QuotaBook> books(kInstances, QuotaBook(terms));
+    for (QuotaBook& book : books) {
+      book.OnConfig(ConfigWith(kRate, kBurst), kStart);
+      book.SetShare(1.0 / kInstances, kStart);
+    }
+    std::deque<std::pair<Instant, double>> spent;
+    double in_window = 0;
+    Instant now = kStart;
+    for (int step = 0; step < 40'000; ++step) {
+      now += 1ms;
+      // A quiet time first, so that all buckets are full when it ends.
+      if (step < 12'000 && !random.OneIn(40)) {
+        continue;
+      }
+      const auto at = random.OneIn(2) ? 0 : random.Below(kInstances);
+      const double units = 500 + static_cast<double>(random.Below(4000));
+      SpendOutcome outcome = books[at].Spend("school", units, now);
+      if (!outcome.granted) {
+        QuotaBook& donor = books[random.Below(kInstances)];
+        books[at].Receive("school", donor.Give("school", outcome.missing, now),
+                          now);
+        outcome = books[at].Spend("school", units, now);
+      }
+      if (outcome.granted) {
+        spent.emplace_back(now, units);
+        in_window += units;
+      }
+      while (!spent.empty() && now - spent.front().first > terms.window) {
+        in_window -= spent.front().second;
+        spent.pop_front();
+      }
+      BOOST_REQUIRE_LE(in_window, bound);
+    }
+  }
+}
+
+// A workspace at half of its quota whose callers all stand at one instance is
+// not refused, since the others give what they do not need.
+BOOST_AUTO_TEST_CASE(SkewedDemandBelowTheQuotaIsServed) {
+  constexpr double kRate = 20'000;
+  constexpr int kInstances = 6;
+  std::vector<QuotaBook> books(kInstances, QuotaBook(Terms()));
+  for (QuotaBook& book : books) {
+    book.OnConfig(ConfigWith(kRate, kRate), kStart);
+    book.SetShare(1.0 / kInstances, kStart);
+  }
+  Random random(3);
+  int refused = 0;
+  constexpr int kRequests = 400;
+  Instant now = kStart + 10s;
+  for (int i = 0; i < kRequests; ++i) {
+    now += 200ms;
+    constexpr double kUnits = 2000;
+    SpendOutcome outcome = books[0].Spend("school", kUnits, now);
+    for (std::size_t ask = 0; ask < 3 && !outcome.granted; ++ask) {
+      QuotaBook& donor = books[1 + random.Below(kInstances - 1)];
+      books[0].Receive("school", donor.Give("school", outcome.missing, now),
+                       now);
+      outcome = books[0].Spend("school", kUnits, now);
+    }
+    refused += outcome.granted ? 0 : 1;
+  }
+  BOOST_TEST(refused == 0);
+}
+
+}  // namespace
+}  // namespace jackdaw::serving
