--- /dev/null
+++ b/src/fleet/beat.cc
@@ -0,0 +1,162 @@
+#include "fleet/beat.h"
+
+#include <boost/json.hpp>
+
+#include "core/object_reader.h"
+
+namespace jackdaw::serving {
+namespace {
+
+namespace json = boost::json;
+
+json::value EncodeDelta(const RowDelta& delta) {
+  json::array rows;
+  for (const platform::StoredRow& row : delta.rows) {
+    rows.push_back({{"key", row.at.key},
+                    {"value", row.value},
+                    {"version", row.version},
+                    {"dropped", row.dropped}});
+  }
+  return {{"whole", delta.whole},
+          {"version", delta.version},
+          {"rows", std::move(rows)}};
+}
+
+Result<RowDelta> DecodeDelta(const json::value& value) {
+  ObjectReader reader(value, "/rows");
+  RowDelta delta;
+  delta.whole = reader.FlagOr("whole", false);
+  delta.version = reader.Integer("version", 0, INT64_MAX);
+  for (const auto& item : reader.ItemsOr("rows")) {
+    ObjectReader fields(item, "/rows");
+    platform::StoredRow row;
+    row.at.key = fields.Text("key");
+    row.value = fields.TextOr("value", "");
+    row.version = fields.Integer("version", 0, INT64_MAX);
+    row.dropped = fields.FlagOr("dropped", false);
+    BOOST_OUTCOME_TRY(fields.Finish());
+    delta.rows.push_back(std::move(row));
+  }
+  BOOST_OUTCOME_TRY(reader.Finish());
+  return delta;
+}
+
+json::value EncodeView(const FleetView& view) {
+  json::array members;
+  for (const FleetMember& member : view.members) {
+    members.push_back({{"name", member.name},
+                       {"entry", ToText(member.entry)},
+                       {"peer", ToText(member.peer)},
+                       {"failure_domain", member.failure_domain},
+                       {"state", static_cast<int>(member.state)}});
+  }
+  return {{"id", view.id}, {"members", std::move(members)}};
+}
+
+Result<FleetView> DecodeView(const json::value& value) {
+  ObjectReader reader(value, "/view");
+  FleetView view;
+  view.id = reader.Text("id");
+  for (const auto& item : reader.ItemsOr("members")) {
+    ObjectReader fields(item, "/view/members");
+    FleetMember member;
+    member.name = fields.Text("name");
+    BOOST_OUTCOME_TRY(member.entry, ParseEndpoint(fields.Text("entry")));
+    BOOST_OUTCOME_TRY(member.peer, ParseEndpoint(fields.Text("peer")));
+    member.failure_domain = fields.Text("failure_domain");
+    member.state = static_cast<MemberState>(fields.Integer(
+        "state", 0, static_cast<std::int64_t>(MemberState::kGone)));
+    BOOST_OUTCOME_TRY(fields.Finish());
+    view.members.push_back(std::move(member));
+  }
+  BOOST_OUTCOME_TRY(reader.Finish());
+  return view;
+}
+
+Result<RowDelta> ReadDelta(ObjectReader& reader, std::string_view key) {
+  const json::value* value = reader.Any(key);
+  if (value == nullptr) {
+    return RowDelta{};
+  }
+  return DecodeDelta(*value);
+}
+
+}  // namespace
+
+std::string EncodeViewRow(const FleetView& view) {
+  return json::serialize(EncodeView(view));
+}
+
+Result<FleetView> DecodeViewRow(std::string_view document) {
+  BOOST_OUTCOME_TRY(const json::value value, ParseJson(document));
+  return DecodeView(value);
+}
+
+std::string EncodeBeat(const BeatRequest& beat) {
+  return json::serialize(json::value{{"member", EncodeMember(beat.member)},
+                                     {"view_id", beat.view_id},
+                                     {"config_after", beat.config_after},
+                                     {"targets_after", beat.targets_after}});
+}
+
+Result<BeatRequest> DecodeBeat(std::string_view document) {
+  BOOST_OUTCOME_TRY(const json::value value, ParseJson(document));
+  ObjectReader reader(value, "");
+  BeatRequest beat;
+  BOOST_OUTCOME_TRY(beat.member, DecodeMember(reader.Text("member")));
+  beat.view_id = reader.TextOr("view_id", "");
+  beat.config_after = reader.Integer("config_after", 0, INT64_MAX);
+  beat.targets_after = reader.Integer("targets_after", 0, INT64_MAX);
+  BOOST_OUTCOME_TRY(reader.Finish());
+  return beat;
+}
+
+std::string EncodeBeatReply(const BeatReply& reply) {
+  json::object object{{"fresh", reply.fresh}, {"term", reply.term}};
+  if (reply.view) {
+    object["view"] = EncodeView(*reply.view);
+  }
+  if (reply.shares) {
+    object["shares"] = EncodeShares(*reply.shares);
+  }
+  object["config"] = EncodeDelta(reply.config);
+  object["targets"] = EncodeDelta(reply.targets);
+  if (!reply.crashes.empty()) {
+    json::array crashes;
+    for (const CrashCount& count : reply.crashes) {
+      crashes.push_back(
+          {{"digest", std::to_string(count.digest)}, {"breaks", count.breaks}});
+    }
+    object["crashes"] = std::move(crashes);
+  }
+  return json::serialize(object);
+}
+
+Result<BeatReply> DecodeBeatReply(std::string_view document) {
+  BOOST_OUTCOME_TRY(const json::value value, ParseJson(document));
+  ObjectReader reader(value, "");
+  BeatReply reply;
+  reply.fresh = reader.FlagOr("fresh", false);
+  reply.term = reader.Integer("term", 0, INT64_MAX);
+  if (const json::value* view = reader.Any("view")) {
+    BOOST_OUTCOME_TRY(reply.view, DecodeView(*view));
+  }
+  const std::string shares = reader.TextOr("shares", "");
+  if (!shares.empty()) {
+    BOOST_OUTCOME_TRY(reply.shares, DecodeShares(shares));
+  }
+  BOOST_OUTCOME_TRY(reply.config, ReadDelta(reader, "config"));
+  BOOST_OUTCOME_TRY(reply.targets, ReadDelta(reader, "targets"));
+  for (const auto& item : reader.ItemsOr("crashes")) {
+    ObjectReader crash(item, "/crashes");
+    CrashCount count;
+    count.digest = std::strtoull(crash.Text("digest").c_str(), nullptr, 10);
+    count.breaks = static_cast<int>(crash.Integer("breaks", 0, 1000));
+    BOOST_OUTCOME_TRY(crash.Finish());
+    reply.crashes.push_back(count);
+  }
+  BOOST_OUTCOME_TRY(reader.Finish());
+  return reply;
+}
+
+}  // namespace jackdaw::serving
--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -1,39 +1,37 @@
+// Beats: following the leader, leading, or acting alone.
 #include "fleet/fleet_agent.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "core/digest.h"
 #include "core/log.h"
-#include "fleet/leader_row.h"
-#include "platform/config_row.h"
 #include "platform/tables.h"
-#include "platform/target_row.h"
 
 namespace jackdaw::serving {
 namespace {
 
-// Pace of the heartbeat.
-constexpr Micros kBeat = 1000ms;
-// Time for the store to answer a call of the heartbeat.
-constexpr Micros kCallTime = 900ms;
+// Pace of beats in a small fleet, the time that each member adds, and the
+// slowest pace.
+constexpr Micros kBeatLeast = 400ms;
+constexpr Micros kBeatPerMember = 10ms;
+constexpr Micros kBeatMost = 1000ms;
+// Pace of an instance that leads or acts alone.
+constexpr Micros kOwnBeat = 900ms;
+// Time for the leader to answer a beat.
+constexpr Micros kReplyTime = 400ms;
+// Age of the last applied write up to which a leader's news count.
+constexpr Micros kFreshTime = 1600ms;
 // Pace at which the leader plans models.
 constexpr Micros kPlanPace = 250ms;
-// Random bytes that tell the starts of an instance apart.
-constexpr std::size_t kBootBytes = 8;
+// Beats without an answer after which the instance writes its own row.
+constexpr int kBeatsLost = 2;
 // Idle connections kept to each server of control calls.
 constexpr std::size_t kKeptConnections = 3;
-constexpr std::string_view kMemberPrefix = "member/";
-constexpr std::string_view kLeaseKey = "leader";
-constexpr std::string_view kSharesKey = "shares";
-
-platform::RowKey FleetKey(std::string_view key) {
-  return {std::string(platform::kFleetTable), "", std::string(key)};
-}
+// Random bytes that tell the starts of an instance apart.
+constexpr std::size_t kBootBytes = 8;
 
 }  // namespace
 
@@ -60,25 +58,42 @@
       boot_(RandomHex(kBootBytes)),
       http_(context, clock, kKeptConnections),
       store_(http_, settings.store),
-      config_watch_(store_,
+      config_watch_(context,
+                    store_,
                     clock,
                     std::string(platform::kConfigTable),
-                    {[this](const auto& rows) { OnConfigRows(rows); },
-                     [this](const auto& rows) { OnConfigRows(rows); }, [] {}}),
-      target_watch_(store_,
+                    {[this](const auto& rows) {
+                       config_relay_.OnWhole(rows, clock_.Now());
+                       OnConfigRows(rows);
+                     },
+                     [this](const auto& rows) {
+                       config_relay_.OnChanges(rows, clock_.Now());
+                       OnConfigRows(rows);
+                     },
+                     [] {}}),
+      target_watch_(context,
+                    store_,
                     clock,
                     std::string(platform::kTargetTable),
                     {[this](const auto& rows) {
+                       target_relay_.OnWhole(rows, clock_.Now());
                        OnTargetChanges(target_feed_.OnWhole(DecodeTargets(rows),
                                                             clock_.Now()));
                      },
                      [this](const auto& rows) {
+                       target_relay_.OnChanges(rows, clock_.Now());
                        OnTargetChanges(target_feed_.OnChanges(
                            DecodeTargets(rows), clock_.Now()));
                      },
                      [this] { target_feed_.OnStoreBack(clock_.Now()); }}),
-      leadership_(settings.name, boot_, settings.lease_time),
-      desk_(http_, board, leadership_, clock, boot_clock, settings.name) {}
+      leadership_(settings.name,
+                  ToText(settings.peer),
+                  boot_,
+                  settings.lease_time),
+      desk_(http_, board, leadership_, clock, boot_clock, settings.name),
+      placer_(context, clock, desk_, members_, demand, settings.name),
+      beat_timer_(context),
+      random_(std::hash<std::string>{}(boot_)) {}
 
 void FleetAgent::Spawn(boost::asio::awaitable<void> work, std::string name) {
   boost::asio::co_spawn(
@@ -93,7 +108,7 @@
 void FleetAgent::Start() {
   Spawn(config_watch_.Run(), "config_watch");
   Spawn(target_watch_.Run(), "target_watch");
-  Spawn(RunHeartbeat(), "heartbeat");
+  Spawn(RunBeats(), "beats");
   Spawn(RunPlacement(), "placement");
 }
 
@@ -104,25 +119,31 @@
 }
 
 bool FleetAgent::ready() const {
-  return config_ != nullptr && fleet_read_ &&
+  return config_ != nullptr && fleet_known_ &&
          state_ != MemberState::kDraining && state_ != MemberState::kGone;
 }
 
 void FleetAgent::BeginDrain() {
   state_ = MemberState::kDraining;
-  Spawn(Beat(), "drain_beat");
+  beat_timer_.cancel();
 }
 
 boost::asio::awaitable<void> FleetAgent::Leave() {
   state_ = MemberState::kGone;
-  co_await WriteFleet();
+  if (leadership_.Holds() || !co_await Follow()) {
+    co_await WriteFleet(true);
+  }
 }
 
 std::vector<Endpoint> FleetAgent::EntryAddresses() const {
   std::vector<Endpoint> addresses;
-  for (const MemberView& view : members_.Ready(read_at_)) {
-    if (view.member.name != settings_.name) {
-      addresses.push_back(view.member.entry);
+  for (const FleetMember& member : view_.members) {
+    // A leader that does not answer is probably gone.
+    const bool lost =
+        beats_failed_ > kBeatsLost && member.name == leadership_.lease().holder;
+    if (member.name != settings_.name && !lost &&
+        member.state == MemberState::kReady) {
+      addresses.push_back(member.entry);
     }
   }
   if (ready()) {
@@ -131,22 +152,22 @@
   return addresses;
 }
 
-std::vector<MemberView> FleetAgent::Peers() const {
-  std::vector<MemberView> peers = members_.Live(read_at_);
-  std::erase_if(peers, [&](const MemberView& view) {
-    return view.member.name == settings_.name;
+std::vector<FleetMember> FleetAgent::Peers() const {
+  std::vector<FleetMember> peers = view_.members;
+  std::erase_if(peers, [&](const FleetMember& member) {
+    return member.name == settings_.name;
   });
   return peers;
 }
 
-const Member* FleetAgent::Leader() const {
+std::optional<Endpoint> FleetAgent::LeaderAddress() const {
   const LeaderLease& lease = leadership_.lease();
   if (lease.released || lease.holder.empty() ||
       lease.holder == settings_.name) {
-    return nullptr;
+    return std::nullopt;
   }
-  const MemberView* view = members_.Find(lease.holder);
-  return view == nullptr ? nullptr : &view->member;
+  const auto address = ParseEndpoint(lease.address);
+  return address ? std::optional<Endpoint>(address.value()) : std::nullopt;
 }
 
 Member FleetAgent::OwnRow() const {
@@ -166,32 +187,33 @@
   return own;
 }
 
-boost::asio::awaitable<void> FleetAgent::RunHeartbeat() {
-  // A quarter of a beat apart, so that starts at one moment spread out.
-  Random random(std::hash<std::string>{}(boot_));
-  Instant next = clock_.Now();
+Micros FleetAgent::BeatSpan() const {
+  if (!following_) {
+    return kOwnBeat;
+  }
+  const auto members = static_cast<std::int64_t>(view_.members.size());
+  return std::clamp(kBeatPerMember * members, kBeatLeast, kBeatMost);
+}
+
+boost::asio::awaitable<void> FleetAgent::RunBeats() {
   for (;;) {
     co_await Beat();
-    next = std::max(next + kBeat, clock_.Now() + kBeat / 4);
-    const auto jitter =
-        Micros(static_cast<std::int64_t>(random.Below(kBeat.count() / 10)));
-    co_await Pause(next + jitter - clock_.Now());
+    const Micros span = BeatSpan();
+    const auto jitter = Micros(static_cast<std::int64_t>(
+        random_.Below(static_cast<std::uint64_t>(span.count() / 8))));
+    beat_timer_.expires_after(span - jitter);
+    co_await beat_timer_.async_wait(
+        boost::asio::as_tuple(boost::asio::use_awaitable));
   }
 }
 
 boost::asio::awaitable<void> FleetAgent::Beat() {
   demand_.EndPeriod(clock_.Now());
-  co_await ReadFleet();
-  if (fleet_read_) {
-    co_await WriteFleet();
-  }
-  const Micros silent = boot_clock_.Now() - committed_at_;
-  if (committed_at_ != Instant{} && silent > kShareKept &&
-      quotas_.share() > 0) {
-    Log(LogLevel::kWarn, "share_dropped",
-        {{"silent_ms", std::to_string(silent / 1ms)}});
-    quotas_.SetShare(0, clock_.Now());
+  ++beat_;
+  if (leadership_.Holds() || !co_await Follow()) {
+    co_await ActAlone();
   }
+  DropShareIfSilent();
   for (const std::string& id : target_feed_.Expire(clock_.Now())) {
     TargetFeed::Changes changes;
     changes.removed.push_back(id);
@@ -199,266 +221,128 @@
   }
 }
 
-boost::asio::awaitable<void> FleetAgent::ReadFleet() {
-  const Instant asked_at = clock_.Now();
-  const Result<platform::RowSet> read =
-      co_await store_.Read(std::string(platform::kFleetTable), std::string(),
-                           std::string(), std::string(), asked_at + kCallTime);
-  if (!read) {
-    co_return;
+// Sends a beat to the leader. @returns whether its news can be relied on
+boost::asio::awaitable<bool> FleetAgent::Follow() {
+  const auto leader = LeaderAddress();
+  if (!leader) {
+    SetFollowing(false);
+    co_return false;
+  }
+  BeatRequest beat;
+  beat.member = OwnRow();
+  beat.view_id = view_.id;
+  beat.config_after = config_relay_.version();
+  beat.targets_after = target_relay_.version();
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/peer/beat";
+  request.headers.push_back({"Content-Type", "application/json"});
+  request.body = EncodeBeat(beat);
+  const Instant sent_at = boot_clock_.Now();
+  const Endpoint address = *leader;
+  const Result<HttpResponse> answer = co_await http_.Fetch(
+      address, std::move(request), clock_.Now() + kReplyTime);
+  if (!answer || answer.value().status != 200) {
+    ++beats_failed_;
+    SetFollowing(false);
+    co_return false;
+  }
+  const auto reply = DecodeBeatReply(answer.value().body);
+  if (!reply) {
+    Log(LogLevel::kError, "beat_unreadable", {{"error", reply.error().Line()}});
+    ++beats_failed_;
+    SetFollowing(false);
+    co_return false;
   }
-  read_at_ = clock_.Now();
-  OnFleetRows(read.value());
-  fleet_read_ = true;
+  beats_failed_ = 0;
+  in_touch_at_ = sent_at;
+  OnReply(reply.value());
+  SetFollowing(reply.value().fresh);
+  co_return reply.value().fresh;
 }
 
-void FleetAgent::OnFleetRows(const platform::RowSet& rows) {
-  std::vector<Member> members;
-  bool lease_seen = false;
-  for (const platform::StoredRow& row : rows.rows) {
-    if (row.at.key.starts_with(kMemberPrefix)) {
-      auto member = DecodeMember(row.value);
-      if (member) {
-        members.push_back(std::move(member.value()));
-      } else {
-        Log(LogLevel::kWarn, "row_unreadable",
-            {{"key", row.at.key}, {"error", member.error().Line()}});
-      }
-    } else if (row.at.key == kLeaseKey) {
-      auto lease = DecodeLeaderLease(row.value);
-      if (lease) {
-        lease.value().row_version = row.version;
-        leadership_.OnRead(&lease.value(), boot_clock_.Now());
-        lease_seen = true;
-      }
-    } else if (row.at.key == kSharesKey && row.version > shares_row_version_) {
-      auto shares = DecodeShares(row.value);
-      if (shares && shares.value().epoch >= shares_.epoch) {
-        shares_ = std::move(shares.value());
-        shares_row_version_ = row.version;
-      }
-    }
+void FleetAgent::OnReply(const BeatReply& reply) {
+  const Instant now = clock_.Now();
+  if (reply.view) {
+    view_ = *reply.view;
+    retries_.SetInstances(static_cast<int>(view_.members.size()));
   }
-  if (!lease_seen) {
-    leadership_.OnRead(nullptr, boot_clock_.Now());
+  if (reply.shares && reply.shares->epoch >= shares_.epoch) {
+    shares_ = *reply.shares;
+    ApplyShares();
   }
-  for (const Member& member : members) {
-    if (member.name != settings_.name) {
-      crashes_.OnPeerCounts(member.name, member.crashes);
-    }
+  fleet_known_ = true;
+  platform::RowSet rows;
+  rows.version = reply.config.version;
+  rows.rows = reply.config.rows;
+  for (platform::StoredRow& row : rows.rows) {
+    row.at.table = platform::kConfigTable;
   }
-  members_.OnRead(std::move(members), clock_.Now());
-  retries_.SetInstances(static_cast<int>(members_.Live(read_at_).size()));
-  ApplyShares();
+  config_relay_.OnDelta(reply.config, now);
+  OnConfigRows(rows);
+  rows.version = reply.targets.version;
+  rows.rows = reply.targets.rows;
+  target_relay_.OnDelta(reply.targets, now);
+  const auto targets = DecodeTargets(rows);
+  OnTargetChanges(reply.targets.whole ? target_feed_.OnWhole(targets, now)
+                                      : target_feed_.OnChanges(targets, now));
+  crashes_.OnPeerCounts("fleet", reply.crashes);
 }
 
-// Takes the own part from the table. It is lowered here before the row of the
-// instance says so, and the leader raises others only after that.
-void FleetAgent::ApplyShares() {
-  const ShareEntry* own = shares_.Find(settings_.name);
-  const double share = own == nullptr ? 0 : own->share;
-  if (shares_applied_ == shares_.epoch && quotas_.share() == share) {
-    return;
+// While the leader's news can be relied on, the store is not watched.
+void FleetAgent::SetFollowing(bool following) {
+  if (following_ != following) {
+    Log(LogLevel::kInfo, following ? "following" : "acting_alone",
+        {{"leader", leadership_.lease().holder}});
   }
-  quotas_.SetShare(share, clock_.Now());
-  shares_applied_ = shares_.epoch;
-  Log(LogLevel::kInfo, "share_taken",
-      {{"epoch", std::to_string(shares_.epoch)},
-       {"share", std::to_string(share)}});
+  following_ = following;
+  config_watch_.SetActive(!following);
+  target_watch_.SetActive(!following);
 }
 
-boost::asio::awaitable<bool> FleetAgent::WriteFleet() {
-  ++beat_;
-  platform::RowTransaction write;
-  const Member own = OwnRow();
-  write.puts.push_back(
-      {FleetKey(std::string(kMemberPrefix) + own.name), EncodeMember(own)});
-  const Instant sent_at = boot_clock_.Now();
-  LeaseStep step = leadership_.Next(sent_at);
-  LeaderLease proposal = leadership_.Proposal(step);
-  if (state_ == MemberState::kDraining || state_ == MemberState::kGone) {
-    step = leadership_.Holds() ? LeaseStep::kRenew : LeaseStep::kNone;
-    proposal.released = true;
-  }
-  if (step != LeaseStep::kNone) {
-    write.conditions.push_back(
-        {FleetKey(kLeaseKey), leadership_.lease().row_version});
-    write.puts.push_back({FleetKey(kLeaseKey), EncodeLeaderLease(proposal)});
-  }
-  ShareTable planned = shares_;
-  if (leadership_.Holds()) {
-    planned = PlanShares(shares_, members_, read_at_);
-    if (planned.epoch != shares_.epoch) {
-      if (step == LeaseStep::kNone) {
-        write.conditions.push_back(
-            {FleetKey(kLeaseKey), leadership_.lease().row_version});
-      }
-      write.conditions.push_back({FleetKey(kSharesKey), shares_row_version_});
-      write.puts.push_back({FleetKey(kSharesKey), EncodeShares(planned)});
-    }
-  }
-  const Result<platform::RowCommit> commit =
-      co_await store_.Commit(std::move(write), clock_.Now() + kCallTime);
-  if (!commit || !commit.value().applied) {
-    co_return false;
-  }
-  committed_at_ = sent_at;
-  members_.OnOwn(own, clock_.Now());
-  if (step != LeaseStep::kNone) {
-    const bool acquired = step == LeaseStep::kAcquire;
-    proposal.row_version = commit.value().version;
-    leadership_.OnApplied(proposal, sent_at);
-    if (acquired) {
-      Log(LogLevel::kInfo, "lease_won",
-          {{"term", std::to_string(proposal.term)}});
-      desk_.OnTerm(clock_.Now());
-    }
-  }
-  if (planned.epoch != shares_.epoch) {
-    shares_ = std::move(planned);
-    shares_row_version_ = commit.value().version;
-    ApplyShares();
-  }
-  co_return true;
+bool FleetAgent::FreshAsLeader() const {
+  return leadership_.Holds() && boot_clock_.Now() - wrote_at_ < kFreshTime &&
+         !config_watch_.lost() && !target_watch_.lost();
 }
 
-void FleetAgent::OnConfigRows(const platform::RowSet& rows) {
-  for (const platform::StoredRow& row : rows.rows) {
-    if (row.at.key != platform::kConfigKey || row.dropped) {
-      continue;
-    }
-    auto config = platform::DecodeConfig(row.value);
-    if (!config) {
-      Log(LogLevel::kError, "config_unreadable",
-          {{"error", config.error().Line()}});
-      continue;
-    }
-    const std::int64_t version = config.value().version;
-    if (config_ != nullptr && version <= config_->version) {
-      Log(LogLevel::kInfo, "config_older_ignored",
-          {{"version", std::to_string(version)},
-           {"in_force", std::to_string(config_->version)}});
-      continue;
-    }
-    config_ = std::make_shared<const ServingConfig>(std::move(config.value()));
-    quotas_.OnConfig(*config_, clock_.Now());
-    Log(LogLevel::kInfo, "config_taken",
-        {{"version", std::to_string(version)},
-         {"routes", std::to_string(config_->routes.size())},
-         {"workspaces", std::to_string(config_->workspaces.size())}});
+// Leads, or lives without a leader: the rows of the store decide.
+boost::asio::awaitable<void> FleetAgent::ActAlone() {
+  co_await ReadFleet();
+  if (fleet_known_) {
+    co_await WriteFleet(beats_failed_ >= kBeatsLost);
   }
 }
 
-std::vector<TargetRow> FleetAgent::DecodeTargets(
-    const platform::RowSet& rows) const {
-  std::vector<TargetRow> targets;
-  for (const platform::StoredRow& row : rows.rows) {
-    TargetRow target;
-    target.id = row.at.key;
-    target.version = row.version;
-    if (!row.dropped) {
-      auto entry = platform::DecodeTarget(row.at.key, row.value);
-      target.readable = static_cast<bool>(entry);
-      if (entry) {
-        target.entry = std::move(entry.value());
-      } else {
-        Log(LogLevel::kWarn, "target_row_skipped",
-            {{"target", row.at.key}, {"error", entry.error().Line()}});
-      }
-    }
-    targets.push_back(std::move(target));
+std::optional<BeatReply> FleetAgent::OnBeat(const BeatRequest& beat) {
+  if (!leadership_.Holds()) {
+    return std::nullopt;
   }
-  return targets;
-}
-
-void FleetAgent::OnTargetChanges(const TargetFeed::Changes& changes) {
-  for (const TargetEntry& entry : changes.updated) {
-    if (!board_.Update(entry)) {
-      continue;
-    }
-    std::string models;
-    for (const HeldModel& model : entry.models) {
-      models += models.empty() ? "" : ",";
-      models += model.name;
-    }
-    Log(LogLevel::kInfo, "target",
-        {{"id", entry.id},
-         {"service", entry.service},
-         {"state", entry.state == TargetState::kReady ? "ready" : "draining"},
-         {"address", ToText(entry.address)},
-         {"failure_domain", entry.failure_domain},
-         {"models", models}});
+  const Instant now = clock_.Now();
+  members_.OnBeat(beat.member, now);
+  crashes_.OnPeerCounts(beat.member.name, beat.member.crashes);
+  RefreshView();
+  BeatReply reply;
+  reply.fresh = FreshAsLeader();
+  reply.term = leadership_.term();
+  if (beat.view_id != view_.id) {
+    reply.view = view_;
   }
-  for (const std::string& id : changes.removed) {
-    if (const TargetPtr target = board_.Find(id)) {
-      links_.Drop(*target);
-    }
-    board_.Remove(id);
-    Log(LogLevel::kInfo, "target_gone", {{"id", id}});
+  if (beat.member.shares_epoch != shares_.epoch) {
+    reply.shares = shares_;
   }
+  reply.config = config_relay_.Since(beat.config_after);
+  reply.targets = target_relay_.Since(beat.targets_after);
+  reply.crashes = crashes_.Own(now);
+  return reply;
 }
 
 boost::asio::awaitable<void> FleetAgent::RunPlacement() {
   for (;;) {
     co_await Pause(kPlanPace);
     if (config_ != nullptr && leadership_.MayOrder(boot_clock_.Now())) {
-      PlaceModels();
+      placer_.Plan(*config_, clock_.Now());
     }
   }
 }
 
-void FleetAgent::PlaceModels() {
-  for (const Service& service : config_->services) {
-    if (service.engine) {
-      PlaceService(service);
-    }
-  }
-}
-
-void FleetAgent::PlaceService(const Service& service) {
-  const auto move =
-      PlanMove(*service.engine, desk_.Views(service), LoadsOf(service),
-               desk_.LoadsFree(*service.engine));
-  if (!move) {
-    return;
-  }
-  std::string unload;
-  for (const std::string& model : move->unload) {
-    unload += unload.empty() ? "" : ",";
-    unload += model;
-  }
-  Log(LogLevel::kInfo, "move_planned",
-      {{"target", move->engine},
-       {"load", move->load},
-       {"unload", unload},
-       {"from_store", move->from_store ? "yes" : "no"}});
-  Spawn(desk_.RunMove(service, *move), "move");
-}
-
-// Demand of the fleet for the models of a service, adapters counted in.
-ModelLoads FleetAgent::LoadsOf(const Service& service) const {
-  ModelLoads loads;
-  const auto add = [&](const ModelKey& key, const Demand& demand) {
-    if (key.service != service.name) {
-      return;
-    }
-    Demand& sum = loads[key.model.substr(0, key.model.find('/'))];
-    sum.requests += demand.requests;
-    sum.tokens += demand.tokens;
-    sum.unmet += demand.unmet;
-  };
-  for (const MemberView& view : members_.Live(read_at_)) {
-    if (view.member.name == settings_.name) {
-      continue;
-    }
-    for (const ModelDemand& item : view.member.demand) {
-      add(item.key, item.demand);
-    }
-  }
-  for (const auto& [key, demand] : demand_.averages()) {
-    add(key, demand);
-  }
-  return loads;
-}
-
 }  // namespace jackdaw::serving
--- /dev/null
+++ b/src/fleet/fleet_agent_rows.cc
@@ -0,0 +1,102 @@
+// Configuration and targets, whoever brought their rows.
+#include "core/log.h"
+#include "fleet/fleet_agent.h"
+#include "platform/config_row.h"
+#include "platform/tables.h"
+#include "platform/target_row.h"
+
+namespace jackdaw::serving {
+
+void FleetAgent::OnConfigRows(const platform::RowSet& rows) {
+  for (const platform::StoredRow& row : rows.rows) {
+    if (row.at.key != platform::kConfigKey || row.dropped) {
+      continue;
+    }
+    auto config = platform::DecodeConfig(row.value);
+    if (!config) {
+      Log(LogLevel::kError, "config_unreadable",
+          {{"error", config.error().Line()}});
+      continue;
+    }
+    const std::int64_t version = config.value().version;
+    if (config_ != nullptr && version <= config_->version) {
+      continue;
+    }
+    LogQuotas(config.value());
+    config_ = std::make_shared<const ServingConfig>(std::move(config.value()));
+    quotas_.OnConfig(*config_, clock_.Now());
+    Log(LogLevel::kInfo, "config_taken",
+        {{"version", std::to_string(version)},
+         {"from", following_ ? leadership_.lease().holder : "store"},
+         {"routes", std::to_string(config_->routes.size())},
+         {"workspaces", std::to_string(config_->workspaces.size())}});
+  }
+}
+
+// Names the quotas that are new or changed.
+void FleetAgent::LogQuotas(const ServingConfig& config) const {
+  for (const Workspace& workspace : config.workspaces) {
+    const Workspace* old =
+        config_ == nullptr ? nullptr : config_->FindWorkspace(workspace.name);
+    if (old != nullptr && old->rate == workspace.rate &&
+        old->burst == workspace.burst) {
+      continue;
+    }
+    Log(LogLevel::kInfo, "quota",
+        {{"workspace", workspace.name},
+         {"rate", std::to_string(workspace.rate)},
+         {"burst", std::to_string(workspace.burst)},
+         {"config", std::to_string(config.version)}});
+  }
+}
+
+std::vector<TargetRow> FleetAgent::DecodeTargets(
+    const platform::RowSet& rows) const {
+  std::vector<TargetRow> targets;
+  for (const platform::StoredRow& row : rows.rows) {
+    TargetRow target;
+    target.id = row.at.key;
+    target.version = row.version;
+    if (!row.dropped) {
+      auto entry = platform::DecodeTarget(row.at.key, row.value);
+      target.readable = static_cast<bool>(entry);
+      if (entry) {
+        target.entry = std::move(entry.value());
+      } else {
+        Log(LogLevel::kWarn, "target_row_skipped",
+            {{"target", row.at.key}, {"error", entry.error().Line()}});
+      }
+    }
+    targets.push_back(std::move(target));
+  }
+  return targets;
+}
+
+void FleetAgent::OnTargetChanges(const TargetFeed::Changes& changes) {
+  for (const TargetEntry& entry : changes.updated) {
+    if (!board_.Update(entry)) {
+      continue;
+    }
+    std::string models;
+    for (const HeldModel& model : entry.models) {
+      models += models.empty() ? "" : ",";
+      models += model.name;
+    }
+    Log(LogLevel::kInfo, "target",
+        {{"id", entry.id},
+         {"service", entry.service},
+         {"state", entry.state == TargetState::kReady ? "ready" : "draining"},
+         {"address", ToText(entry.address)},
+         {"failure_domain", entry.failure_domain},
+         {"models", models}});
+  }
+  for (const std::string& id : changes.removed) {
+    if (const TargetPtr target = board_.Find(id)) {
+      links_.Drop(*target);
+    }
+    board_.Remove(id);
+    Log(LogLevel::kInfo, "target_gone", {{"id", id}});
+  }
+}
+
+}  // namespace jackdaw::serving
--- /dev/null
+++ b/src/fleet/fleet_agent_store.cc
@@ -0,0 +1,241 @@
+// Rows of the fleet in the store: lease, shares, members without a leader.
+#include <algorithm>
+
+#include "core/log.h"
+#include "fleet/fleet_agent.h"
+#include "fleet/leader_row.h"
+#include "platform/tables.h"
+
+namespace jackdaw::serving {
+namespace {
+
+// Time for the store to answer a call.
+constexpr Micros kCallTime = 900ms;
+// Pace at which the leader reads the rows of members that cannot reach it.
+constexpr Micros kReadPace = 1900ms;
+// Silence after which nothing is remembered of a member.
+constexpr Micros kForgotten = 120s;
+constexpr std::string_view kMemberPrefix = "member/";
+constexpr std::string_view kLeaseKey = "leader";
+constexpr std::string_view kSharesKey = "shares";
+constexpr std::string_view kViewKey = "view";
+
+platform::RowKey FleetKey(std::string_view key) {
+  return {std::string(platform::kFleetTable), "", std::string(key)};
+}
+
+}  // namespace
+
+boost::asio::awaitable<void> FleetAgent::ReadFleet() {
+  const Instant now = clock_.Now();
+  if (leadership_.Holds() && now - fleet_read_at_ < kReadPace) {
+    co_return;
+  }
+  const Result<platform::RowSet> read =
+      co_await store_.Read(std::string(platform::kFleetTable), std::string(),
+                           std::string(), std::string(), now + kCallTime);
+  if (!read) {
+    co_return;
+  }
+  fleet_read_at_ = clock_.Now();
+  OnFleetRows(read.value());
+  fleet_known_ = true;
+}
+
+void FleetAgent::OnFleetRows(const platform::RowSet& rows) {
+  const Instant now = clock_.Now();
+  bool lease_seen = false;
+  for (const platform::StoredRow& row : rows.rows) {
+    if (row.at.key.starts_with(kMemberPrefix)) {
+      std::int64_t& version = member_versions_[row.at.key];
+      if (row.version <= version) {
+        continue;
+      }
+      version = row.version;
+      const auto member = DecodeMember(row.value);
+      if (!member) {
+        Log(LogLevel::kWarn, "row_unreadable",
+            {{"key", row.at.key}, {"error", member.error().Line()}});
+      } else if (member.value().name != settings_.name) {
+        members_.OnBeat(member.value(), now);
+      }
+    } else if (row.at.key == kLeaseKey) {
+      auto lease = DecodeLeaderLease(row.value);
+      if (lease) {
+        lease.value().row_version = row.version;
+        leadership_.OnRead(&lease.value(), boot_clock_.Now());
+        lease_seen = true;
+      }
+    } else if (row.at.key == kViewKey && !leadership_.Holds() &&
+               row.version > view_row_version_) {
+      auto view = DecodeViewRow(row.value);
+      view_row_version_ = row.version;
+      if (view) {
+        view_ = std::move(view.value());
+      }
+    } else if (row.at.key == kSharesKey && row.version > shares_row_version_) {
+      auto shares = DecodeShares(row.value);
+      if (shares && shares.value().epoch >= shares_.epoch) {
+        shares_ = std::move(shares.value());
+        shares_row_version_ = row.version;
+      }
+    }
+  }
+  if (!lease_seen) {
+    leadership_.OnRead(nullptr, boot_clock_.Now());
+  }
+  ApplyShares();
+  RefreshView();
+}
+
+// Takes the own part from the table. It is lowered here before a beat says
+// so, and the leader raises others only after that.
+void FleetAgent::ApplyShares() {
+  const ShareEntry* own = shares_.Find(settings_.name);
+  const double share = own == nullptr ? 0 : own->share;
+  if (shares_applied_ == shares_.epoch && quotas_.share() == share) {
+    return;
+  }
+  quotas_.SetShare(share, clock_.Now());
+  shares_applied_ = shares_.epoch;
+  Log(LogLevel::kInfo, "share_taken",
+      {{"epoch", std::to_string(shares_.epoch)},
+       {"share", std::to_string(share)}});
+}
+
+// The others may have been given the part of an instance that is cut off.
+void FleetAgent::DropShareIfSilent() {
+  const Micros silent = boot_clock_.Now() - std::max(wrote_at_, in_touch_at_);
+  const bool was_in_touch = std::max(wrote_at_, in_touch_at_) != Instant{};
+  if (was_in_touch && silent > kShareKept && quotas_.share() > 0) {
+    Log(LogLevel::kWarn, "share_dropped",
+        {{"silent_ms", std::to_string(silent / 1ms)}});
+    quotas_.SetShare(0, clock_.Now());
+    shares_applied_ = -1;
+  }
+}
+
+// The leader's view of the live members; only a leader makes one.
+void FleetAgent::RefreshView() {
+  if (!leadership_.Holds()) {
+    return;
+  }
+  FleetView view;
+  for (const MemberView& live : members_.Live(clock_.Now())) {
+    const Member& member = live.member;
+    if (member.entry.port() != 0) {
+      view.members.push_back({member.name, member.entry, member.peer,
+                              member.failure_domain, member.state});
+    }
+  }
+  if (view.members == view_.members && !view_.id.empty()) {
+    return;
+  }
+  ++views_made_;
+  view.id = settings_.name + "/" + boot_ + "/" + std::to_string(views_made_);
+  view_ = std::move(view);
+  retries_.SetInstances(static_cast<int>(view_.members.size()));
+}
+
+// What the last leader knew is learned anew: the members of its view count as
+// live, and those that hold a part of the quotas as there, until they tell of
+// themselves. The last leader itself has fallen silent.
+void FleetAgent::OnLeaseWon(const std::string& last_holder) {
+  const Instant now = clock_.Now();
+  Log(LogLevel::kInfo, "lease_won",
+      {{"term", std::to_string(leadership_.term())},
+       {"last_holder", last_holder}});
+  for (const FleetMember& member : view_.members) {
+    if (member.name != last_holder) {
+      members_.Expect(member, now);
+    }
+  }
+  for (const ShareEntry& entry : shares_.entries) {
+    FleetMember holder;
+    holder.name = entry.name;
+    holder.state = MemberState::kStarting;
+    members_.Expect(holder, now);
+  }
+  desk_.OnTerm(now);
+  RefreshView();
+}
+
+boost::asio::awaitable<bool> FleetAgent::WriteFleet(bool with_member) {
+  platform::RowTransaction write;
+  const Member own = OwnRow();
+  const bool ending =
+      state_ == MemberState::kDraining || state_ == MemberState::kGone;
+  const Instant sent_at = boot_clock_.Now();
+  LeaseStep step = leadership_.Next(sent_at);
+  LeaderLease proposal = leadership_.Proposal(step);
+  if (ending) {
+    step = leadership_.Holds() ? LeaseStep::kRenew : LeaseStep::kNone;
+    proposal = leadership_.Proposal(step);
+    proposal.released = true;
+  }
+  if (step != LeaseStep::kNone) {
+    write.conditions.push_back(
+        {FleetKey(kLeaseKey), leadership_.lease().row_version});
+    write.puts.push_back({FleetKey(kLeaseKey), EncodeLeaderLease(proposal)});
+  }
+  if (with_member) {
+    write.puts.push_back(
+        {FleetKey(std::string(kMemberPrefix) + own.name), EncodeMember(own)});
+  }
+  ShareTable planned = shares_;
+  if (leadership_.Holds() && !ending) {
+    members_.OnBeat(own, clock_.Now());
+    members_.Forget(clock_.Now() - kForgotten);
+    RefreshView();
+    planned = PlanShares(shares_, members_, clock_.Now());
+    if (planned.epoch != shares_.epoch) {
+      if (step == LeaseStep::kNone) {
+        write.conditions.push_back(
+            {FleetKey(kLeaseKey), leadership_.lease().row_version});
+      }
+      write.conditions.push_back({FleetKey(kSharesKey), shares_row_version_});
+      write.puts.push_back({FleetKey(kSharesKey), EncodeShares(planned)});
+    }
+  }
+  const FleetView view = view_;
+  const bool tells_view = leadership_.Holds() && view.id != view_written_;
+  if (tells_view) {
+    if (write.conditions.empty()) {
+      write.conditions.push_back(
+          {FleetKey(kLeaseKey), leadership_.lease().row_version});
+    }
+    write.puts.push_back({FleetKey(kViewKey), EncodeViewRow(view)});
+  }
+  if (write.puts.empty()) {
+    co_return true;
+  }
+  const Result<platform::RowCommit> commit =
+      co_await store_.Commit(std::move(write), clock_.Now() + kCallTime);
+  if (!commit || !commit.value().applied) {
+    // What another instance wrote is read before the next try.
+    fleet_read_at_ = Instant{};
+    co_return false;
+  }
+  wrote_at_ = sent_at;
+  if (tells_view) {
+    view_written_ = view.id;
+    view_row_version_ = commit.value().version;
+  }
+  if (step != LeaseStep::kNone) {
+    const bool acquired = step == LeaseStep::kAcquire;
+    const std::string last_holder = leadership_.lease().holder;
+    proposal.row_version = commit.value().version;
+    leadership_.OnApplied(proposal, sent_at);
+    if (acquired) {
+      OnLeaseWon(last_holder);
+    }
+  }
+  if (planned.epoch != shares_.epoch) {
+    shares_ = std::move(planned);
+    shares_row_version_ = commit.value().version;
+    ApplyShares();
+  }
+  co_return true;
+}
+
+}  // namespace jackdaw::serving
--- a/src/fleet/leader_row.cc
+++ b/src/fleet/leader_row.cc
@@ -9,6 +9,7 @@
 std::string EncodeLeaderLease(const LeaderLease& lease) {
   return boost::json::serialize(
       boost::json::value{{"holder", lease.holder},
+                         {"address", lease.address},
                          {"boot", lease.boot},
                          {"term", lease.term},
                          {"renewals", lease.renewals},
@@ -20,6 +21,7 @@
   ObjectReader reader(value, "");
   LeaderLease lease;
   lease.holder = reader.Text("holder");
+  lease.address = reader.Text("address");
   lease.boot = reader.Text("boot");
   lease.term = reader.Integer("term", 0, INT64_MAX);
   lease.renewals = reader.Integer("renewals", 0, INT64_MAX);
--- a/src/fleet/leadership.cc
+++ b/src/fleet/leadership.cc
@@ -4,14 +4,20 @@
 namespace {
 
 // Pace of renewals.
-constexpr Micros kRenewAfter = 900ms;
+constexpr Micros kRenewAfter = 600ms;
 // Margin for the time that a write spends on its way.
 constexpr Micros kMargin = 300ms;
 
 }  // namespace
 
-Leadership::Leadership(std::string self, std::string boot, Micros lease_time)
-    : self_(std::move(self)), boot_(std::move(boot)), lease_time_(lease_time) {}
+Leadership::Leadership(std::string self,
+                       std::string address,
+                       std::string boot,
+                       Micros lease_time)
+    : self_(std::move(self)),
+      address_(std::move(address)),
+      boot_(std::move(boot)),
+      lease_time_(lease_time) {}
 
 bool Leadership::IsOwn(const LeaderLease& lease) const {
   return lease.holder == self_ && lease.boot == boot_ && !lease.released;
@@ -50,6 +56,7 @@
   LeaderLease next = lease_;
   if (step == LeaseStep::kAcquire) {
     next.holder = self_;
+    next.address = address_;
     next.boot = boot_;
     next.term = lease_.term + 1;
     next.renewals = 0;
--- a/src/fleet/leadership.h
+++ b/src/fleet/leadership.h
@@ -10,6 +10,8 @@
 /// The one lease of the fleet, as its row says.
 struct LeaderLease {
   std::string holder;
+  /// Where other instances ask the holder.
+  std::string address;
   std::string boot;
   /// Grows with each change of holder; the fencing token of orders.
   std::int64_t term = 0;
@@ -29,7 +31,10 @@
 class Leadership {
  public:
   /// @param lease_time time without a renewal after which another may take it
-  Leadership(std::string self, std::string boot, Micros lease_time);
+  Leadership(std::string self,
+             std::string address,
+             std::string boot,
+             Micros lease_time);
 
   /// The row was read. @param lease null when there is none
   void OnRead(const LeaderLease* lease, Instant now);
@@ -50,6 +55,7 @@
   bool IsOwn(const LeaderLease& lease) const;
 
   std::string self_;
+  std::string address_;
   std::string boot_;
   Micros lease_time_;
   bool known_ = false;
--- a/src/fleet/member.cc
+++ b/src/fleet/member.cc
@@ -89,7 +89,7 @@
   member.boot = reader.Text("boot");
   member.beat = reader.Integer("beat", 0, kMostMilli);
   member.state = StateOf(reader.Text("state"));
-  member.shares_epoch = reader.IntegerOr("shares_epoch", 0, kMostMilli, 0);
+  member.shares_epoch = reader.IntegerOr("shares_epoch", -1, kMostMilli, 0);
   for (const auto& item : reader.ItemsOr("demand")) {
     BOOST_OUTCOME_TRY(ModelDemand demand, DecodeDemand(item));
     member.demand.push_back(std::move(demand));
--- a/src/fleet/member_table.cc
+++ b/src/fleet/member_table.cc
@@ -8,25 +8,46 @@
 
 }  // namespace
 
-void MemberTable::OnRead(std::vector<Member> members, Instant now) {
-  std::map<std::string, MemberView> next;
-  for (Member& member : members) {
-    const auto known = members_.find(member.name);
-    MemberView view{std::move(member), now};
-    if (known != members_.end()) {
-      const Member& old = known->second.member;
-      const bool same_boot = old.boot == view.member.boot;
-      if (same_boot && old.beat >= view.member.beat) {
-        view = known->second;
-      }
-    }
-    next.emplace(view.member.name, std::move(view));
+void MemberTable::OnRead(const std::vector<Member>& members, Instant now) {
+  for (const Member& member : members) {
+    OnBeat(member, now);
   }
-  members_ = std::move(next);
 }
 
-void MemberTable::OnOwn(const Member& member, Instant now) {
+bool MemberTable::OnBeat(const Member& member, Instant now) {
+  const auto known = members_.find(member.name);
+  if (known != members_.end()) {
+    const Member& old = known->second.member;
+    if (old.boot == member.boot && old.beat >= member.beat) {
+      return false;
+    }
+  }
   members_[member.name] = {member, now};
+  return true;
+}
+
+void MemberTable::Expect(const FleetMember& member, Instant now) {
+  MemberView& view = members_[member.name];
+  const bool has_told = !view.member.boot.empty();
+  if (!has_told) {
+    view.member.name = member.name;
+    view.member.shares_epoch = -1;
+  }
+  if (member.entry.port() != 0) {
+    view.member.entry = member.entry;
+    view.member.peer = member.peer;
+    view.member.failure_domain = member.failure_domain;
+    view.member.state = member.state;
+    view.changed_at = now;
+  } else if (!has_told) {
+    view.changed_at = now;
+  }
+}
+
+void MemberTable::Forget(Instant before) {
+  std::erase_if(members_, [&](const auto& item) {
+    return item.second.changed_at < before;
+  });
 }
 
 std::vector<MemberView> MemberTable::Live(Instant read_at) const {
--- a/src/fleet/member_table.h
+++ b/src/fleet/member_table.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "fleet/member.h"
+#include "fleet/fleet_view.h"
 
 namespace jackdaw::serving {
 
@@ -18,10 +18,14 @@
 /// its row changes; clocks of other machines play no part.
 class MemberTable {
  public:
-  /// Takes the rows of one read of the whole table.
-  void OnRead(std::vector<Member> members, Instant now);
-  /// Own row as written.
-  void OnOwn(const Member& member, Instant now);
+  /// Takes the rows of one read of the table.
+  void OnRead(const std::vector<Member>& members, Instant now);
+  /// Forgets members that have been silent for long.
+  void Forget(Instant before);
+  /// One member told of itself. @returns false for what is older than known
+  bool OnBeat(const Member& member, Instant now);
+  /// A member that may be there and has not told of itself lately.
+  void Expect(const FleetMember& member, Instant now);
 
   /// Members whose rows changed lately and that have not gone.
   /// @param read_at last moment at which the rows were read; rows do not age
--- /dev/null
+++ b/src/fleet/model_placer.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+
+#include "core/clock.h"
+#include "fleet/leadership.h"
+#include "fleet/member_table.h"
+#include "fleet/order_desk.h"
+#include "gateway/exchange_ports.h"
+
+namespace jackdaw::serving {
+
+/// The leader's duty to have models where they are asked for.
+class ModelPlacer {
+ public:
+  ModelPlacer(boost::asio::io_context& context,
+              const MonotonicClock& clock,
+              OrderDesk& desk,
+              const MemberTable& members,
+              const DemandMeter& own_demand,
+              std::string own_name);
+
+  /// Plans one change for each service and has it carried out.
+  /// @param read_at moment up to which members told of themselves
+  void Plan(const ServingConfig& config, Instant read_at);
+
+ private:
+  void PlanService(const Service& service, Instant read_at);
+  ModelLoads LoadsOf(const Service& service, Instant read_at) const;
+
+  boost::asio::io_context& context_;
+  const MonotonicClock& clock_;
+  OrderDesk& desk_;
+  const MemberTable& members_;
+  const DemandMeter& own_demand_;
+  std::string own_name_;
+};
+
+}  // namespace jackdaw::serving
--- a/src/fleet/order_desk.cc
+++ b/src/fleet/order_desk.cc
@@ -262,9 +262,14 @@
   if (!holders.empty() || !service.engine) {
     co_return holders;
   }
-  const TargetPtr target = ChooseAdapterHost(service, model);
-  if (target == nullptr) {
-    co_return holders;
+  // A host that is being ordered something else is waited for.
+  TargetPtr target = ChooseAdapterHost(service, model);
+  for (int look = 0; target == nullptr && look < kAdapterLooks; ++look) {
+    co_await Pause(5ms);
+    target = ChooseAdapterHost(service, model);
+  }
+  if (target == nullptr || adapters_loading_.contains(name)) {
+    co_return HoldersOf(service, name);
   }
   adapters_loading_.insert(name);
   LedgerOf(*target).sending = true;
--- a/src/fleet/peer_desk.cc
+++ b/src/fleet/peer_desk.cc
@@ -69,7 +69,7 @@
 
 boost::asio::awaitable<double> PeerDesk::AskForUnits(std::string workspace,
                                                      double units) {
-  std::vector<MemberView> peers = agent_.Peers();
+  std::vector<FleetMember> peers = agent_.Peers();
   for (std::size_t i = peers.size(); i > 1; --i) {
     std::swap(peers[i - 1], peers[random_.Below(i)]);
   }
@@ -80,7 +80,7 @@
         {"units", static_cast<std::int64_t>((units - given) * kMilli) + 1}};
     HttpRequest request = Post("/peer/units", body);
     const Result<HttpResponse> answer = co_await http_.Fetch(
-        peers[i].member.peer, std::move(request), clock_.Now() + kUnitsTime);
+        peers[i].peer, std::move(request), clock_.Now() + kUnitsTime);
     if (!answer || answer.value().status != 200) {
       continue;
     }
@@ -157,14 +157,14 @@
         co_await PlaceHere(service, model, adapter);
     co_return TakeHolders(ids, name);
   }
-  const Member* leader = agent_.Leader();
-  if (leader == nullptr) {
+  const auto leader = agent_.LeaderAddress();
+  if (!leader) {
     co_return nullptr;
   }
   const json::value body{
       {"service", service}, {"model", model}, {"adapter", adapter}};
   HttpRequest request = Post("/peer/adapter", body);
-  const Endpoint address = leader->peer;
+  const Endpoint address = *leader;
   const Result<HttpResponse> answer = co_await http_.Fetch(
       address, std::move(request), clock_.Now() + kAdapterTime);
   if (!answer || answer.value().status != 200) {
@@ -179,7 +179,26 @@
   co_return TakeHolders(ids, name);
 }
 
+boost::asio::awaitable<void> PeerDesk::ServeBeat(HttpExchange& exchange) {
+  const auto beat = DecodeBeat(exchange.request().body);
+  if (!beat) {
+    Log(LogLevel::kError, "beat_unreadable", {{"error", beat.error().Line()}});
+    HttpResponse malformed = JsonResponse(400, R"({"error":"malformed"})");
+    co_await exchange.Respond(std::move(malformed));
+    co_return;
+  }
+  const auto reply = agent_.OnBeat(beat.value());
+  HttpResponse answer =
+      reply ? JsonResponse(200, EncodeBeatReply(*reply))
+            : JsonResponse(409, R"({"error":"not the leader"})");
+  co_await exchange.Respond(std::move(answer));
+}
+
 boost::asio::awaitable<void> PeerDesk::Serve(HttpExchange& exchange) {
+  if (exchange.request().Path() == "/peer/beat") {
+    co_await ServeBeat(exchange);
+    co_return;
+  }
   const auto value = ParseJson(exchange.request().body);
   if (!value) {
     HttpResponse malformed = JsonResponse(400, R"({"error":"not JSON"})");
--- a/src/fleet/peer_desk.h
+++ b/src/fleet/peer_desk.h
@@ -36,6 +36,7 @@
   boost::asio::awaitable<void> Serve(HttpExchange& exchange);
 
  private:
+  boost::asio::awaitable<void> ServeBeat(HttpExchange& exchange);
   boost::asio::awaitable<double> AskForUnits(std::string workspace,
                                              double units);
   boost::asio::awaitable<TargetPtr> AskForAdapter(std::string service,
--- /dev/null
+++ b/src/fleet/row_relay.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/time.h"
+#include "platform/store_types.h"
+
+namespace jackdaw::serving {
+
+/// Rows of one table that came after a version, for an instance that does not
+/// watch the store itself.
+struct RowDelta {
+  /// The rows are the whole table; what they do not name is gone.
+  bool whole = false;
+  /// Version up to which the receiver is then informed.
+  std::int64_t version = 0;
+  std::vector<platform::StoredRow> rows;
+};
+
+/// Copy of one table as an instance knows it, from which others are informed.
+class RowRelay {
+ public:
+  /// All rows as of one moment.
+  void OnWhole(const platform::RowSet& set, Instant now);
+  /// Rows that changed.
+  void OnChanges(const platform::RowSet& set, Instant now);
+  /// What another instance relayed.
+  void OnDelta(const RowDelta& delta, Instant now);
+
+  /// What an instance lacks that knows the table up to `after`.
+  RowDelta Since(std::int64_t after) const;
+  std::int64_t version() const { return version_; }
+
+ private:
+  struct Kept {
+    platform::StoredRow row;
+    Instant at{};
+  };
+
+  void Take(const platform::StoredRow& row, Instant now);
+  void Prune(Instant now);
+
+  std::map<std::string, Kept> rows_;
+  std::int64_t version_ = 0;
+  /// Rows that were dropped up to this version may be missing.
+  std::int64_t complete_from_ = 0;
+};
+
+}  // namespace jackdaw::serving
--- a/src/fleet/store_watch.cc
+++ b/src/fleet/store_watch.cc
@@ -22,11 +22,13 @@
 
 }  // namespace
 
-StoreWatch::StoreWatch(platform::StoreClient& store,
+StoreWatch::StoreWatch(boost::asio::io_context& context,
+                       platform::StoreClient& store,
                        const MonotonicClock& clock,
                        std::string table,
                        Sink sink)
-    : store_(store),
+    : wake_(context),
+      store_(store),
       clock_(clock),
       table_(std::move(table)),
       sink_(std::move(sink)) {}
@@ -107,8 +109,26 @@
   co_return true;
 }
 
+void StoreWatch::SetActive(bool active) {
+  if (active_ == active) {
+    return;
+  }
+  active_ = active;
+  if (active_) {
+    wake_.cancel();
+  }
+}
+
 boost::asio::awaitable<void> StoreWatch::Run() {
   for (;;) {
+    while (!active_) {
+      // What was seen before counts no longer as a loss.
+      lost_ = false;
+      failures_ = 0;
+      wake_.expires_at(boost::asio::steady_timer::time_point::max());
+      co_await wake_.async_wait(
+          boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
     bool going = false;
     if (!whole_) {
       whole_ = co_await ReadWhole();
--- a/src/fleet/store_watch.h
+++ b/src/fleet/store_watch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <string>
@@ -24,11 +25,17 @@
     std::function<void()> on_back;
   };
 
-  StoreWatch(platform::StoreClient& store,
+  StoreWatch(boost::asio::io_context& context,
+             platform::StoreClient& store,
              const MonotonicClock& clock,
              std::string table,
              Sink sink);
 
+  /// Whether the table is followed; while it is not, no call is made.
+  void SetActive(bool active);
+  /// The store did not answer the last call.
+  bool lost() const { return lost_; }
+
   /// Runs for ever; spawned once.
   boost::asio::awaitable<void> Run();
 
@@ -39,10 +46,12 @@
   void OnFailure(const Error& error);
   void OnSuccess();
 
+  boost::asio::steady_timer wake_;
   platform::StoreClient& store_;
   const MonotonicClock& clock_;
   std::string table_;
   Sink sink_;
+  bool active_ = true;
   bool whole_ = false;
   bool lost_ = false;
   std::int64_t version_ = 0;
--- a/src/fleet/target_feed.cc
+++ b/src/fleet/target_feed.cc
@@ -27,14 +27,14 @@
 }
 
 void TargetFeed::Take(const TargetRow& row, Instant now, Changes& changes) {
-  if (!row.readable) {
-    OnMissing(row.id, now, changes);
-    return;
-  }
   const auto known = known_.find(row.id);
   if (known != known_.end() && known->second >= row.version) {
     return;
   }
+  if (!row.readable) {
+    OnMissing(row.id, now, changes);
+    return;
+  }
   known_[row.id] = row.version;
   missing_.erase(row.id);
   changes.updated.push_back(row.entry);
--- /dev/null
+++ b/src/fleet/tests/beat_test.cc
@@ -0,0 +1,132 @@
+#include "fleet/beat.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jackdaw::serving {
+namespace {
+
+constexpr Instant kStart{Micros(1'700'000'000'000'000)};
+
+Member MemberOf(std::string name) {
+  Member member;
+  member.name = std::move(name);
+  member.boot = "b";
+  member.entry = ParseEndpoint("10.1.0.1:80").value();
+  member.peer = ParseEndpoint("10.1.0.1:81").value();
+  member.failure_domain = "z";
+  return member;
+}
+
+platform::StoredRow RowOf(std::string key, std::int64_t version) {
+  platform::StoredRow row;
+  row.at.key = std::move(key);
+  row.value = "v";
+  row.version = version;
+  return row;
+}
+
+BOOST_AUTO_TEST_CASE(TheFirstBeatOfAnInstanceReadsBack) {
+  BeatRequest beat;
+  beat.member = MemberOf("a");
+  beat.member.shares_epoch = -1;
+  beat.member.demand.push_back({{"s", "m/a1"}, {1.5, 2000, 0}});
+  beat.member.crashes.push_back({0xffffffffffffffffULL, 2});
+  const auto read = DecodeBeat(EncodeBeat(beat));
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read.value().view_id.empty());
+  BOOST_TEST(read.value().member.name == "a");
+  BOOST_TEST(read.value().member.shares_epoch == -1);
+  BOOST_TEST(read.value().member.demand[0].demand.tokens == 2000);
+  BOOST_TEST(read.value().member.crashes[0].digest == 0xffffffffffffffffULL);
+}
+
+BOOST_AUTO_TEST_CASE(AReplyReadsBackWithAndWithoutNews) {
+  const auto empty = DecodeBeatReply(EncodeBeatReply({}));
+  BOOST_REQUIRE(empty);
+  BOOST_TEST(!empty.value().view.has_value());
+  BOOST_TEST(!empty.value().fresh);
+  BeatReply reply;
+  reply.fresh = true;
+  reply.view = FleetView{"x/1",
+                         {{"a", MemberOf("a").entry, MemberOf("a").peer, "z",
+                           MemberState::kReady}}};
+  reply.shares = ShareTable{3, {{"a", 1, 1}}};
+  reply.targets.whole = true;
+  reply.targets.version = 9;
+  reply.targets.rows = {RowOf("t", 8)};
+  platform::StoredRow dropped = RowOf("u", 9);
+  dropped.dropped = true;
+  dropped.value.clear();
+  reply.targets.rows.push_back(dropped);
+  const auto read = DecodeBeatReply(EncodeBeatReply(reply));
+  BOOST_REQUIRE(read);
+  BOOST_TEST((read.value().view->members == reply.view->members));
+  BOOST_TEST(read.value().shares->epoch == 3);
+  BOOST_TEST(read.value().targets.whole);
+  BOOST_REQUIRE(read.value().targets.rows.size() == 2);
+  BOOST_TEST(read.value().targets.rows[1].dropped);
+}
+
+BOOST_AUTO_TEST_CASE(BrokenBeatsAreRefused) {
+  for (const char* text : {"", "{}", "[]", R"({"member":"{}"})", "\xff"}) {
+    BOOST_TEST(!DecodeBeat(text));
+  }
+  BOOST_TEST(!DecodeBeatReply("[1]"));
+}
+
+BOOST_AUTO_TEST_CASE(ARelayTellsOnlyWhatIsNew) {
+  RowRelay relay;
+  platform::RowSet whole;
+  whole.version = 10;
+  whole.rows = {RowOf("a", 3), RowOf("b", 9)};
+  relay.OnWhole(whole, kStart);
+  BOOST_TEST(relay.Since(0).whole);
+  BOOST_TEST(relay.Since(0).rows.size() == 2);
+  BOOST_TEST(relay.Since(10).rows.empty());
+  platform::RowSet changes;
+  changes.version = 12;
+  changes.rows = {RowOf("a", 11), RowOf("b", 12)};
+  changes.rows[1].dropped = true;
+  relay.OnChanges(changes, kStart);
+  const RowDelta delta = relay.Since(11);
+  BOOST_TEST(!delta.whole);
+  BOOST_REQUIRE(delta.rows.size() == 1);
+  BOOST_TEST(delta.rows[0].dropped);
+  BOOST_TEST(delta.version == 12);
+}
+
+// What is dropped while the history is gone is told as dropped, and an
+// instance that was away for long gets the whole table.
+BOOST_AUTO_TEST_CASE(ARelayKnowsWhatAWholeReadNoLongerNames) {
+  RowRelay relay;
+  platform::RowSet whole;
+  whole.version = 10;
+  whole.rows = {RowOf("a", 3), RowOf("b", 9)};
+  relay.OnWhole(whole, kStart);
+  whole.version = 20;
+  whole.rows = {RowOf("a", 3)};
+  relay.OnWhole(whole, kStart + 1s);
+  const RowDelta delta = relay.Since(10);
+  BOOST_REQUIRE(delta.rows.size() == 1);
+  BOOST_TEST(delta.rows[0].at.key == "b");
+  BOOST_TEST(delta.rows[0].dropped);
+  whole.version = 30;
+  relay.OnWhole(whole, kStart + 60s);
+  BOOST_TEST(relay.Since(10).whole);
+  BOOST_TEST(!relay.Since(20).whole);
+}
+
+BOOST_AUTO_TEST_CASE(AnOlderWholeReadChangesNothing) {
+  RowRelay relay;
+  platform::RowSet whole;
+  whole.version = 10;
+  whole.rows = {RowOf("a", 3), RowOf("b", 9)};
+  relay.OnWhole(whole, kStart);
+  whole.version = 7;
+  whole.rows = {RowOf("a", 3)};
+  relay.OnWhole(whole, kStart);
+  BOOST_TEST(relay.Since(0).rows.size() == 2);
+}
+
+}  // namespace
+}  // namespace jackdaw::serving
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -86,6 +86,7 @@
   std::string AnswerHeadText(std::string_view framing) const;
   void Refuse(const Refusal& refusal);
   void BreakOff(std::string_view why);
+  bool IsLate() const;
   void LogEnd(std::string_view outcome, int status, std::string_view reason);
   void Close();
 
@@ -139,6 +140,8 @@
   std::string pending_;
   Instant first_event_at_{};
   Instant progress_at_{};
+  /// Longest pause between two events as they came from the target.
+  Micros longest_pause_{};
 };
 
 }  // namespace jackdaw::serving
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -27,7 +27,11 @@
 
 void Exchange::OnLinkBytes() {
   const auto self = shared_from_this();
-  progress_at_ = ports_.clock.Now();
+  const Instant now = ports_.clock.Now();
+  if (first_event_at_ != Instant{}) {
+    longest_pause_ = std::max(longest_pause_, Micros(now - progress_at_));
+  }
+  progress_at_ = now;
   if (!ParseAnswer()) {
     return;
   }
@@ -342,6 +346,17 @@
   caller_->Abort();
 }
 
+// Whether the first byte came after the objective, or a pause was too long.
+bool Exchange::IsLate() const {
+  if (route_ == nullptr || first_event_at_ == Instant{}) {
+    return false;
+  }
+  const bool slow_pause = is_stream_ && route_->pause_objective > 0us &&
+                          longest_pause_ > route_->pause_objective;
+  return slow_pause ||
+         first_event_at_ - trace_.began() > route_->latency_objective;
+}
+
 void Exchange::LogEnd(std::string_view outcome,
                       int status,
                       std::string_view reason) {
@@ -367,6 +382,7 @@
         first_event_at_ == Instant{}
             ? ""
             : std::to_string((first_event_at_ - trace_.began()) / 1ms)},
+       {"pause_ms", std::to_string(longest_pause_ / 1ms)},
        {"took_ms", std::to_string((now - trace_.began()) / 1ms)},
        {"steps", in_full ? trace_.Text() : ""}});
 }
--- a/src/quota/quota_book.cc
+++ b/src/quota/quota_book.cc
@@ -20,12 +20,14 @@
 
 }  // namespace
 
+// The part of the allowed overshoot raises rate and burst alike.
+double QuotaBook::Rate(const Bucket& bucket) const {
+  return share_ * bucket.rate * (1 + kUsedMargin * terms_.overshoot);
+}
+
 double QuotaBook::Capacity(const Bucket& bucket) const {
-  const double window = Seconds(terms_.window);
-  const double margin =
-      kUsedMargin * (terms_.overshoot * (bucket.rate * window + bucket.burst) +
-                     (bucket.limited ? terms_.slack : 0));
-  return share_ * (bucket.burst + margin);
+  const double burst = bucket.burst * (1 + kUsedMargin * terms_.overshoot);
+  return share_ * (burst + (bucket.limited ? kUsedMargin * terms_.slack : 0));
 }
 
 void QuotaBook::Fill(Bucket& bucket, Instant now) const {
@@ -37,7 +39,7 @@
   bucket.spent_per_second *= std::exp(-span / kSpendSeconds);
   const double capacity = Capacity(bucket);
   if (bucket.held < capacity) {
-    bucket.held = std::min(capacity, bucket.held + span * share_ * bucket.rate);
+    bucket.held = std::min(capacity, bucket.held + span * Rate(bucket));
   }
 }
 
@@ -91,7 +93,7 @@
     return outcome;
   }
   outcome.missing = units - bucket->held;
-  const double rate = std::max(1.0, share_ * bucket->rate);
+  const double rate = std::max(1.0, Rate(*bucket));
   outcome.retry_at =
       now + Micros(static_cast<std::int64_t>(outcome.missing / rate * 1e6));
   return outcome;
--- a/src/quota/quota_book.h
+++ b/src/quota/quota_book.h
@@ -15,7 +15,6 @@
   double overshoot = 0;
   /// Units that may be exceeded besides.
   double slack = 0;
-  Micros window = 8s;
 };
 
 /// What came of spending units.
@@ -67,6 +66,8 @@
   };
 
   void Fill(Bucket& bucket, Instant now) const;
+  /// Units per second that the own part grows by, and the most it holds.
+  double Rate(const Bucket& bucket) const;
   double Capacity(const Bucket& bucket) const;
   Bucket* Find(std::string_view workspace);
 
--- a/src/serving/config.cc
+++ b/src/serving/config.cc
@@ -37,6 +37,13 @@
   return found == services.end() ? nullptr : &*found;
 }
 
+const Workspace* ServingConfig::FindWorkspace(std::string_view name) const {
+  const auto found = std::find_if(
+      workspaces.begin(), workspaces.end(),
+      [&](const Workspace& workspace) { return workspace.name == name; });
+  return found == workspaces.end() ? nullptr : &*found;
+}
+
 const Workspace* ServingConfig::FindOwner(std::string_view key) const {
   const auto found = key_owners.find(KeyDigest(key));
   return found == key_owners.end() ? nullptr : &workspaces[found->second];
--- a/src/serving/config.h
+++ b/src/serving/config.h
@@ -111,6 +111,7 @@
   /// @param path path without the query @returns null when none matches
   const Route* FindRoute(std::string_view host, std::string_view path) const;
   const Service* FindService(std::string_view name) const;
+  const Workspace* FindWorkspace(std::string_view name) const;
   /// @returns null for a key that no workspace holds
   const Workspace* FindOwner(std::string_view key) const;
 };
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -68,7 +68,6 @@
   settings.retries.window = ReadMs(reader, "retry_window_ms");
   settings.quotas.overshoot = ReadRatio(reader, "quota_overshoot", kMilli);
   settings.quotas.slack = ReadRatio(reader, "quota_slack", 1e12);
-  settings.quotas.window = ReadMs(reader, "quota_window_ms");
   BOOST_OUTCOME_TRY(reader.Finish());
   return settings;
 }
