Pace prompts over engines; tell other instances of sends; copies follow borne demand

Ruled out: loads of models (engines without orders paused alike), processor (0.017 of a core). Before traffic the leader no longer evicts copies for models that nobody asks for.

--- /dev/null
+++ b/src/fleet/dispatch_link.cc
@@ -0,0 +1,117 @@
+#include "fleet/dispatch_link.h"
+
+#include <algorithm>
+
+#include "core/log.h"
+
+namespace jackdaw::serving {
+namespace {
+
+using boost::asio::ip::udp;
+
+// Time for which notices are gathered into one datagram.
+constexpr Micros kGather = 1ms;
+// Instances that are told; those of the own failure domain come first.
+constexpr std::size_t kMostTold = 100;
+
+udp::endpoint UdpOf(const Endpoint& endpoint) {
+  return {endpoint.address(), endpoint.port()};
+}
+
+}  // namespace
+
+DispatchLink::DispatchLink(boost::asio::io_context& context,
+                           const MonotonicClock& clock,
+                           const FleetAgent& agent,
+                           TargetBoard& board,
+                           const Endpoint& own)
+    : clock_(clock),
+      agent_(agent),
+      board_(board),
+      own_(own),
+      socket_(context),
+      timer_(context) {}
+
+Result<void> DispatchLink::Listen() {
+  boost::system::error_code failure;
+  socket_.open(UdpOf(own_).protocol(), failure);
+  if (!failure) {
+    socket_.bind(UdpOf(own_), failure);
+  }
+  if (failure) {
+    return Error{ErrorKind::kAddressInUse,
+                 "cannot receive datagrams on " + ToText(own_) + ": " +
+                     failure.message(),
+                 "end what listens there or change the setting 'peer'"};
+  }
+  socket_.non_blocking(true, failure);
+  Receive();
+  return success();
+}
+
+void DispatchLink::Tell(const Target& target,
+                        const CallHead& call,
+                        std::int64_t tokens) {
+  auto& dispatch = *pending_.add_dispatches();
+  dispatch.set_target(TargetDigest(target.entry.id));
+  dispatch.set_tokens(static_cast<std::uint32_t>(tokens));
+  for (const PromptPart& part : call.prompt_parts) {
+    dispatch.add_parts(PartDigest(call, part.id));
+  }
+  if (armed_) {
+    return;
+  }
+  armed_ = true;
+  timer_.expires_after(kGather);
+  timer_.async_wait([this](const auto& failure) {
+    if (!failure) {
+      Flush();
+    }
+  });
+}
+
+void DispatchLink::Flush() {
+  armed_ = false;
+  const std::string bytes = pending_.SerializeAsString();
+  pending_.Clear();
+  std::size_t told = 0;
+  for (const FleetMember& peer : agent_.Peers()) {
+    if (++told > kMostTold) {
+      break;
+    }
+    // A full buffer drops the notice, as the network may.
+    boost::system::error_code ignored;
+    socket_.send_to(boost::asio::buffer(bytes), UdpOf(peer.peer), 0, ignored);
+  }
+}
+
+void DispatchLink::Receive() {
+  socket_.async_receive_from(
+      boost::asio::buffer(input_), sender_,
+      [this](const auto& failure, std::size_t size) {
+        if (failure == boost::asio::error::operation_aborted) {
+          return;
+        }
+        if (!failure) {
+          OnNotice(size);
+        }
+        Receive();
+      });
+}
+
+void DispatchLink::OnNotice(std::size_t size) {
+  dispatch::DispatchNotice notice;
+  if (!notice.ParseFromArray(input_.data(), static_cast<int>(size))) {
+    Log(LogLevel::kWarn, "notice_unreadable",
+        {{"sender", sender_.address().to_string()}});
+    return;
+  }
+  const Instant now = clock_.Now();
+  for (const auto& dispatch : notice.dispatches()) {
+    const std::vector<std::uint64_t> parts(dispatch.parts().begin(),
+                                           dispatch.parts().end());
+    board_.OnSentElsewhere(dispatch.target(), dispatch.tokens(), parts, now);
+  }
+}
+
+}  // namespace jackdaw::serving
--- a/src/fleet/model_placer.cc
+++ b/src/fleet/model_placer.cc
@@ -1,10 +1,20 @@
 #include "fleet/model_placer.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
+#include <cmath>
 
 #include "core/log.h"
 
 namespace jackdaw::serving {
+namespace {
+
+// Time over which demand is averaged before copies follow it.
+constexpr double kAverageSeconds = 3.0;
+// Pause between two changes that only shift load.
+constexpr Micros kShiftPause = 1500ms;
+
+}  // namespace
 
 ModelPlacer::ModelPlacer(boost::asio::io_context& context,
                          const MonotonicClock& clock,
@@ -28,12 +38,17 @@
 }
 
 void ModelPlacer::PlanService(const Service& service, Instant read_at) {
-  const auto move =
-      PlanMove(*service.engine, desk_.Views(service), LoadsOf(service, read_at),
-               desk_.LoadsFree(*service.engine));
+  const ModelLoads loads = Averaged(service, LoadsOf(service, read_at));
+  const auto move = PlanMove(*service.engine, desk_.Views(service), loads,
+                             desk_.LoadsFree(*service.engine));
   if (!move) {
     return;
   }
+  const Instant now = clock_.Now();
+  if (!move->unmet && now - shifted_at_ < kShiftPause) {
+    return;
+  }
+  shifted_at_ = move->unmet ? shifted_at_ : now;
   std::string unload;
   for (const std::string& model : move->unload) {
     unload += unload.empty() ? "" : ",";
@@ -53,6 +68,28 @@
       });
 }
 
+// Demand that has lasted for a while; a model that nobody asked for before is
+// taken as it is.
+ModelLoads ModelPlacer::Averaged(const Service& service,
+                                 const ModelLoads& loads) {
+  const Instant now = clock_.Now();
+  const double span = std::chrono::duration<double>(now - averaged_at_).count();
+  averaged_at_ = now;
+  const double keep = std::exp(-std::min(span, 60.0) / kAverageSeconds);
+  ModelLoads& average = averages_[service.name];
+  for (auto& [model, demand] : average) {
+    demand.tokens *= keep;
+    demand.requests *= keep;
+  }
+  for (const auto& [model, demand] : loads) {
+    Demand& sum = average[model];
+    sum.tokens += (1 - keep) * demand.tokens;
+    sum.requests += (1 - keep) * demand.requests;
+    sum.unmet = demand.unmet;
+  }
+  return average;
+}
+
 // Demand of the fleet for the models of a service, adapters counted in.
 ModelLoads ModelPlacer::LoadsOf(const Service& service, Instant read_at) const {
   ModelLoads loads;
--- a/src/fleet/model_placer.h
+++ b/src/fleet/model_placer.h
@@ -26,6 +26,7 @@
 
  private:
   void PlanService(const Service& service, Instant read_at);
+  ModelLoads Averaged(const Service& service, const ModelLoads& loads);
   ModelLoads LoadsOf(const Service& service, Instant read_at) const;
 
   boost::asio::io_context& context_;
@@ -34,6 +35,9 @@
   const MemberTable& members_;
   const DemandMeter& own_demand_;
   std::string own_name_;
+  std::map<std::string, ModelLoads> averages_;
+  Instant averaged_at_{};
+  Instant shifted_at_{};
 };
 
 }  // namespace jackdaw::serving
--- a/src/fleet/model_plan.h
+++ b/src/fleet/model_plan.h
@@ -32,6 +32,8 @@
   std::vector<std::string> unload;
   /// The load draws on the weight store.
   bool from_store = true;
+  /// No target held the model.
+  bool unmet = false;
 };
 
 /// Demand for the models of one service, in tokens per second.
--- a/src/fleet/peer_desk.cc
+++ b/src/fleet/peer_desk.cc
@@ -39,15 +39,23 @@
                    const MonotonicClock& clock,
                    FleetAgent& agent,
                    TargetBoard& board,
-                   QuotaBook& quotas)
+                   QuotaBook& quotas,
+                   const Endpoint& own)
     : context_(context),
       clock_(clock),
       agent_(agent),
       board_(board),
       quotas_(quotas),
+      dispatches_(context, clock, agent, board, own),
       http_(context, clock, kKept),
       random_(static_cast<std::uint64_t>(ToMillis(clock.Now()))) {}
 
+void PeerDesk::TellSent(const Target& target,
+                        const CallHead& call,
+                        std::int64_t tokens) {
+  dispatches_.Tell(target, call, tokens);
+}
+
 void PeerDesk::BorrowUnits(std::string workspace,
                            double units,
                            std::function<void(double)> done) {
--- a/src/fleet/peer_desk.h
+++ b/src/fleet/peer_desk.h
@@ -7,6 +7,7 @@
 
 #include "core/clock.h"
 #include "core/random.h"
+#include "fleet/dispatch_link.h"
 #include "fleet/fleet_agent.h"
 #include "gateway/fleet_help.h"
 #include "http/client.h"
@@ -22,11 +23,19 @@
            const MonotonicClock& clock,
            FleetAgent& agent,
            TargetBoard& board,
-           QuotaBook& quotas);
+           QuotaBook& quotas,
+           const Endpoint& own);
+
+  /// Starts to hear the notices of other instances.
+  /// @returns kAddressInUse where it cannot
+  Result<void> Listen() { return dispatches_.Listen(); }
 
   void BorrowUnits(std::string workspace,
                    double units,
                    std::function<void(double)> done) override;
+  void TellSent(const Target& target,
+                const CallHead& call,
+                std::int64_t tokens) override;
   void LoadAdapter(std::string service,
                    std::string model,
                    std::string adapter,
@@ -52,6 +61,7 @@
   FleetAgent& agent_;
   TargetBoard& board_;
   QuotaBook& quotas_;
+  DispatchLink dispatches_;
   HttpClient http_;
   Random random_;
   /// Workspaces for which the others had nothing to give, until when.
--- a/src/fleet/tests/model_plan_test.cc
+++ b/src/fleet/tests/model_plan_test.cc
@@ -49,6 +49,48 @@
   BOOST_TEST(!move.has_value());
 }
 
+// Three targets share the busy model; one that bears little gets a copy of it
+// in place of a model that nobody asks for.
+BOOST_AUTO_TEST_CASE(ACrowdedModelGetsACopyWhereLittleIsBorne) {
+  const auto move = PlanMove(
+      Offer(),
+      {Engine("a", {"m0", "m1"}), Engine("b", {"m0", "m2"}),
+       Engine("c", {"m3", "m4"}), Engine("d", {"m3", "m4"})},
+      Loads({{"m0", 60'000}, {"m1", 9000}, {"m2", 9000}, {"m3", 2000}}), 2);
+  BOOST_REQUIRE(move.has_value());
+  BOOST_TEST(move->load == "m0");
+  BOOST_TEST((move->engine == "c" || move->engine == "d"));
+  BOOST_REQUIRE(move->unload.size() == 1);
+  BOOST_TEST(move->unload[0] == "m4");
+}
+
+// Before anybody asks, copies that are there tell what was busy.
+BOOST_AUTO_TEST_CASE(AModelThatNobodyAsksForOnlyFillsFreeRoom) {
+  BOOST_TEST(!PlanMove(Offer(),
+                       {Engine("a", {"m0", "m1"}), Engine("b", {"m0", "m2"})},
+                       {}, 2)
+                  .has_value());
+  const auto move = PlanMove(
+      Offer(), {Engine("a", {"m0", "m1"}), Engine("b", {"m0"})}, {}, 2);
+  BOOST_REQUIRE(move.has_value());
+  BOOST_TEST(move->unload.empty());
+}
+
+// Demand that all targets bear evenly is left as it is.
+BOOST_AUTO_TEST_CASE(EvenDemandMovesNothing) {
+  const auto move =
+      PlanMove(Offer(),
+               {Engine("a", {"m0", "m1"}), Engine("b", {"m0", "m1"}),
+                Engine("c", {"m2", "m3"}), Engine("d", {"m2", "m4"})},
+               Loads({{"m0", 30'000},
+                      {"m1", 20'000},
+                      {"m2", 45'000},
+                      {"m3", 4000},
+                      {"m4", 4000}}),
+               2);
+  BOOST_TEST(!move.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(NothingMovesWithoutARateForLoads) {
   const auto move =
       PlanMove(Offer(), {Engine("a", {"m0"})}, Loads({{"m3", 500}}), 0);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -63,7 +63,9 @@
   void Dispatch();
   void OnAdapterLoaded(const TargetPtr& target);
   void OnNoTarget(const TargetPick& pick);
-  void SendTo(const TargetPtr& target, double expected_ms);
+  bool PaceTo(const TargetPick& pick);
+  void SendTo(const TargetPtr& target, Instant at);
+  void OpenLink();
   void SendRequest();
   bool MayRetry(bool may_have_run);
   void Retry(std::string_view reason, bool may_have_run);
@@ -114,7 +116,7 @@
   std::optional<AnswerParser> parser_;
   AnswerHead answer_;
   Instant sent_at_{};
-  double expected_ms_ = 0;
+  Micros expected_reading_{};
   bool sent_ = false;
   bool first_byte_ = false;
   bool head_seen_ = false;
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -32,6 +32,7 @@
     longest_pause_ = std::max(longest_pause_, Micros(now - progress_at_));
   }
   progress_at_ = now;
+  target_->heard_at = now;
   if (!ParseAnswer()) {
     return;
   }
@@ -82,8 +83,7 @@
   }
   head_seen_ = true;
   first_byte_ = true;
-  ports_.board.OnFirstByte(*target_, call_, answer_, expected_ms_, sent_at_,
-                           now);
+  ports_.board.OnFirstByte(*target_, answer_, expected_reading_, sent_at_, now);
   trace_.Add(now, "head",
              "status=" + std::to_string(parser_->get().result_int()) +
                  (answer_.not_executed ? " not_executed" : ""));
@@ -361,9 +361,7 @@
                       int status,
                       std::string_view reason) {
   const Instant now = ports_.clock.Now();
-  const bool late =
-      route_ != nullptr && first_event_at_ != Instant{} &&
-      first_event_at_ - trace_.began() > route_->latency_objective;
+  const bool late = IsLate();
   const bool in_full = outcome != "answered" || status >= 400 || late;
   Log(LogLevel::kInfo, "request",
       {{"id", call_.id},
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -3,6 +3,7 @@
 
 #include "core/log.h"
 #include "gateway/exchange.h"
+#include "gateway/pace.h"
 #include "platform/call_codec.h"
 
 namespace jackdaw::serving {
@@ -13,7 +14,7 @@
 // Times that an adapter is asked for, for one request.
 constexpr int kMostAdapterAsks = 2;
 // Time to open a connection before another target is tried.
-constexpr Micros kOpenTime = 400ms;
+constexpr Micros kOpenTime = 250ms;
 // A kept connection that was idle for longer may have been closed meanwhile;
 // requests that may not be repeated use a new one.
 constexpr Micros kSurelyLive = 3s;
@@ -25,6 +26,8 @@
 constexpr Micros kStallPlain = 600ms;
 // A stalled request moves only to a target expected to answer within this.
 constexpr double kStallMoveMs = 600;
+// Objective from which on a request lets more urgent ones go first.
+constexpr Micros kPatientObjective = 2000ms;
 // Moments at which a caller is told to come back.
 constexpr Micros kNoTargetWait = 500ms;
 constexpr Micros kNoModelWait = 1000ms;
@@ -54,7 +57,10 @@
                    std::to_string(pick.target->has_load
                                       ? (now - pick.target->told_at) / 1ms
                                       : -1));
-    SendTo(pick.target, pick.expected_ms);
+    if (PaceTo(pick)) {
+      return;
+    }
+    SendTo(pick.target, now);
     return;
   }
   if (pick.outcome == PickOutcome::kNoAdapter &&
@@ -112,17 +118,85 @@
   }
 }
 
-void Exchange::SendTo(const TargetPtr& target, double expected_ms) {
+// Holds or refuses a request that would crowd its engine.
+// @returns false where it may go now
+bool Exchange::PaceTo(const TargetPick& pick) {
+  if (!service_->engine || call_.model.empty() || head_sent_) {
+    return false;
+  }
+  const Instant now = ports_.clock.Now();
+  PaceInput input;
+  input.now = now;
+  input.reading_until = pick.target->reading_until;
+  input.own_reading = TargetBoard::ReadingTime(*pick.target, call_, now);
+  input.on_time_until =
+      std::min(trace_.began() + route_->latency_objective, deadline_);
+  input.patient = route_->latency_objective >= kPatientObjective;
+  input.beyond_places =
+      std::max(0, pick.target->LikelyLoad() + 1 - service_->engine->slots);
+  const PaceDecision pace = Pace(input);
+  switch (pace.step) {
+    case PaceStep::kSend:
+      return false;
+    case PaceStep::kSendLater:
+      trace_.Add(now, "held", std::to_string((pace.at - now) / 1ms) + "ms");
+      SendTo(pick.target, pace.at);
+      return true;
+    case PaceStep::kWait:
+      ports_.deadlines.Set(stall_handle_, pace.at, [this] {
+        const auto self = shared_from_this();
+        Dispatch();
+      });
+      return true;
+    case PaceStep::kRefuse:
+      break;
+  }
+  if (may_have_run_ || sends_ > 0) {
+    return false;
+  }
+  trace_.Add(now, "crowded",
+             "reading_ms=" + std::to_string((input.reading_until - now) / 1ms) +
+                 " beyond=" + std::to_string(input.beyond_places));
+  Refuse({503, "targets_crowded", "come back when the engines have caught up",
+          pace.at});
+  return true;
+}
+
+// Takes the place at the target now, and sends at `at`.
+void Exchange::SendTo(const TargetPtr& target, Instant at) {
   const Instant now = ports_.clock.Now();
   target_ = target;
-  expected_ms_ = expected_ms;
   sent_ = false;
   first_byte_ = false;
   head_seen_ = false;
   parser_.reset();
   answer_ = {};
   ++opens_;
-  ports_.board.OnSent(*target_, call_, now);
+  const Instant reading_before = std::max(now, target_->reading_until);
+  const std::int64_t tokens = ports_.board.OnSent(*target_, call_, now);
+  expected_reading_ = Micros(0);
+  if (service_->engine) {
+    expected_reading_ = target_->reading_until - std::max(at, reading_before) +
+                        std::max(Micros(0), Micros(reading_before - at));
+    ports_.help.TellSent(*target_, call_, tokens);
+  }
+  if (at <= now) {
+    OpenLink();
+    return;
+  }
+  ports_.deadlines.Set(stall_handle_, at, [this] {
+    const auto self = shared_from_this();
+    OpenLink();
+  });
+}
+
+void Exchange::OpenLink() {
+  const Instant now = ports_.clock.Now();
+  if (target_->leaving) {
+    EndAttempt(TargetOutcome::kAbandoned);
+    Dispatch();
+    return;
+  }
   sent_at_ = now;
   const Micros live = route_->Repeatable() ? kMaybeLive : kSurelyLive;
   link_ = ports_.links.Take(*target_, now - live);
@@ -223,7 +297,7 @@
   EndAttempt(TargetOutcome::kFailed);
   events_.DropRest();
   ++ports_.counts.retries;
-  SendTo(pick.target, pick.expected_ms);
+  SendTo(pick.target, now);
 }
 
 // Decides on another send and takes it from the budget.
@@ -256,8 +330,7 @@
   if (target_ == nullptr) {
     return;
   }
-  ports_.board.OnEnded(*target_, call_, outcome, first_byte_,
-                       ports_.clock.Now());
+  ports_.board.OnEnded(*target_, outcome, first_byte_, ports_.clock.Now());
   if (link_ != nullptr) {
     link_->Close();
     link_.reset();
--- a/src/gateway/fleet_help.h
+++ b/src/gateway/fleet_help.h
@@ -16,6 +16,11 @@
   virtual void BorrowUnits(std::string workspace,
                            double units,
                            std::function<void(double)> done) = 0;
+  /// Tells the other instances of a request that is sent to a target.
+  /// @param tokens prompt tokens that the target probably has to read
+  virtual void TellSent(const Target& target,
+                        const CallHead& call,
+                        std::int64_t tokens) = 0;
   /// Asks for an adapter to be loaded at a target that holds its model.
   /// @param done called once with the target, or null
   virtual void LoadAdapter(std::string service,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -59,7 +59,7 @@
              retries_,
              crashes_,
              demand_),
-      peers_(context_, clock_, agent_, board_, quotas_),
+      peers_(context_, clock_, agent_, board_, quotas_, settings_.peer),
       ports_{clock_,   deadlines_, board_,  links_,  quotas_,
              retries_, crashes_,   demand_, counts_, peers_},
       listener_(context_, *this, deadlines_, clock_),
@@ -80,6 +80,7 @@
   BOOST_OUTCOME_TRY(ready_server_.Listen(settings_.ready));
   BOOST_OUTCOME_TRY(directory_server_.Listen(settings_.directory));
   BOOST_OUTCOME_TRY(peer_server_.Listen(settings_.peer));
+  BOOST_OUTCOME_TRY(peers_.Listen());
   return success();
 }
 
--- /dev/null
+++ b/src/gateway/pace.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/time.h"
+
+namespace jackdaw::serving {
+
+/// When a request goes to the model engine that was chosen for it.
+enum class PaceStep : std::uint8_t {
+  /// Now.
+  kSend,
+  /// At `at`; its place in the engine's queue is taken now.
+  kSendLater,
+  /// It is looked at again at `at`; more urgent ones go first.
+  kWait,
+  /// It cannot be on time; the caller may come back at `at`.
+  kRefuse,
+};
+
+/// What decides on the pace of one request.
+struct PaceInput {
+  Instant now{};
+  /// Moment until which the engine reads prompts that it has been sent.
+  Instant reading_until{};
+  /// Time to read this request's prompt.
+  Micros own_reading{};
+  /// Latest moment of the first byte that is on time.
+  Instant on_time_until{};
+  /// The request's objective leaves time to let others go first.
+  bool patient = false;
+  /// Requests beyond the engine's places.
+  int beyond_places = 0;
+};
+
+struct PaceDecision {
+  PaceStep step = PaceStep::kSend;
+  Instant at{};
+};
+
+/// Spreads prompts in time. An engine reads prompts between the tokens of
+/// running streams, so a pile of prompts makes all its streams pause; it is
+/// given no more than it reads within a pause that callers accept. What would
+/// be late by then is refused at once, with the moment at which it would not.
+PaceDecision Pace(const PaceInput& input);
+
+}  // namespace jackdaw::serving
--- a/src/gateway/target.h
+++ b/src/gateway/target.h
@@ -17,10 +17,16 @@
   bool leaving = false;
   /// Requests of this instance that it has not finished.
   int in_flight = 0;
-  /// Requests of this instance that have no first byte of an answer yet, and
-  /// their prompt tokens that are probably not cached.
+  /// Moment until which the target probably reads the prompts that all
+  /// instances have sent to it.
+  Instant reading_until{};
+  /// Own requests without a first byte, since when there are any, and when the
+  /// target was last heard.
   int awaiting = 0;
-  std::int64_t awaiting_tokens = 0;
+  Instant awaiting_since{};
+  Instant heard_at{};
+  /// Time to read prompts against the time expected, an average.
+  double slowness = 1;
   /// Load as told with an answer, and own sends and ends since.
   bool has_load = false;
   int told_running = 0;
@@ -34,11 +40,9 @@
   /// No request is sent before this, unless nothing else is left.
   Instant suspected_until{};
   int failures_in_row = 0;
-  /// Time to the first byte of an answer beyond what was expected.
-  double excess_ms = 0;
   /// Adapters (`model/adapter`) that it is believed to hold.
   std::set<std::string, std::less<>> adapters;
-  /// When each prompt part was last sent there, under model and adapter.
+  /// When each prompt part (see PartDigest) was last sent there.
   std::unordered_map<std::uint64_t, Instant> prompt_parts;
 
   bool HoldsModel(std::string_view model) const {
@@ -50,6 +54,11 @@
     return false;
   }
 
+  /// How long own requests have waited without any byte from the target.
+  Micros Silence(Instant now) const {
+    return awaiting > 0 ? now - std::max(awaiting_since, heard_at) : Micros(0);
+  }
+
   /// Requests that probably run or wait there now.
   int LikelyLoad() const {
     const int told = told_running + told_waiting + sent_since - ended_since;
--- a/src/gateway/target_board.cc
+++ b/src/gateway/target_board.cc
@@ -1,8 +1,9 @@
 #include "gateway/target_board.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
-#include <functional>
 
 namespace jackdaw::serving {
 namespace {
@@ -23,8 +24,17 @@
 constexpr double kFailureWeight = 0.2;
 // Time in which a judgement that is not renewed halves.
 constexpr double kHalfLifeMs = 1500.0;
-// Weight of a new result in the excess of the time to the first byte.
-constexpr double kExcessWeight = 0.25;
+// Silence after which a target that owes an answer costs more and more.
+constexpr Micros kSilence = 350ms;
+constexpr double kSilenceWeight = 3;
+// Weight of a new result in the slowness, and its bounds.
+constexpr double kSlownessWeight = 0.1;
+constexpr double kLeastSlowness = 0.7;
+constexpr double kMostSlowness = 6;
+// Reading below this says little about how slow a target is.
+constexpr Micros kTellingReading = 25ms;
+// Part of the time to the first byte that is not reading.
+constexpr Micros kWayTime = 15ms;
 // First and longest time without requests after a broken connection.
 constexpr Micros kSuspectFirst = 150ms;
 constexpr Micros kSuspectMost = 1500ms;
@@ -37,19 +47,13 @@
 // Age after which a told load is taken as only a hint.
 constexpr Micros kLoadAge = 3s;
 
-std::uint64_t PartKey(const CallHead& call, std::uint64_t part) {
-  const std::size_t scope = std::hash<std::string_view>{}(call.model) * 31 +
-                            std::hash<std::string_view>{}(call.adapter);
-  return part * 0x9e3779b97f4a7c15ULL ^ scope;
-}
-
 // Prompt tokens that the target has to read anew.
 std::int64_t TokensToRead(const Target& target,
                           const CallHead& call,
                           Instant now) {
   std::int64_t cached = 0;
   for (const PromptPart& part : call.prompt_parts) {
-    const auto seen = target.prompt_parts.find(PartKey(call, part.id));
+    const auto seen = target.prompt_parts.find(PartDigest(call, part.id));
     if (seen == target.prompt_parts.end() || now - seen->second > kPartAge) {
       break;
     }
@@ -58,6 +62,10 @@
   return std::max<std::int64_t>(0, call.prompt_tokens - cached);
 }
 
+double Milliseconds(Micros span) {
+  return static_cast<double>(span.count()) / 1000;
+}
+
 // What is left of a judgement that was not renewed since.
 double Faded(double value, Instant since, Instant now) {
   const double age_ms = static_cast<double>((now - since) / 1ms);
@@ -77,6 +85,16 @@
 
 }  // namespace
 
+std::uint64_t TargetDigest(std::string_view id) {
+  return XXH3_64bits(id.data(), id.size());
+}
+
+std::uint64_t PartDigest(const CallHead& call, std::uint64_t part) {
+  const std::uint64_t model =
+      XXH3_64bits_withSeed(call.model.data(), call.model.size(), part);
+  return XXH3_64bits_withSeed(call.adapter.data(), call.adapter.size(), model);
+}
+
 TargetBoard::TargetBoard(std::string failure_domain)
     : failure_domain_(std::move(failure_domain)) {}
 
@@ -90,6 +108,7 @@
   if (target == nullptr || restarted ||
       target->entry.address != entry.address) {
     target = std::make_shared<Target>();
+    by_digest_[TargetDigest(entry.id)] = target;
   }
   const bool leaving = entry.state == TargetState::kDraining;
   const bool changed = target->entry.id.empty() || target->leaving != leaving ||
@@ -112,6 +131,7 @@
   const auto found = targets_.find(std::string(id));
   if (found != targets_.end()) {
     found->second->leaving = true;
+    by_digest_.erase(TargetDigest(id));
     targets_.erase(found);
   }
 }
@@ -119,15 +139,18 @@
 double TargetBoard::Cost(const Target& target,
                          const TargetNeed& need,
                          Instant now) const {
-  double cost = Faded(target.excess_ms, target.judged_at, now);
+  double cost = 0;
+  const Micros silence = target.Silence(now);
+  if (silence > kSilence) {
+    cost += kSilenceWeight * Milliseconds(silence);
+  }
   const int load = target.LikelyLoad();
   const bool told_lately = target.has_load && now - target.told_at < kLoadAge;
   if (need.engine != nullptr) {
     const int beyond = std::max(0, load - need.engine->slots);
     const int waiting = told_lately ? target.told_waiting : 0;
-    cost += static_cast<double>(target.awaiting_tokens) / kTokensPerMs;
-    cost += static_cast<double>(TokensToRead(target, *need.call, now)) /
-            kTokensPerMs;
+    cost += std::max(0.0, Milliseconds(target.reading_until - now));
+    cost += Milliseconds(ReadingTime(target, *need.call, now));
     cost += kRunningMs * load + kWaitingMs * std::max(beyond, waiting);
   } else {
     const int slots = std::max(1, target.entry.slots);
@@ -187,27 +210,63 @@
   return pick;
 }
 
-void TargetBoard::OnSent(Target& target, const CallHead& call, Instant now) {
-  ++target.in_flight;
-  ++target.sent_since;
-  ++target.awaiting;
-  target.awaiting_tokens += call.prompt_tokens;
+void TargetBoard::AddReading(Target& target, std::int64_t tokens, Instant now) {
+  const double ms =
+      static_cast<double>(tokens) * target.slowness / kTokensPerMs;
+  target.reading_until = std::max(now, target.reading_until) +
+                         Micros(static_cast<std::int64_t>(ms * 1000));
   if (target.prompt_parts.size() > kMostParts) {
     target.prompt_parts.clear();
   }
+}
+
+std::int64_t TargetBoard::OnSent(Target& target,
+                                 const CallHead& call,
+                                 Instant now) {
+  const std::int64_t tokens = TokensToRead(target, call, now);
+  ++target.in_flight;
+  ++target.sent_since;
+  if (target.awaiting++ == 0) {
+    target.awaiting_since = now;
+  }
+  AddReading(target, tokens, now);
   for (const PromptPart& part : call.prompt_parts) {
-    target.prompt_parts[PartKey(call, part.id)] = now;
+    target.prompt_parts[PartDigest(call, part.id)] = now;
+  }
+  return tokens;
+}
+
+void TargetBoard::OnSentElsewhere(std::uint64_t target_digest,
+                                  std::int64_t tokens,
+                                  std::span<const std::uint64_t> parts,
+                                  Instant now) {
+  const auto found = by_digest_.find(target_digest);
+  if (found == by_digest_.end()) {
+    return;
   }
+  Target& target = *found->second;
+  ++target.sent_since;
+  AddReading(target, tokens, now);
+  for (const std::uint64_t part : parts) {
+    target.prompt_parts[part] = now;
+  }
+}
+
+Micros TargetBoard::ReadingTime(const Target& target,
+                                const CallHead& call,
+                                Instant now) {
+  const auto tokens = static_cast<double>(TokensToRead(target, call, now));
+  return Micros(static_cast<std::int64_t>(tokens * target.slowness /
+                                          kTokensPerMs * 1000));
 }
 
 void TargetBoard::OnFirstByte(Target& target,
-                              const CallHead& call,
                               const AnswerHead& answer,
-                              double expected_ms,
+                              Micros reading,
                               Instant sent_at,
                               Instant now) {
   --target.awaiting;
-  target.awaiting_tokens -= call.prompt_tokens;
+  target.heard_at = now;
   if (answer.has_load) {
     target.has_load = true;
     target.told_running = answer.running;
@@ -216,22 +275,22 @@
     target.ended_since = 0;
     target.told_at = now;
   }
-  const double took_ms = static_cast<double>((now - sent_at) / 1us) / 1000.0;
-  const double excess = std::max(0.0, took_ms - std::min(expected_ms, 1e5));
-  target.excess_ms += kExcessWeight * (excess - target.excess_ms);
+  if (reading > kTellingReading && !answer.not_executed) {
+    const double ratio =
+        Milliseconds(now - sent_at - kWayTime) / Milliseconds(reading);
+    const double slowness =
+        std::clamp(ratio * target.slowness, kLeastSlowness, kMostSlowness);
+    target.slowness += kSlownessWeight * (slowness - target.slowness);
+  }
 }
 
 void TargetBoard::OnEnded(Target& target,
-                          const CallHead& call,
                           TargetOutcome outcome,
                           bool had_first_byte,
                           Instant now) {
   --target.in_flight;
   ++target.ended_since;
-  if (!had_first_byte) {
-    --target.awaiting;
-    target.awaiting_tokens -= call.prompt_tokens;
-  }
+  target.awaiting -= had_first_byte ? 0 : 1;
   if (outcome == TargetOutcome::kAbandoned) {
     return;
   }
--- a/src/gateway/target_board.h
+++ b/src/gateway/target_board.h
@@ -61,6 +61,12 @@
   kAbandoned,
 };
 
+/// Digest under which instances tell each other of a target.
+std::uint64_t TargetDigest(std::string_view id);
+/// Digest of a prompt part under the request's model and adapter, the same at
+/// all instances.
+std::uint64_t PartDigest(const CallHead& call, std::uint64_t part);
+
 /// The targets of the fleet as one instance sees them, and the choice among
 /// them: least expected time to the first byte, with the failure domain, the
 /// prompt cache and the share of failures weighed in.
@@ -78,20 +84,29 @@
   TargetPick Pick(const TargetNeed& need, Instant now) const;
 
   /// A request is sent to the target.
-  void OnSent(Target& target, const CallHead& call, Instant now);
+  /// @returns the prompt tokens that the target probably has to read
+  std::int64_t OnSent(Target& target, const CallHead& call, Instant now);
+  /// Another instance has sent a request to a target.
+  void OnSentElsewhere(std::uint64_t target_digest,
+                       std::int64_t tokens,
+                       std::span<const std::uint64_t> parts,
+                       Instant now);
   /// The first byte of an answer came.
+  /// @param reading time that was expected for reading, 0 for a plain request
   void OnFirstByte(Target& target,
-                   const CallHead& call,
                    const AnswerHead& answer,
-                   double expected_ms,
+                   Micros reading,
                    Instant sent_at,
                    Instant now);
   /// A request ended there. @param had_first_byte OnFirstByte was called
   void OnEnded(Target& target,
-               const CallHead& call,
                TargetOutcome outcome,
                bool had_first_byte,
                Instant now);
+  /// Time that the target probably takes to read the request's prompt.
+  static Micros ReadingTime(const Target& target,
+                            const CallHead& call,
+                            Instant now);
   /// What is known of an adapter changed.
   void SetAdapter(Target& target, std::string_view adapter, bool held);
 
@@ -103,10 +118,12 @@
   }
 
  private:
+  static void AddReading(Target& target, std::int64_t tokens, Instant now);
   double Cost(const Target& target, const TargetNeed& need, Instant now) const;
 
   std::string failure_domain_;
   std::unordered_map<std::string, TargetPtr> targets_;
+  std::unordered_map<std::uint64_t, TargetPtr> by_digest_;
 };
 
 }  // namespace jackdaw::serving
--- a/src/gateway/tests/target_board_test.cc
+++ b/src/gateway/tests/target_board_test.cc
@@ -55,8 +55,8 @@
   const TargetPtr b = board_.Find("b");
   board_.OnSent(*b, call_, kStart);
   AnswerHead answer;
-  board_.OnFirstByte(*b, call_, answer, 50, kStart, kStart + 40ms);
-  board_.OnEnded(*b, call_, TargetOutcome::kAnswered, true, kStart + 100ms);
+  board_.OnFirstByte(*b, answer, 40ms, kStart, kStart + 40ms);
+  board_.OnEnded(*b, TargetOutcome::kAnswered, true, kStart + 100ms);
   BOOST_TEST(Choice(kStart + 200ms) == "b");
 }
 
@@ -69,6 +69,26 @@
   BOOST_TEST(Choice() != first);
 }
 
+// What other instances send counts as what is sent here.
+BOOST_AUTO_TEST_CASE(PromptsOfOtherInstancesAreSpreadAround) {
+  board_.Update(EntryOf("a", "here"));
+  board_.Update(EntryOf("b", "here"));
+  call_.prompt_parts.clear();
+  const std::string first = Choice();
+  board_.OnSentElsewhere(TargetDigest(first), 1000, {}, kStart);
+  BOOST_TEST(Choice() != first);
+  BOOST_TEST(Choice(kStart + 1s) == first);
+}
+
+BOOST_AUTO_TEST_CASE(APromptThatAnotherInstanceSentThereIsCached) {
+  board_.Update(EntryOf("a", "here"));
+  board_.Update(EntryOf("b", "here"));
+  const std::vector<std::uint64_t> parts = {PartDigest(call_, 1),
+                                            PartDigest(call_, 2)};
+  board_.OnSentElsewhere(TargetDigest("b"), 1000, parts, kStart);
+  BOOST_TEST(Choice(kStart + 1s) == "b");
+}
+
 BOOST_AUTO_TEST_CASE(ALeavingTargetGetsNothing) {
   TargetEntry entry = EntryOf("a", "here");
   board_.Update(entry);
@@ -82,7 +102,7 @@
   board_.Update(EntryOf("b", "here"));
   const TargetPtr a = board_.Find("a");
   board_.OnSent(*a, call_, kStart);
-  board_.OnEnded(*a, call_, TargetOutcome::kBroken, false, kStart);
+  board_.OnEnded(*a, TargetOutcome::kBroken, false, kStart);
   BOOST_TEST(Choice(kStart + 1ms) == "b");
   board_.Remove("b");
   BOOST_TEST(Choice(kStart + 1ms) == "a");
