--- a/src/fleet/model_placer.cc
+++ b/src/fleet/model_placer.cc
@@ -10,9 +10,9 @@
 namespace {
 
 // Time over which demand is averaged before copies follow it.
-constexpr double kAverageSeconds = 3.0;
+constexpr double kAverageSeconds = 1.2;
 // Pause between two changes that only shift load.
-constexpr Micros kShiftPause = 1500ms;
+constexpr Micros kShiftPause = 400ms;
 
 }  // namespace
 
--- a/src/fleet/model_plan.cc
+++ b/src/fleet/model_plan.cc
@@ -8,7 +8,7 @@
 
 // A copy is added where all targets that hold a model bear more than the
 // target that would get it by this factor.
-constexpr double kCrowded = 1.8;
+constexpr double kCrowded = 1.6;
 // Demand, in tokens per second, that a target bears without queues.
 constexpr double kLightTokens = 8000;
 // A copy gives way only to one that bears more demand by this factor.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -63,6 +63,7 @@
   void Dispatch();
   void OnAdapterLoaded(const TargetPtr& target);
   void OnNoTarget(const TargetPick& pick);
+  void TraceChoice(const TargetPick& pick, Instant now);
   bool PaceTo(const TargetPick& pick);
   void SendTo(const TargetPtr& target, Instant at);
   void OpenLink();
@@ -127,6 +128,8 @@
   int sends_ = 0;
   int opens_ = 0;
   int adapter_asks_ = 0;
+  /// The request lets more urgent ones go first.
+  bool waiting_ = false;
   bool may_have_run_ = false;
   bool done_ = false;
 
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -48,15 +48,9 @@
   need.excluded = tried_;
   const TargetPick pick = ports_.board.Pick(need, now);
   if (pick.outcome == PickOutcome::kChosen) {
-    trace_.Add(now, "chosen",
-               pick.target->entry.id + " of " +
-                   std::to_string(pick.candidates) + " expected_ms=" +
-                   std::to_string(static_cast<int>(pick.expected_ms)) +
-                   " load=" + std::to_string(pick.target->LikelyLoad()) +
-                   " load_age_ms=" +
-                   std::to_string(pick.target->has_load
-                                      ? (now - pick.target->told_at) / 1ms
-                                      : -1));
+    if (!waiting_) {
+      TraceChoice(pick, now);
+    }
     if (PaceTo(pick)) {
       return;
     }
@@ -118,6 +112,19 @@
   }
 }
 
+void Exchange::TraceChoice(const TargetPick& pick, Instant now) {
+  const Target& target = *pick.target;
+  std::string detail = target.entry.id + " of ";
+  detail += std::to_string(pick.candidates);
+  detail += " expected_ms=";
+  detail += std::to_string(static_cast<int>(pick.expected_ms));
+  detail += " load=" + std::to_string(target.LikelyLoad());
+  detail += " load_age_ms=";
+  detail += target.has_load ? std::to_string((now - target.told_at) / 1ms)
+                            : std::string("none");
+  trace_.Add(now, "chosen", std::move(detail));
+}
+
 // Holds or refuses a request that would crowd its engine.
 // @returns false where it may go now
 bool Exchange::PaceTo(const TargetPick& pick) {
@@ -143,6 +150,10 @@
       SendTo(pick.target, pace.at);
       return true;
     case PaceStep::kWait:
+      if (!waiting_) {
+        trace_.Add(now, "lets_others_first");
+      }
+      waiting_ = true;
       ports_.deadlines.Set(stall_handle_, pace.at, [this] {
         const auto self = shared_from_this();
         Dispatch();
@@ -165,6 +176,7 @@
 // Takes the place at the target now, and sends at `at`.
 void Exchange::SendTo(const TargetPtr& target, Instant at) {
   const Instant now = ports_.clock.Now();
+  waiting_ = false;
   target_ = target;
   sent_ = false;
   first_byte_ = false;
