Explain a request from the logs; metrics of the platform's instances

Patient requests step back by their route's priority, not by objective alone: explain showed turn hints of priority 0 waiting behind premium drafts.

--- a/src/daemons/jackdawctl.cc
+++ b/src/daemons/jackdawctl.cc
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "ctl/commands.h"
+#include "ctl/log_command.h"
 
 namespace {
 
@@ -20,6 +21,10 @@
   refusals  [--workspace W] [--kind K] [--instance I] [--from T] [--to T]
             T is like 2026-01-31T08:00:00Z or -90m; without --from, one hour
   timeline  [--request ID] [--workspace W] [--target T] [--chrome]
+  explain   ID [LOGFILE...]          the story of one request, from logs
+  why-refused [LOGFILE...]           refusals and failures by kind, from logs
+            [--from T] [--to T], times as in the logs; without files the logs
+            come on standard input
 
 Examples:
   jackdawctl --operators 127.0.0.1:7001 workspace create recife-schools
@@ -77,6 +82,15 @@
     return Fail({jackdaw::ErrorKind::kInvalidSetting, failure.what(),
                  "see jackdawctl --help"});
   }
+  if (jackdaw::IsLogCommand(line.words)) {
+    const auto told =
+        jackdaw::RunLogCommand(line.words, {line.json, line.from, line.to});
+    if (!told) {
+      return Fail(told.error());
+    }
+    std::cout << told.value();
+    return 0;
+  }
   const auto endpoint = jackdaw::ParseEndpoint(operators);
   if (!endpoint) {
     return Fail({jackdaw::ErrorKind::kInvalidSetting,
--- a/src/daemons/jackdawd.cc
+++ b/src/daemons/jackdawd.cc
@@ -105,7 +105,10 @@
       return RunGateway(path, text.value(),
                         parsed.count("check-settings") != 0);
     }
-    const auto settings = LoadSettings(path);
+    auto settings = LoadSettings(path);
+    if (!settings && settings.error().kind == jackdaw::ErrorKind::kMalformed) {
+      settings.error().kind = jackdaw::ErrorKind::kInvalidSetting;
+    }
     if (!settings) {
       return Fail(settings.error());
     }
--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -65,6 +65,7 @@
   /// Where the leader is asked, if it is known and not this instance.
   std::optional<Endpoint> LeaderAddress() const;
   bool leads() const { return leadership_.Holds(); }
+  bool following() const { return following_; }
   OrderDesk& desk() { return desk_; }
 
  private:
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -363,6 +363,19 @@
   const Instant now = ports_.clock.Now();
   const bool late = IsLate();
   const bool in_full = outcome != "answered" || status >= 400 || late;
+  if (route_ != nullptr) {
+    RequestEnd end;
+    end.kind = route_->kind;
+    end.priority = priority_;
+    end.outcome = outcome;
+    end.reason = reason;
+    end.late = late;
+    end.took = now - trace_.began();
+    if (first_event_at_ != Instant{}) {
+      end.first_byte = first_event_at_ - trace_.began();
+    }
+    ports_.metrics.OnRequestEnd(end);
+  }
   Log(LogLevel::kInfo, "request",
       {{"id", call_.id},
        {"outcome", std::string(outcome)},
--- a/src/gateway/exchange_ports.h
+++ b/src/gateway/exchange_ports.h
@@ -9,6 +9,7 @@
 #include "gateway/demand_meter.h"
 #include "gateway/exchange_counts.h"
 #include "gateway/fleet_help.h"
+#include "gateway/gateway_metrics.h"
 #include "gateway/link_pool.h"
 #include "gateway/retry_gate.h"
 #include "gateway/target_board.h"
@@ -30,6 +31,7 @@
   CrashMemory& crashes;
   DemandMeter& demand;
   ExchangeCounts& counts;
+  GatewayMetrics& metrics;
   FleetHelp& help;
 };
 
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -26,8 +26,9 @@
 constexpr Micros kStallPlain = 600ms;
 // A stalled request moves only to a target expected to answer within this.
 constexpr double kStallMoveMs = 600;
-// Objective from which on a request lets more urgent ones go first.
+// Objective and priority from which on a request lets others go first.
 constexpr Micros kPatientObjective = 2000ms;
+constexpr int kPatientPriority = 2;
 // Moments at which a caller is told to come back.
 constexpr Micros kNoTargetWait = 500ms;
 constexpr Micros kNoModelWait = 1000ms;
@@ -138,7 +139,8 @@
   input.own_reading = TargetBoard::ReadingTime(*pick.target, call_, now);
   input.on_time_until =
       std::min(trace_.began() + route_->latency_objective, deadline_);
-  input.patient = route_->latency_objective >= kPatientObjective;
+  input.patient = route_->latency_objective >= kPatientObjective &&
+                  route_->priority >= kPatientPriority;
   input.beyond_places =
       std::max(0, pick.target->LikelyLoad() + 1 - service_->engine->slots);
   const PaceDecision pace = Pace(input);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -60,8 +60,8 @@
              crashes_,
              demand_),
       peers_(context_, clock_, agent_, board_, quotas_, settings_.peer),
-      ports_{clock_,   deadlines_, board_,  links_,  quotas_,
-             retries_, crashes_,   demand_, counts_, peers_},
+      ports_{clock_,   deadlines_, board_,  links_,   quotas_, retries_,
+             crashes_, demand_,    counts_, metrics_, peers_},
       listener_(context_, *this, deadlines_, clock_),
       ready_server_(
           context_,
@@ -71,9 +71,14 @@
           context_,
           ControlLimits(),
           [this](HttpExchange& exchange) { return ServeDirectory(exchange); }),
-      peer_server_(context_, ControlLimits(), [this](HttpExchange& exchange) {
-        return peers_.Serve(exchange);
-      }) {}
+      peer_server_(
+          context_,
+          ControlLimits(),
+          [this](HttpExchange& exchange) { return peers_.Serve(exchange); }),
+      metrics_server_(
+          context_,
+          ControlLimits(),
+          [this](HttpExchange& exchange) { return ServeMetrics(exchange); }) {}
 
 Result<void> Gateway::Listen() {
   BOOST_OUTCOME_TRY(listener_.Listen(settings_.entry));
@@ -81,6 +86,7 @@
   BOOST_OUTCOME_TRY(directory_server_.Listen(settings_.directory));
   BOOST_OUTCOME_TRY(peer_server_.Listen(settings_.peer));
   BOOST_OUTCOME_TRY(peers_.Listen());
+  BOOST_OUTCOME_TRY(metrics_server_.Listen(settings_.metrics));
   return success();
 }
 
@@ -184,6 +190,37 @@
   co_await exchange.Respond(std::move(answer));
 }
 
+GatewayState Gateway::State() const {
+  GatewayState state;
+  const Instant now = clock_.Now();
+  state.under_way = counts_.under_way;
+  state.retries = counts_.retries;
+  state.resumed = counts_.resumed;
+  for (const auto& [id, target] : board_.all()) {
+    ++(target->leaving ? state.targets_leaving : state.targets_usable);
+    state.targets_suspected += now < target->suspected_until ? 1 : 0;
+  }
+  const ConfigPtr config = agent_.config();
+  state.config_version = config == nullptr ? 0 : config->version;
+  state.members = agent_.Peers().size() + 1;
+  state.quota_share = quotas_.share();
+  state.ready = agent_.ready();
+  state.leads = agent_.leads();
+  state.following = agent_.following();
+  return state;
+}
+
+boost::asio::awaitable<void> Gateway::ServeMetrics(HttpExchange& exchange) {
+  HttpResponse answer;
+  if (exchange.request().Path() != "/metrics") {
+    answer.status = 404;
+  } else {
+    answer.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+    answer.body = metrics_.Text(State());
+  }
+  co_await exchange.Respond(std::move(answer));
+}
+
 boost::asio::awaitable<void> Gateway::ServeDirectory(HttpExchange& exchange) {
   if (!platform::IsDirectoryCall(exchange.request())) {
     HttpResponse unknown = JsonResponse(404, "{}");
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -39,6 +39,8 @@
   boost::asio::awaitable<void> RunDrain();
   boost::asio::awaitable<void> ServeReady(HttpExchange& exchange);
   boost::asio::awaitable<void> ServeDirectory(HttpExchange& exchange);
+  boost::asio::awaitable<void> ServeMetrics(HttpExchange& exchange);
+  GatewayState State() const;
 
   GatewaySettings settings_;
   std::string settings_path_;
@@ -54,6 +56,7 @@
   CrashMemory crashes_;
   DemandMeter demand_;
   ExchangeCounts counts_;
+  GatewayMetrics metrics_;
   FleetAgent agent_;
   PeerDesk peers_;
   ExchangePorts ports_;
@@ -61,6 +64,7 @@
   HttpServer ready_server_;
   HttpServer directory_server_;
   HttpServer peer_server_;
+  HttpServer metrics_server_;
   Instant stop_at_{};
 };
 
--- /dev/null
+++ b/src/gateway/gateway_metrics.cc
@@ -0,0 +1,97 @@
+#include "gateway/gateway_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <chrono>
+
+namespace jackdaw::serving {
+namespace {
+
+std::string_view KindName(CallKind kind) {
+  switch (kind) {
+    case CallKind::kIdempotent:
+      return "idempotent";
+    case CallKind::kAtMostOnce:
+      return "at_most_once";
+    case CallKind::kStream:
+      return "stream";
+  }
+  return "unknown";
+}
+
+double Seconds(Micros span) {
+  return std::chrono::duration<double>(span).count();
+}
+
+const prometheus::Histogram::BucketBoundaries& LatencyBuckets() {
+  static const prometheus::Histogram::BucketBoundaries buckets = {
+      0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.8, 1.2, 2, 4, 8, 15};
+  return buckets;
+}
+
+}  // namespace
+
+GatewayMetrics::GatewayMetrics()
+    : ended_(prometheus::BuildCounter()
+                 .Name("jackdaw_requests_total")
+                 .Help("Requests that ended, by kind of route, priority, "
+                       "outcome and reason")
+                 .Register(registry_)),
+      late_(prometheus::BuildCounter()
+                .Name("jackdaw_late_answers_total")
+                .Help("Answers whose first byte or a pause was late")
+                .Register(registry_)),
+      first_byte_(prometheus::BuildHistogram()
+                      .Name("jackdaw_first_byte_seconds")
+                      .Help("Time to the first byte of an answer")
+                      .Register(registry_)),
+      took_(prometheus::BuildHistogram()
+                .Name("jackdaw_request_seconds")
+                .Help("Time to the end of a request")
+                .Register(registry_)),
+      gauges_(prometheus::BuildGauge()
+                  .Name("jackdaw_state")
+                  .Help("State of the instance, by name")
+                  .Register(registry_)) {}
+
+void GatewayMetrics::OnRequestEnd(const RequestEnd& end) {
+  const std::string kind(KindName(end.kind));
+  ended_
+      .Add({{"kind", kind},
+            {"priority", std::to_string(end.priority)},
+            {"outcome", std::string(end.outcome)},
+            {"reason", std::string(end.reason)}})
+      .Increment();
+  if (end.late) {
+    late_.Add({{"kind", kind}}).Increment();
+  }
+  if (end.first_byte > 0us) {
+    first_byte_.Add({{"kind", kind}}, LatencyBuckets())
+        .Observe(Seconds(end.first_byte));
+  }
+  took_
+      .Add({{"kind", kind}, {"outcome", std::string(end.outcome)}},
+           LatencyBuckets())
+      .Observe(Seconds(end.took));
+}
+
+std::string GatewayMetrics::Text(const GatewayState& state) {
+  const auto set = [&](const char* name, double value) {
+    gauges_.Add({{"name", name}}).Set(value);
+  };
+  set("requests_under_way", static_cast<double>(state.under_way));
+  set("retries", static_cast<double>(state.retries));
+  set("streams_resumed", static_cast<double>(state.resumed));
+  set("targets_usable", static_cast<double>(state.targets_usable));
+  set("targets_leaving", static_cast<double>(state.targets_leaving));
+  set("targets_suspected", static_cast<double>(state.targets_suspected));
+  set("members", static_cast<double>(state.members));
+  set("config_version", static_cast<double>(state.config_version));
+  set("quota_share", state.quota_share);
+  set("ready", state.ready ? 1 : 0);
+  set("leads", state.leads ? 1 : 0);
+  set("following", state.following ? 1 : 0);
+  return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+}  // namespace jackdaw::serving
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -59,6 +59,7 @@
   settings.directory = ReadEndpoint(reader, "directory");
   settings.peer = ReadEndpoint(reader, "peer");
   settings.store = ReadEndpoint(reader, "store");
+  settings.metrics = ReadEndpoint(reader, "metrics");
   settings.log_level = reader.TextOr("log_level", settings.log_level);
   settings.stop_time = ReadMs(reader, "stop_ms");
   settings.lease_time = ReadMs(reader, "lease_ms");
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -25,6 +25,8 @@
   /// Where other instances and operators ask.
   Endpoint peer;
   Endpoint store;
+  /// Where metrics are served.
+  Endpoint metrics;
   std::string log_level = "info";
   /// Time to end all work after a request to stop.
   Micros stop_time{};
