--- a/src/gateway/pace.cc
+++ b/src/gateway/pace.cc
@@ -10,7 +10,9 @@
 constexpr Micros kMostReading = 190ms;
 // Reading up to which a patient request goes along.
 constexpr Micros kPatientReading = 70ms;
-// Pace at which a patient request looks again.
+// How far ahead a place in the engine's queue is taken.
+constexpr Micros kHorizon = 200ms;
+// Pace at which a request that waits looks again.
 constexpr Micros kLook = 30ms;
 // Time for the way to the engine and back, and for the first token.
 constexpr Micros kOverhead = 60ms;
@@ -35,6 +37,10 @@
   }
   // A prompt that is long by itself goes as soon as nothing is before it.
   const Micros delay = std::min(excess, reading);
+  // A place far ahead would keep out those that have less time.
+  if (delay > kHorizon && has_time) {
+    return {PaceStep::kWait, input.now + kLook};
+  }
   if (delay > 0us) {
     return {PaceStep::kSendLater, input.now + delay};
   }
