--- a/src/fleet/leadership.cc
+++ b/src/fleet/leadership.cc
@@ -72,10 +72,11 @@
   const bool from_other =
       acquired && !lease_.holder.empty() && lease_.holder != self_;
   if (acquired) {
-    // The last holder ordered until half its lease after its last renewal.
-    orders_from_ = from_other
-                       ? seen_at_ + lease_time_ / 2 + lease_time_ + kMargin
-                       : sent_at;
+    // The last holder ordered until half its lease after its last renewal; one
+    // that released its lease has ordered nothing since.
+    const Micros last_order = lease_.released ? Micros(0) : lease_time_ / 2;
+    orders_from_ =
+        from_other ? seen_at_ + last_order + lease_time_ + kMargin : sent_at;
   }
   lease_ = lease;
   seen_at_ = sent_at;
--- a/src/fleet/share_plan.cc
+++ b/src/fleet/share_plan.cc
@@ -88,10 +88,18 @@
       bounds += held;
     }
   }
-  const std::vector<MemberView> live = members.Live(read_at);
+  // An instance that stops takes ever less; what it still needs, it borrows.
+  std::vector<MemberView> live = members.Live(read_at);
+  std::erase_if(live, [](const MemberView& view) {
+    return view.member.state == MemberState::kDraining;
+  });
   const double even = live.empty() ? 0 : 1.0 / static_cast<double>(live.size());
   for (auto& [name, entry] : next) {
-    entry.share = std::min(entry.share, entry.bound);
+    const MemberView* view = members.Find(name);
+    const bool draining = view != nullptr &&
+                          view->member.state == MemberState::kDraining &&
+                          !live.empty();
+    entry.share = draining ? 0 : std::min(entry.share, entry.bound);
   }
   for (const MemberView& view : live) {
     ShareEntry& entry = next[view.member.name];
--- a/src/fleet/tests/leadership_test.cc
+++ b/src/fleet/tests/leadership_test.cc
@@ -53,6 +53,20 @@
   BOOST_TEST(!own.MayOrder(kStart + kLease / 2 + kLease));
 }
 
+BOOST_AUTO_TEST_CASE(AReleasedLeaseIsTakenAtOnceAndOrdersWaitOneLease) {
+  Leadership own("a", "10.0.0.1:1", "boot", kLease);
+  LeaderLease released = LeaseOf("z", 5);
+  released.released = true;
+  own.OnRead(&released, kStart);
+  BOOST_TEST(static_cast<int>(own.Next(kStart)) ==
+             static_cast<int>(LeaseStep::kAcquire));
+  own.OnApplied(own.Proposal(LeaseStep::kAcquire), kStart);
+  BOOST_TEST(!own.MayOrder(kStart + 1s));
+  own.OnApplied(own.Proposal(LeaseStep::kRenew), kStart + 3s);
+  BOOST_TEST(!own.MayOrder(kStart + kLease));
+  BOOST_TEST(own.MayOrder(kStart + kLease + 400ms));
+}
+
 BOOST_AUTO_TEST_CASE(ARenewalSeenKeepsOthersFromTheLease) {
   Leadership own("a", "10.0.0.1:1", "boot", kLease);
   for (int i = 0; i < 10; ++i) {
--- a/src/fleet/tests/share_plan_test.cc
+++ b/src/fleet/tests/share_plan_test.cc
@@ -51,6 +51,24 @@
   BOOST_TEST(table.Find("c")->share < 0.17);
 }
 
+// In a rolling stop several instances drain at once; the quota stays whole.
+BOOST_AUTO_TEST_CASE(AMemberThatDrainsGivesItsPartToTheOthers) {
+  MemberTable members;
+  members.OnRead({MemberOf("a", 1, 0), MemberOf("b", 1, 0)}, kStart);
+  ShareTable table = PlanShares({}, members, kStart);
+  Member leaving = MemberOf("b", 2, table.epoch);
+  leaving.state = MemberState::kDraining;
+  members.OnRead({MemberOf("a", 2, table.epoch), leaving}, kStart + 1s);
+  table = PlanShares(table, members, kStart + 1s);
+  BOOST_TEST(table.Find("b")->share == 0);
+  BOOST_TEST(table.Find("a")->share == 0.5);
+  leaving.beat = 3;
+  leaving.shares_epoch = table.epoch;
+  members.OnRead({MemberOf("a", 3, table.epoch), leaving}, kStart + 2s);
+  table = PlanShares(table, members, kStart + 2s);
+  BOOST_TEST(table.Find("a")->share == 1.0);
+}
+
 BOOST_AUTO_TEST_CASE(ASilentMemberKeepsItsPartUntilItCannotSpendIt) {
   MemberTable members;
   members.OnRead({MemberOf("a", 1, 0), MemberOf("b", 1, 0)}, kStart);
