--- a/src/config/fleet_config.h
+++ b/src/config/fleet_config.h
@@ -78,7 +78,7 @@
 
 /// A departure from a fleet default, for one scope, with its reason.
 struct Exception {
-  /// Such as `workspace/school`; see docs/OPERATING.md.
+  /// Such as `workspace/school`; see docs/OPERATIONS.md.
   std::string scope;
   std::string setting;
   std::int64_t value = 0;
--- a/src/operator/operator_service.cc
+++ b/src/operator/operator_service.cc
@@ -106,7 +106,7 @@
     co_return JsonResponse(202, R"({"draining":true})");
   }
   co_return ErrorResponse({ErrorKind::kNotFound, "no such path",
-                           "see docs/OPERATING.md for the interface"});
+                           "see docs/OPERATIONS.md for the interface"});
 }
 
 HttpResponse OperatorService::Ready() const {
