Tests of a request on sockets; end pending operations before their parts

Cause: the new tests ended in a double free: operations pending on the event loop were destroyed after the queue of deadlines that they refer to; the daemon did the same at each stop. The loop's pending operations end first now (EventLoop, taken out of Duty).

--- a/src/core/duty.h
+++ b/src/core/duty.h
@@ -4,7 +4,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <exception>
@@ -15,6 +14,7 @@
 
 #include "core/bounded_ring.h"
 #include "core/error.h"
+#include "core/event_loop.h"
 
 namespace jackdaw {
 
@@ -52,14 +52,7 @@
   void RunWaitingTasks();
 
   std::string name_;
-  // Event loop whose pending operations can be destroyed ahead of it.
-  class Loop : public boost::asio::io_context {
-   public:
-    Loop() : io_context(1) {}
-    void EndPending() { shutdown(); }
-  };
-
-  Loop context_;
+  EventLoop context_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work_;
   BoundedRing<Task> ring_;
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -22,7 +22,7 @@
       clock_(clock),
       acceptor_(context) {}
 
-Result<void> CallerListener::Listen(const Endpoint& endpoint) {
+Result<Endpoint> CallerListener::Listen(const Endpoint& endpoint) {
   boost::system::error_code failure;
   acceptor_.open(endpoint.protocol(), failure);
   if (!failure) {
@@ -40,7 +40,7 @@
         "end what listens there or change the setting 'entry'"};
   }
   Accept();
-  return success();
+  return acceptor_.local_endpoint();
 }
 
 void CallerListener::Accept() {
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -19,8 +19,9 @@
                  DeadlineQueue& deadlines,
                  const MonotonicClock& clock);
 
-  /// Binds and starts to accept. @returns kAddressInUse where it cannot
-  Result<void> Listen(const Endpoint& endpoint);
+  /// Binds and starts to accept. Port 0 lets the system pick.
+  /// @returns the bound endpoint, or kAddressInUse
+  Result<Endpoint> Listen(const Endpoint& endpoint);
   /// Stops accepting and closes connections without a request.
   void StopAccepting();
   /// Connections that are open.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -42,7 +42,6 @@
 Gateway::Gateway(const GatewaySettings& settings, std::string settings_path)
     : settings_(settings),
       settings_path_(std::move(settings_path)),
-      context_(1),
       signals_(context_, SIGTERM, SIGINT, SIGHUP),
       deadlines_(context_, clock_),
       board_(settings.failure_domain),
@@ -80,6 +79,11 @@
           ControlLimits(),
           [this](HttpExchange& exchange) { return ServeMetrics(exchange); }) {}
 
+// Operations that are pending refer to the parts of the instance.
+Gateway::~Gateway() {
+  context_.EndPending();
+}
+
 Result<void> Gateway::Listen() {
   BOOST_OUTCOME_TRY(listener_.Listen(settings_.entry));
   BOOST_OUTCOME_TRY(ready_server_.Listen(settings_.ready));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <memory>
 
+#include "core/event_loop.h"
 #include "fleet/fleet_agent.h"
 #include "fleet/peer_desk.h"
 #include "gateway/caller_listener.h"
@@ -19,6 +19,7 @@
 class Gateway final : public CallerHandler {
  public:
   Gateway(const GatewaySettings& settings, std::string settings_path);
+  ~Gateway() override;
 
   /// Binds and runs until the instance has been stopped and its work is done.
   /// @returns kAddressInUse where it cannot listen
@@ -44,7 +45,7 @@
 
   GatewaySettings settings_;
   std::string settings_path_;
-  boost::asio::io_context context_;
+  EventLoop context_;
   boost::asio::signal_set signals_;
   MonotonicClock clock_;
   BootClock boot_clock_;
--- /dev/null
+++ b/src/gateway/tests/exchange_test.cc
@@ -0,0 +1,441 @@
+// Requests between a caller and scripted targets on loopback sockets.
+#include "gateway/exchange.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <functional>
+
+#include "core/event_loop.h"
+#include "gateway/caller_listener.h"
+
+namespace jackdaw::serving {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+// Longest time that a condition is waited for; reached only by a failure.
+constexpr std::chrono::seconds kPatience(20);
+
+Endpoint Loopback() {
+  return {boost::asio::ip::make_address("127.0.0.1"), 0};
+}
+
+/// A target that reads requests one by one and does what its script says.
+class ScriptedTarget {
+ public:
+  /// What is done with one request: bytes to send, and how to go on.
+  struct Step {
+    std::string bytes;
+    enum class Then { kKeep, kClose, kReset, kHold } then = Then::kKeep;
+  };
+
+  explicit ScriptedTarget(boost::asio::io_context& context)
+      : context_(context), acceptor_(context, Loopback()) {
+    Accept();
+  }
+
+  Endpoint address() const { return acceptor_.local_endpoint(); }
+  void Script(Step step) { script_.push_back(std::move(step)); }
+  const std::vector<std::string>& requests() const { return requests_; }
+  int connections() const { return connections_; }
+  int closed_by_peer() const { return closed_by_peer_; }
+
+ private:
+  struct Connection {
+    explicit Connection(tcp::socket from) : socket(std::move(from)) {}
+    tcp::socket socket;
+    std::string input;
+  };
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  void Accept() {
+    acceptor_.async_accept(
+        context_, [this](error_code failure, tcp::socket socket) {
+          if (failure) {
+            return;
+          }
+          ++connections_;
+          Read(std::make_shared<Connection>(std::move(socket)));
+          Accept();
+        });
+  }
+
+  void Read(const ConnectionPtr& connection) {
+    boost::asio::async_read_until(
+        connection->socket, boost::asio::dynamic_buffer(connection->input),
+        "\r\n\r\n", [this, connection](error_code failure, std::size_t size) {
+          if (failure) {
+            ++closed_by_peer_;
+            return;
+          }
+          OnRequest(connection, size);
+        });
+  }
+
+  void OnRequest(const ConnectionPtr& connection, std::size_t size) {
+    requests_.push_back(connection->input.substr(0, size));
+    connection->input.erase(0, size);
+    if (script_.empty()) {
+      Read(connection);
+      return;
+    }
+    const Step step = script_.front();
+    script_.pop_front();
+    auto bytes = std::make_shared<std::string>(step.bytes);
+    boost::asio::async_write(
+        connection->socket, boost::asio::buffer(*bytes),
+        [this, connection, bytes, step](error_code, std::size_t) {
+          if (step.then == Step::Then::kReset) {
+            connection->socket.set_option(
+                boost::asio::socket_base::linger(true, 0));
+            connection->socket.close();
+          } else if (step.then == Step::Then::kClose) {
+            connection->socket.close();
+          } else {
+            Read(connection);
+          }
+        });
+  }
+
+  boost::asio::io_context& context_;
+  tcp::acceptor acceptor_;
+  std::deque<Step> script_;
+  std::vector<std::string> requests_;
+  int connections_ = 0;
+  int closed_by_peer_ = 0;
+};
+
+using Then = ScriptedTarget::Step::Then;
+
+class NoHelp final : public FleetHelp {
+ public:
+  void BorrowUnits(std::string,
+                   double,
+                   std::function<void(double)> done) override {
+    done(0);
+  }
+  void TellSent(const Target&, const CallHead&, std::int64_t) override {}
+  void LoadAdapter(std::string,
+                   std::string,
+                   std::string,
+                   std::function<void(TargetPtr)> done) override {
+    done(nullptr);
+  }
+};
+
+std::string Answer(std::string_view body, std::string_view more = "") {
+  std::string text = "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\n";
+  text += more;
+  text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  return text + std::string(body);
+}
+
+std::string Chunk(std::string_view bytes) {
+  std::array<char, 16> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+  return size.data() + std::string(bytes) + "\r\n";
+}
+
+constexpr std::string_view kStreamHead =
+    "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\n"
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr std::string_view kNotExecuted =
+    "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+class Fixture : public CallerHandler {
+ protected:
+  Fixture()
+      : deadlines_(context_, clock_),
+        board_("z"),
+        links_(context_, clock_),
+        quotas_({}),
+        retries_({1.0, 100, 10s}),
+        ports_{clock_,   deadlines_, board_,  links_,   quotas_, retries_,
+               crashes_, demand_,    counts_, metrics_, help_},
+        listener_(context_, *this, deadlines_, clock_),
+        first_(context_),
+        second_(context_) {
+    auto config = std::make_shared<ServingConfig>();
+    config->version = 1;
+    config->services.push_back({"s", "/healthz", 100, std::nullopt});
+    AddRoute(*config, "/once/", CallKind::kAtMostOnce, false);
+    AddRoute(*config, "/safe/", CallKind::kIdempotent, false);
+    AddRoute(*config, "/stream/", CallKind::kStream, false);
+    AddRoute(*config, "/resume/", CallKind::kStream, true);
+    config_ = config;
+    entry_ = listener_.Listen(Loopback()).value();
+    // The first target is preferred: it stands in the own failure domain.
+    Register("i-1", first_, "z");
+    Register("i-2", second_, "y");
+  }
+
+  ~Fixture() override { context_.EndPending(); }
+
+  static void AddRoute(ServingConfig& config,
+                       std::string prefix,
+                       CallKind kind,
+                       bool resumable) {
+    Route route;
+    route.name = prefix;
+    route.host = "h";
+    route.prefix = std::move(prefix);
+    route.kind = kind;
+    route.resumable = resumable;
+    route.open = true;
+    route.time_limit = 15s;
+    route.latency_objective = 10s;
+    route.most_attempts = 2;
+    route.services = {{"s", 1}};
+    config.routes.push_back(std::move(route));
+  }
+
+  void Register(std::string id,
+                const ScriptedTarget& target,
+                std::string zone) {
+    TargetEntry entry;
+    entry.id = std::move(id);
+    entry.service = "s";
+    entry.address = target.address();
+    entry.failure_domain = std::move(zone);
+    entry.slots = 6;
+    board_.Update(entry);
+  }
+
+  std::shared_ptr<CallerTask> Begin(
+      std::shared_ptr<CallerConnection> connection,
+      CallerRequest request,
+      Instant began) override {
+    auto exchange =
+        std::make_shared<Exchange>(std::move(connection), std::move(request),
+                                   config_, ports_, began, false);
+    exchange->Start();
+    return exchange;
+  }
+  CallerLimits limits() const override { return {}; }
+  bool closing() const override { return false; }
+
+  void RunUntil(const std::function<bool()>& done) {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (!done() && std::chrono::steady_clock::now() < end) {
+      context_.run_one_for(std::chrono::milliseconds(50));
+    }
+    BOOST_REQUIRE(done());
+  }
+
+  /// Sends bytes as a caller and reads what comes until `done` or the close.
+  std::string Call(const std::string& bytes,
+                   const std::function<bool(const std::string&)>& done) {
+    tcp::socket socket(context_);
+    socket.connect(entry_);
+    boost::asio::write(socket, boost::asio::buffer(bytes));
+    std::string got;
+    bool closed = false;
+    std::array<char, 4096> buffer{};
+    std::function<void()> read = [&] {
+      socket.async_read_some(boost::asio::buffer(buffer),
+                             [&](error_code failure, std::size_t size) {
+                               got.append(buffer.data(), size);
+                               closed = static_cast<bool>(failure);
+                               if (!closed) {
+                                 read();
+                               }
+                             });
+    };
+    read();
+    RunUntil([&] { return closed || done(got); });
+    closed_ = closed;
+    if (!closed) {
+      // The pending read refers to what stands here.
+      socket.close();
+      RunUntil([&] { return closed; });
+    }
+    return got;
+  }
+
+  static std::string Request(std::string_view path) {
+    return "GET " + std::string(path) +
+           " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id\r\n\r\n";
+  }
+
+  static bool HasHead(const std::string& got) {
+    return got.find("\r\n\r\n") != std::string::npos;
+  }
+  static bool HasStreamEnd(const std::string& got) {
+    return got.ends_with("0\r\n\r\n");
+  }
+
+  EventLoop context_;
+  MonotonicClock clock_;
+  DeadlineQueue deadlines_;
+  TargetBoard board_;
+  LinkPool links_;
+  QuotaBook quotas_;
+  RetryGate retries_;
+  CrashMemory crashes_;
+  DemandMeter demand_;
+  ExchangeCounts counts_;
+  GatewayMetrics metrics_;
+  NoHelp help_;
+  ExchangePorts ports_;
+  CallerListener listener_;
+  ScriptedTarget first_;
+  ScriptedTarget second_;
+  ConfigPtr config_;
+  Endpoint entry_;
+  bool closed_ = false;
+};
+
+BOOST_FIXTURE_TEST_SUITE(Exchanges, Fixture)
+
+BOOST_AUTO_TEST_CASE(ARequestThatMayNotRepeatIsSentOnce) {
+  first_.Script({"", Then::kReset});
+  const std::string got = Call(Request("/once/a"), HasHead);
+  BOOST_TEST(got.starts_with("HTTP/1.1 502 "));
+  BOOST_TEST(first_.requests().size() == 1U);
+  BOOST_TEST(second_.requests().empty());
+}
+
+BOOST_AUTO_TEST_CASE(ARequestThatMayRepeatGoesToAnotherTarget) {
+  first_.Script({"", Then::kReset});
+  second_.Script({Answer("hello"), Then::kKeep});
+  const std::string got = Call(Request("/safe/a"), HasHead);
+  BOOST_TEST(got.starts_with("HTTP/1.1 200 "));
+  BOOST_TEST(got.ends_with("hello"));
+}
+
+BOOST_AUTO_TEST_CASE(ATruncatedAnswerIsNotPassedOn) {
+  first_.Script(
+      {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", Then::kClose});
+  const std::string got = Call(Request("/once/a"), HasHead);
+  BOOST_TEST(got.starts_with("HTTP/1.1 502 "));
+}
+
+BOOST_AUTO_TEST_CASE(WhatHasNotRunMayGoElsewhereAndIsRefusedTruly) {
+  first_.Script({std::string(kNotExecuted), Then::kKeep});
+  second_.Script({Answer("done"), Then::kKeep});
+  BOOST_TEST(Call(Request("/once/a"), HasHead).starts_with("HTTP/1.1 200 "));
+  first_.Script({std::string(kNotExecuted), Then::kKeep});
+  second_.Script({std::string(kNotExecuted), Then::kKeep});
+  const std::string got = Call(Request("/once/b"), HasHead);
+  BOOST_TEST(got.starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(got.find("Retry-After: ") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(AFailureOfTheTargetIsPassedOnUnchanged) {
+  first_.Script(
+      {"HTTP/1.1 500 Oops\r\nX-Server-Signature: s\r\n"
+       "Content-Length: 3\r\n\r\nbad",
+       Then::kKeep});
+  const std::string got = Call(Request("/once/a"), HasHead);
+  BOOST_TEST(got.starts_with("HTTP/1.1 500 Oops\r\n"));
+  BOOST_TEST(got.find("X-Server-Signature: s") != std::string::npos);
+  BOOST_TEST(got.ends_with("bad"));
+}
+
+BOOST_AUTO_TEST_CASE(AStreamGoesOnAtAnotherTargetAfterItsLastWholeEvent) {
+  first_.Script({std::string(kStreamHead) + Chunk("id: 1\ndata: a\n\n") +
+                     Chunk("id: 2\ndata: b\n\nid: 3\nda"),
+                 Then::kReset});
+  second_.Script({std::string(kStreamHead) +
+                      Chunk("id: 3\ndata: c\n\nid: 4\ndata: d\n\n") +
+                      "0\r\n\r\n",
+                  Then::kKeep});
+  const std::string got = Call(Request("/resume/a"), HasStreamEnd);
+  for (const char* event : {"data: a", "data: b", "data: c", "data: d"}) {
+    BOOST_TEST(got.find(event) != std::string::npos, event);
+    BOOST_TEST(got.find(event) == got.rfind(event), event);
+  }
+  BOOST_REQUIRE(second_.requests().size() == 1U);
+  BOOST_TEST(second_.requests()[0].find("Last-Event-Id: 2\r\n") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(ABrokenStreamThatCannotGoOnDoesNotLookWhole) {
+  first_.Script(
+      {std::string(kStreamHead) + Chunk("id: 1\ndata: a\n\n"), Then::kReset});
+  const std::string got =
+      Call(Request("/stream/a"), [](const std::string&) { return false; });
+  BOOST_TEST(closed_);
+  BOOST_TEST(got.find("data: a") != std::string::npos);
+  BOOST_TEST(!HasStreamEnd(got));
+  BOOST_TEST(second_.requests().empty());
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutLengthEndsWithAnOrderlyCloseOnly) {
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\n\r\n";
+  first_.Script({head + "whole", Then::kClose});
+  BOOST_TEST(Call(Request("/once/a"), HasHead).ends_with("whole"));
+  first_.Script({head + "part", Then::kReset});
+  BOOST_TEST(Call(Request("/once/b"), HasHead).starts_with("HTTP/1.1 502 "));
+}
+
+BOOST_AUTO_TEST_CASE(ACallerThatLeavesEndsItsRun) {
+  {
+    tcp::socket socket(context_);
+    socket.connect(entry_);
+    boost::asio::write(socket, boost::asio::buffer(Request("/once/a")));
+    RunUntil([&] { return first_.requests().size() == 1; });
+  }
+  RunUntil([&] { return first_.closed_by_peer() == 1; });
+  BOOST_TEST(counts_.abandoned == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerOfAnotherRequestIsNotPassedOn) {
+  first_.Script({Answer("other", "X-Attempt-Id: else\r\n"), Then::kKeep});
+  BOOST_TEST(Call(Request("/once/a"), HasHead).starts_with("HTTP/1.1 502 "));
+}
+
+BOOST_AUTO_TEST_CASE(ExtraBytesMakeAConnectionUseless) {
+  first_.Script({Answer("one") + Answer("extra"), Then::kKeep});
+  first_.Script({Answer("two"), Then::kKeep});
+  BOOST_TEST(Call(Request("/once/a"), HasHead).ends_with("one"));
+  BOOST_TEST(Call(Request("/once/b"), HasHead).ends_with("two"));
+  BOOST_TEST(first_.connections() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AKeptConnectionCarriesTheNextRequest) {
+  first_.Script({Answer("one"), Then::kKeep});
+  first_.Script({Answer("two"), Then::kKeep});
+  Call(Request("/once/a"), HasHead);
+  Call(Request("/once/b"), HasHead);
+  BOOST_TEST(first_.connections() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ConflictingFramingReachesNoTarget) {
+  for (const char* fields :
+       {"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+        "Content-Length: 4\r\nContent-Length: 5\r\n",
+        "Content-Length: 4, 5\r\n", "Transfer-Encoding: gzip\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n", "Content-Length: -1\r\n"}) {
+    const std::string got = Call("POST /once/a HTTP/1.1\r\nHost: h\r\n" +
+                                     std::string(fields) + "\r\n0\r\n\r\nGET ",
+                                 HasHead);
+    BOOST_TEST(got.starts_with("HTTP/1.1 400 "), fields << got);
+  }
+  BOOST_TEST(first_.requests().empty());
+}
+
+BOOST_AUTO_TEST_CASE(AHeadBeyondTheLimitIsRefused) {
+  const std::string got = Call("GET /once/a HTTP/1.1\r\nHost: h\r\nX-Big: " +
+                                   std::string(20'000, 'x') + "\r\n\r\n",
+                               HasHead);
+  BOOST_TEST(got.starts_with("HTTP/1.1 431 "));
+  BOOST_TEST(first_.requests().empty());
+}
+
+BOOST_AUTO_TEST_CASE(WithoutAConfigurationNothingIsDenied) {
+  config_ = nullptr;
+  BOOST_TEST(Call(Request("/once/a"), HasHead).starts_with("HTTP/1.1 503 "));
+  config_ = std::make_shared<ServingConfig>();
+  BOOST_TEST(Call(Request("/once/a"), HasHead).starts_with("HTTP/1.1 404 "));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace jackdaw::serving
