Let loads told long ago fade; pace by the turnover of places

Cause: on grown Ponte 2,693 attempts were refused as crowded with load_age over 2 s: sends of other instances were added and never ended, so quiet engines looked full. Ruled out: reading queues (reading_ms negative). A load fades by the time that requests run, learnt for each target; a place beyond the engine's counts as that time over its places.

--- a/src/gateway/exchange_admit.cc
+++ b/src/gateway/exchange_admit.cc
@@ -13,8 +13,6 @@
 constexpr Micros kConfigWait = 500ms;
 // Time for which a request that crashes targets is refused.
 constexpr Micros kCrashBar = 10s;
-// Share of the latency objective up to which units are waited for.
-constexpr int kQuotaWaitPart = 4;
 
 }  // namespace
 
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -119,7 +119,7 @@
   detail += std::to_string(pick.candidates);
   detail += " expected_ms=";
   detail += std::to_string(static_cast<int>(pick.expected_ms));
-  detail += " load=" + std::to_string(target.LikelyLoad());
+  detail += " load=" + std::to_string(target.LikelyLoad(now));
   detail += " load_age_ms=";
   detail += target.has_load ? std::to_string((now - target.told_at) / 1ms)
                             : std::string("none");
@@ -142,7 +142,9 @@
   input.patient = route_->latency_objective >= kPatientObjective &&
                   route_->priority >= kPatientPriority;
   input.beyond_places =
-      std::max(0, pick.target->LikelyLoad() + 1 - service_->engine->slots);
+      std::max(0, pick.target->LikelyLoad(now) + 1 - service_->engine->slots);
+  input.place_time = Micros(static_cast<std::int64_t>(
+      pick.target->run_seconds * 1e6 / std::max(1, service_->engine->slots)));
   const PaceDecision pace = Pace(input);
   switch (pace.step) {
     case PaceStep::kSend:
@@ -344,7 +346,8 @@
   if (target_ == nullptr) {
     return;
   }
-  ports_.board.OnEnded(*target_, outcome, first_byte_, ports_.clock.Now());
+  ports_.board.OnEnded(*target_, outcome, first_byte_, sent_at_,
+                       ports_.clock.Now());
   if (link_ != nullptr) {
     link_->Close();
     link_.reset();
--- a/src/gateway/pace.cc
+++ b/src/gateway/pace.cc
@@ -16,15 +16,13 @@
 constexpr Micros kLook = 30ms;
 // Time for the way to the engine and back, and for the first token.
 constexpr Micros kOverhead = 60ms;
-// Time in which a place at a full engine is likely to come free.
-constexpr Micros kPlaceTime = 120ms;
 
 }  // namespace
 
 PaceDecision Pace(const PaceInput& input) {
   const Micros reading =
       std::max(Micros(0), Micros(input.reading_until - input.now)) +
-      kPlaceTime * input.beyond_places;
+      input.place_time * input.beyond_places;
   const Micros first_byte = reading + input.own_reading + kOverhead;
   const Micros excess = reading + input.own_reading - kMostReading;
   const Instant expected = input.now + first_byte;
--- a/src/gateway/pace.h
+++ b/src/gateway/pace.h
@@ -29,6 +29,8 @@
   bool patient = false;
   /// Requests beyond the engine's places.
   int beyond_places = 0;
+  /// Time in which a place of the engine is likely to come free.
+  Micros place_time{};
 };
 
 struct PaceDecision {
--- a/src/gateway/target.h
+++ b/src/gateway/target.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -27,13 +29,16 @@
   Instant heard_at{};
   /// Time to read prompts against the time expected, an average.
   double slowness = 1;
-  /// Load as told with an answer, and own sends and ends since.
+  /// Load as told with an answer.
   bool has_load = false;
-  int told_running = 0;
   int told_waiting = 0;
-  int sent_since = 0;
-  int ended_since = 0;
   Instant told_at{};
+  /// Requests there as last told and as sent by all instances since, which
+  /// end as time passes, and the moment that the figure is of.
+  double load = 0;
+  Instant load_at{};
+  /// Time for which a request runs there, an average.
+  double run_seconds = 1.5;
   /// Share of own requests that the target failed, recent ones first.
   double failure_share = 0;
   Instant judged_at{};
@@ -60,9 +65,16 @@
   }
 
   /// Requests that probably run or wait there now.
-  int LikelyLoad() const {
-    const int told = told_running + told_waiting + sent_since - ended_since;
-    return std::max(in_flight, has_load ? told : 0);
+  int LikelyLoad(Instant now) const {
+    const double age = std::chrono::duration<double>(now - load_at).count();
+    const double left = load * std::exp(-std::max(0.0, age) / run_seconds);
+    return std::max(in_flight, static_cast<int>(std::lround(left)));
+  }
+  /// A request was sent there, by whichever instance.
+  void AddLoad(Instant now) {
+    const double age = std::chrono::duration<double>(now - load_at).count();
+    load = load * std::exp(-std::max(0.0, age) / run_seconds) + 1;
+    load_at = now;
   }
 };
 
--- a/src/gateway/target_board.cc
+++ b/src/gateway/target_board.cc
@@ -31,6 +31,11 @@
 constexpr double kSlownessWeight = 0.1;
 constexpr double kLeastSlowness = 0.7;
 constexpr double kMostSlowness = 6;
+// Weight of a new result in the time that requests run, and its bounds in
+// seconds.
+constexpr double kRunWeight = 0.05;
+constexpr double kLeastRun = 0.02;
+constexpr double kMostRun = 6;
 // Reading below this says little about how slow a target is.
 constexpr Micros kTellingReading = 25ms;
 // Part of the time to the first byte that is not reading.
@@ -144,7 +149,7 @@
   if (silence > kSilence) {
     cost += kSilenceWeight * Milliseconds(silence);
   }
-  const int load = target.LikelyLoad();
+  const int load = target.LikelyLoad(now);
   const bool told_lately = target.has_load && now - target.told_at < kLoadAge;
   if (need.engine != nullptr) {
     const int beyond = std::max(0, load - need.engine->slots);
@@ -225,7 +230,7 @@
                                  Instant now) {
   const std::int64_t tokens = TokensToRead(target, call, now);
   ++target.in_flight;
-  ++target.sent_since;
+  target.AddLoad(now);
   if (target.awaiting++ == 0) {
     target.awaiting_since = now;
   }
@@ -245,7 +250,7 @@
     return;
   }
   Target& target = *found->second;
-  ++target.sent_since;
+  target.AddLoad(now);
   AddReading(target, tokens, now);
   for (const std::uint64_t part : parts) {
     target.prompt_parts[part] = now;
@@ -269,11 +274,10 @@
   target.heard_at = now;
   if (answer.has_load) {
     target.has_load = true;
-    target.told_running = answer.running;
     target.told_waiting = answer.waiting;
-    target.sent_since = 0;
-    target.ended_since = 0;
     target.told_at = now;
+    target.load = answer.running + answer.waiting;
+    target.load_at = now;
   }
   if (reading > kTellingReading && !answer.not_executed) {
     const double ratio =
@@ -287,10 +291,15 @@
 void TargetBoard::OnEnded(Target& target,
                           TargetOutcome outcome,
                           bool had_first_byte,
+                          Instant sent_at,
                           Instant now) {
   --target.in_flight;
-  ++target.ended_since;
   target.awaiting -= had_first_byte ? 0 : 1;
+  if (outcome == TargetOutcome::kAnswered) {
+    const double ran = std::chrono::duration<double>(now - sent_at).count();
+    target.run_seconds += kRunWeight * (std::clamp(ran, kLeastRun, kMostRun) -
+                                        target.run_seconds);
+  }
   if (outcome == TargetOutcome::kAbandoned) {
     return;
   }
--- a/src/gateway/target_board.h
+++ b/src/gateway/target_board.h
@@ -102,6 +102,7 @@
   void OnEnded(Target& target,
                TargetOutcome outcome,
                bool had_first_byte,
+               Instant sent_at,
                Instant now);
   /// Time that the target probably takes to read the request's prompt.
   static Micros ReadingTime(const Target& target,
