Bound log lines per kind and second; no key in any line

The bound is 150 lines of one kind and outcome a second; what is left out is counted and said. A test plays a canary key through answers and refusals.

--- a/src/core/log.cc
+++ b/src/core/log.cc
@@ -6,6 +6,9 @@
 
 #include <boost/json.hpp>
 #include <memory>
+#include <optional>
+
+#include "core/line_budget.h"
 
 namespace jackdaw {
 namespace {
@@ -13,7 +16,14 @@
 // Lines that may wait for the thread that writes them.
 constexpr std::size_t kLogRing = 4096;
 
+// Lines of one kind that an instance on the platform writes in a second.
+constexpr std::int64_t kLinesPerSecond = 150;
+
 bool json_format = false;
+// Bounds the lines of an instance on the platform, whose one event loop is the
+// only thread that logs; unset elsewhere.
+std::optional<LineBudget> line_budget;
+std::size_t overruns_told = 0;
 std::string process_name;
 
 spdlog::level::level_enum ToSpdlog(LogLevel level) {
@@ -54,6 +64,42 @@
   return text.substr(1);
 }
 
+// Successes and failures of one event are counted apart, so that the many
+// do not crowd out the few.
+std::string BudgetKind(std::string_view message,
+                       std::initializer_list<LogField> fields) {
+  std::string kind(message);
+  for (const LogField& field : fields) {
+    if (field.name == "outcome") {
+      kind += "/" + field.value;
+    }
+  }
+  return kind;
+}
+
+void Write(LogLevel level,
+           std::string_view message,
+           std::initializer_list<LogField> fields) {
+  spdlog::log(
+      ToSpdlog(level), "{}",
+      json_format ? FormatJson(message, fields) : FormatText(message, fields));
+}
+
+// Says how many lines were left out, by the bound or by a full ring.
+void TellDropped(Instant now) {
+  for (const LineBudget::Dropped& dropped : line_budget->TakeDropped(now)) {
+    Write(LogLevel::kWarn, "log_lines_dropped",
+          {{"kind", dropped.kind}, {"count", std::to_string(dropped.count)}});
+  }
+  const std::size_t overruns = spdlog::thread_pool()->overrun_counter();
+  if (overruns != overruns_told) {
+    Write(LogLevel::kWarn, "log_lines_dropped",
+          {{"kind", "ring"},
+           {"count", std::to_string(overruns - overruns_told)}});
+    overruns_told = overruns;
+  }
+}
+
 }  // namespace
 
 void SetUpLogging(std::string_view process,
@@ -76,6 +122,7 @@
                                 std::string_view level) {
   json_format = true;
   process_name = process;
+  line_budget.emplace(kLinesPerSecond);
   spdlog::init_thread_pool(kLogRing, 1);
   auto logger = std::make_shared<spdlog::async_logger>(
       process_name, std::make_shared<spdlog::sinks::stdout_sink_mt>(),
@@ -88,18 +135,25 @@
 }
 
 void FlushLogging() {
+  line_budget.reset();
   spdlog::shutdown();
 }
 
 void Log(LogLevel level,
          std::string_view message,
          std::initializer_list<LogField> fields) {
-  const auto severity = ToSpdlog(level);
-  if (spdlog::should_log(severity)) {
-    spdlog::log(severity, "{}",
-                json_format ? FormatJson(message, fields)
-                            : FormatText(message, fields));
+  if (!spdlog::should_log(ToSpdlog(level))) {
+    return;
+  }
+  if (line_budget) {
+    const Instant now =
+        std::chrono::time_point_cast<Micros>(std::chrono::system_clock::now());
+    TellDropped(now);
+    if (!line_budget->Allow(BudgetKind(message, fields), now)) {
+      return;
+    }
   }
+  Write(level, message, fields);
 }
 
 }  // namespace jackdaw
--- a/src/gateway/tests/exchange_test.cc
+++ b/src/gateway/tests/exchange_test.cc
@@ -1,12 +1,16 @@
 // Requests between a caller and scripted targets on loopback sockets.
 #include "gateway/exchange.h"
 
+#include <spdlog/sinks/ostream_sink.h>
+#include <spdlog/spdlog.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <functional>
+#include <sstream>
 
 #include "core/event_loop.h"
 #include "gateway/caller_listener.h"
@@ -428,6 +432,40 @@
   BOOST_TEST(first_.requests().empty());
 }
 
+// A caller's key is neither logged nor shown to a target, known or not.
+BOOST_AUTO_TEST_CASE(NoKeyIsLoggedOrForwarded) {
+  constexpr std::string_view kCanary = "canary-key-71c2";
+  auto config = std::make_shared<ServingConfig>(*config_);
+  Workspace school;
+  school.name = "school";
+  config->workspaces.push_back(school);
+  config->key_owners.emplace(KeyDigest(kCanary), 0);
+  for (Route& route : config->routes) {
+    route.open = false;
+  }
+  config_ = config;
+  std::ostringstream log;
+  const auto before = spdlog::default_logger();
+  spdlog::set_default_logger(std::make_shared<spdlog::logger>(
+      "canary", std::make_shared<spdlog::sinks::ostream_sink_mt>(log)));
+  const auto call = [&](const std::string& key) {
+    return Call("GET /once/a HTTP/1.1\r\nHost: h\r\nAuthorization: Token " +
+                    key + "\r\nX-Tenant: forged\r\n\r\n",
+                HasHead);
+  };
+  first_.Script({"", Then::kReset});
+  BOOST_TEST(call(std::string(kCanary)).starts_with("HTTP/1.1 502 "));
+  BOOST_TEST(call(std::string(kCanary) + "x").starts_with("HTTP/1.1 401 "));
+  spdlog::set_default_logger(before);
+  BOOST_TEST(!log.str().empty());
+  BOOST_TEST(log.str().find(kCanary) == std::string::npos);
+  BOOST_REQUIRE(first_.requests().size() == 1U);
+  const std::string& seen = first_.requests()[0];
+  BOOST_TEST(seen.find(kCanary) == std::string::npos);
+  BOOST_TEST(seen.find("X-Tenant: school") != std::string::npos);
+  BOOST_TEST(seen.find("forged") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(WithoutAConfigurationNothingIsDenied) {
   config_ = nullptr;
   BOOST_TEST(Call(Request("/once/a"), HasHead).starts_with("HTTP/1.1 503 "));
