--- a/src/gateway/exchange_ports.h
+++ b/src/gateway/exchange_ports.h
@@ -13,6 +13,7 @@
 #include "gateway/link_pool.h"
 #include "gateway/retry_gate.h"
 #include "gateway/target_board.h"
+#include "gateway/wait_memory.h"
 #include "quota/quota_book.h"
 #include "serving/config.h"
 
@@ -30,6 +31,7 @@
   RetryGate& retries;
   CrashMemory& crashes;
   DemandMeter& demand;
+  WaitMemory& waits;
   ExchangeCounts& counts;
   GatewayMetrics& metrics;
   FleetHelp& help;
