--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -10,7 +10,6 @@
 #include "gateway/caller_connection.h"
 #include "gateway/event_splitter.h"
 #include "gateway/exchange_ports.h"
-#include "gateway/pace.h"
 #include "gateway/request_trace.h"
 #include "gateway/target_link.h"
 #include "serving/call_head.h"
@@ -65,7 +64,6 @@
   void OnAdapterLoaded(const TargetPtr& target);
   void OnNoTarget(const TargetPick& pick);
   void TraceChoice(const TargetPick& pick, Instant now);
-  PaceInput PaceOf(const TargetPick& pick, Instant now) const;
   bool PaceTo(const TargetPick& pick);
   void SendTo(const TargetPtr& target, Instant at);
   void OpenLink();
@@ -110,8 +108,6 @@
   double charged_ = 0;
   int priority_ = 5;
   Instant deadline_{};
-  /// Time that the caller has probably waited before it came back.
-  Micros waited_{};
   DeadlineQueue::Handle deadline_handle_;
   DeadlineQueue::Handle stall_handle_;
 
--- a/src/gateway/exchange_admit.cc
+++ b/src/gateway/exchange_admit.cc
@@ -49,7 +49,6 @@
                           *call_.wait_ms, 0, 3600'000)))
                     : limit;
   deadline_ = trace_.began() + std::min(limit, wait);
-  waited_ = ports_.waits.OnRequest(route_->name, wait);
   ports_.deadlines.Set(deadline_handle_, deadline_, [this] { OnDeadline(); });
   digest_ = RequestDigest(call_.target, call_.key, request_.body());
   const Instant now = ports_.clock.Now();
--- a/src/gateway/exchange_ports.h
+++ b/src/gateway/exchange_ports.h
@@ -13,7 +13,6 @@
 #include "gateway/link_pool.h"
 #include "gateway/retry_gate.h"
 #include "gateway/target_board.h"
-#include "gateway/wait_memory.h"
 #include "quota/quota_book.h"
 #include "serving/config.h"
 
@@ -31,7 +30,6 @@
   RetryGate& retries;
   CrashMemory& crashes;
   DemandMeter& demand;
-  WaitMemory& waits;
   ExchangeCounts& counts;
   GatewayMetrics& metrics;
   FleetHelp& help;
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -3,6 +3,7 @@
 
 #include "core/log.h"
 #include "gateway/exchange.h"
+#include "gateway/pace.h"
 #include "platform/call_codec.h"
 
 namespace jackdaw::serving {
@@ -28,8 +29,6 @@
 // Objective and priority from which on a request lets others go first.
 constexpr Micros kPatientObjective = 2000ms;
 constexpr int kPatientPriority = 2;
-// Time for which a caller that came back waits for room.
-constexpr Micros kReturnWait = 2500ms;
 // Moments at which a caller is told to come back.
 constexpr Micros kNoTargetWait = 500ms;
 constexpr Micros kNoModelWait = 1000ms;
@@ -127,35 +126,25 @@
   trace_.Add(now, "chosen", std::move(detail));
 }
 
-// What decides on the pace. A caller that comes back too late to be on time
-// takes what room is left, for a while, rather than be refused again.
-PaceInput Exchange::PaceOf(const TargetPick& pick, Instant now) const {
+// Holds or refuses a request that would crowd its engine.
+// @returns false where it may go now
+bool Exchange::PaceTo(const TargetPick& pick) {
+  if (!service_->engine || call_.model.empty() || head_sent_) {
+    return false;
+  }
+  const Instant now = ports_.clock.Now();
   PaceInput input;
   input.now = now;
   input.reading_until = pick.target->reading_until;
   input.own_reading = TargetBoard::ReadingTime(*pick.target, call_, now);
-  const Instant objective =
-      trace_.began() + route_->latency_objective - waited_;
-  const bool too_late = waited_ >= route_->latency_objective;
   input.on_time_until =
-      std::min(too_late ? trace_.began() + kReturnWait : objective, deadline_);
-  input.patient = too_late || (route_->latency_objective >= kPatientObjective &&
-                               route_->priority >= kPatientPriority);
+      std::min(trace_.began() + route_->latency_objective, deadline_);
+  input.patient = route_->latency_objective >= kPatientObjective &&
+                  route_->priority >= kPatientPriority;
   input.beyond_places =
       std::max(0, pick.target->LikelyLoad(now) + 1 - service_->engine->slots);
   input.place_time = Micros(static_cast<std::int64_t>(
       pick.target->run_seconds * 1e6 / std::max(1, service_->engine->slots)));
-  return input;
-}
-
-// Holds or refuses a request that would crowd its engine.
-// @returns false where it may go now
-bool Exchange::PaceTo(const TargetPick& pick) {
-  if (!service_->engine || call_.model.empty() || head_sent_) {
-    return false;
-  }
-  const Instant now = ports_.clock.Now();
-  const PaceInput input = PaceOf(pick, now);
   const PaceDecision pace = Pace(input);
   switch (pace.step) {
     case PaceStep::kSend:
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -59,8 +59,8 @@
              crashes_,
              demand_),
       peers_(context_, clock_, agent_, board_, quotas_, settings_.peer),
-      ports_{clock_,   deadlines_, board_, links_,  quotas_,  retries_,
-             crashes_, demand_,    waits_, counts_, metrics_, peers_},
+      ports_{clock_,   deadlines_, board_,  links_,   quotas_, retries_,
+             crashes_, demand_,    counts_, metrics_, peers_},
       listener_(context_, *this, deadlines_, clock_),
       ready_server_(
           context_,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -56,7 +56,6 @@
   RetryGate retries_;
   CrashMemory crashes_;
   DemandMeter demand_;
-  WaitMemory waits_;
   ExchangeCounts counts_;
   GatewayMetrics metrics_;
   FleetAgent agent_;
--- a/src/gateway/tests/exchange_test.cc
+++ b/src/gateway/tests/exchange_test.cc
@@ -158,8 +158,8 @@
         links_(context_, clock_),
         quotas_({}),
         retries_({1.0, 100, 10s}),
-        ports_{clock_,   deadlines_, board_, links_,  quotas_,  retries_,
-               crashes_, demand_,    waits_, counts_, metrics_, help_},
+        ports_{clock_,   deadlines_, board_,  links_,   quotas_, retries_,
+               crashes_, demand_,    counts_, metrics_, help_},
         listener_(context_, *this, deadlines_, clock_),
         first_(context_),
         second_(context_) {
@@ -281,7 +281,6 @@
   RetryGate retries_;
   CrashMemory crashes_;
   DemandMeter demand_;
-  WaitMemory waits_;
   ExchangeCounts counts_;
   GatewayMetrics metrics_;
   NoHelp help_;
