--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -239,9 +239,8 @@
   request.headers.push_back({"Content-Type", "application/json"});
   request.body = EncodeBeat(beat);
   const Instant sent_at = boot_clock_.Now();
-  const Endpoint address = *leader;
   const Result<HttpResponse> answer = co_await http_.Fetch(
-      address, std::move(request), clock_.Now() + kReplyTime);
+      *leader, std::move(request), clock_.Now() + kReplyTime);
   if (!answer || answer.value().status != 200) {
     ++beats_failed_;
     SetFollowing(false);
--- a/src/fleet/peer_desk.cc
+++ b/src/fleet/peer_desk.cc
@@ -172,9 +172,8 @@
   const json::value body{
       {"service", service}, {"model", model}, {"adapter", adapter}};
   HttpRequest request = Post("/peer/adapter", body);
-  const Endpoint address = *leader;
   const Result<HttpResponse> answer = co_await http_.Fetch(
-      address, std::move(request), clock_.Now() + kAdapterTime);
+      *leader, std::move(request), clock_.Now() + kAdapterTime);
   if (!answer || answer.value().status != 200) {
     co_return nullptr;
   }
--- a/src/fleet/tests/share_plan_test.cc
+++ b/src/fleet/tests/share_plan_test.cc
@@ -116,6 +116,7 @@
       }
       MemberTable members;
       std::vector<Member> read;
+      read.reserve(rows.size());
       for (const auto& [key, row] : rows) {
         read.push_back(row);
       }
--- a/src/gateway/deadline_queue.cc
+++ b/src/gateway/deadline_queue.cc
@@ -16,11 +16,10 @@
 
 void DeadlineQueue::Set(Handle& handle, Instant deadline, Callback callback) {
   Clear(handle);
-  handle.at_ =
-      entries_.emplace(deadline, [this, &handle, run = std::move(callback)] {
-        handle.set_ = false;
-        run();
-      });
+  handle.at_ = entries_.emplace(deadline, [&handle, run = std::move(callback)] {
+    handle.set_ = false;
+    run();
+  });
   handle.set_ = true;
   Arm();
 }
--- a/src/gateway/demand_meter.h
+++ b/src/gateway/demand_meter.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "core/time.h"
 
@@ -13,7 +14,9 @@
   std::string service;
   /// `model` or `model/adapter`.
   std::string model;
-  auto operator<=>(const ModelKey&) const = default;
+  bool operator<(const ModelKey& other) const {
+    return std::tie(service, model) < std::tie(other.service, other.model);
+  }
 };
 
 /// Requests and tokens asked for, per second, as a moving average.
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -123,7 +123,7 @@
   detail += " load_age_ms=";
   detail += target.has_load ? std::to_string((now - target.told_at) / 1ms)
                             : std::string("none");
-  trace_.Add(now, "chosen", std::move(detail));
+  trace_.Add(now, "chosen", detail);
 }
 
 // Holds or refuses a request that would crowd its engine.
--- a/src/gateway/request_trace.cc
+++ b/src/gateway/request_trace.cc
@@ -10,7 +10,9 @@
 
 }  // namespace
 
-void RequestTrace::Add(Instant now, std::string_view step, std::string detail) {
+void RequestTrace::Add(Instant now,
+                       std::string_view step,
+                       std::string_view detail) {
   if (steps_.size() >= kMostSteps) {
     steps_.erase(steps_.begin() + kFirstSteps);
     ++dropped_;
--- a/src/gateway/request_trace.h
+++ b/src/gateway/request_trace.h
@@ -16,7 +16,7 @@
 
   /// Notes a decision and the inputs that decided it. The oldest steps after
   /// the first few give way when there are too many.
-  void Add(Instant now, std::string_view step, std::string detail = {});
+  void Add(Instant now, std::string_view step, std::string_view detail = {});
 
   /// All steps as one text: `+ms step detail; ...`.
   std::string Text() const;
--- a/src/logread/refusal_summary.cc
+++ b/src/logread/refusal_summary.cc
@@ -40,6 +40,7 @@
     ++group.count;
   }
   std::vector<RefusalGroup> sorted;
+  sorted.reserve(groups.size());
   for (auto& [key, group] : groups) {
     sorted.push_back(std::move(group));
   }
