--- a/src/fleet/engine_ledger.cc
+++ b/src/fleet/engine_ledger.cc
@@ -78,6 +78,9 @@
   for (const HeldModel& model : entry.models) {
     models.insert(model.name);
   }
+  if (now < planned_until_ && !planned_.empty()) {
+    models.insert(planned_);
+  }
   if (now < uncertain_until_ && !uncertain_.empty()) {
     models.insert(uncertain_);
   }
--- a/src/fleet/engine_ledger.h
+++ b/src/fleet/engine_ledger.h
@@ -25,8 +25,12 @@
   void OnOrder(const platform::Order& order,
                std::optional<platform::OrderAnswer> answer,
                Instant now);
-  /// A planned change begins; it ends at `until` at the latest.
-  void Begin(Instant until) { planned_until_ = until; }
+  /// A planned change begins, after which the target holds `model`; it ends
+  /// at `until` at the latest.
+  void Begin(std::string model, Instant until) {
+    planned_ = std::move(model);
+    planned_until_ = until;
+  }
   void End() { planned_until_ = Instant{}; }
 
   /// Orders accepted so far; unset until the target reported.
@@ -51,6 +55,8 @@
   /// Models of the last report and of accepted orders that the entry does not
   /// show yet.
   std::set<std::string> reported_;
+  /// Model that a change under way brings.
+  std::string planned_;
   /// Model of a load without an answer.
   std::string uncertain_;
   Instant planned_until_{};
--- a/src/fleet/order_desk.cc
+++ b/src/fleet/order_desk.cc
@@ -362,8 +362,8 @@
   for (const ModelOffer& model : service.engine->models) {
     load_time = model.name == move.load ? model.load_time : load_time;
   }
-  LedgerOf(*target).Begin(clock_.Now() + kUnloadTime + kLoadMargin +
-                          load_time * 4);
+  LedgerOf(*target).Begin(
+      move.load, clock_.Now() + kUnloadTime + kLoadMargin + load_time * 4);
   if (move.from_store) {
     store_loads_.push_back(clock_.Now());
     if (store_loads_.size() > 256) {
--- a/src/fleet/tests/engine_ledger_test.cc
+++ b/src/fleet/tests/engine_ledger_test.cc
@@ -87,6 +87,18 @@
   BOOST_TEST(ledger.HasRoom(Offer(), target, "m2", kStart));
 }
 
+// While room is made, the model that is to come counts as held, so that it is
+// not planned for a second target.
+BOOST_AUTO_TEST_CASE(AModelUnderWayCountsAsHeld) {
+  EngineLedger ledger;
+  const Target target = Holding({"m0"});
+  ledger.Begin("m1", kStart + 10s);
+  BOOST_TEST(ledger.Models(target.entry, kStart + 1s).contains("m1"));
+  BOOST_TEST(!ledger.Models(target.entry, kStart + 11s).contains("m1"));
+  ledger.End();
+  BOOST_TEST(!ledger.Models(target.entry, kStart + 1s).contains("m1"));
+}
+
 BOOST_AUTO_TEST_CASE(AdapterPlacesAreCounted) {
   EngineLedger ledger;
   Target target = Holding({"m0"});
