A stop waits for answers that have not left

Ruled out: the stop time (13 s), the engine (200, whole). The stop now looks at connections too; the test sees one busy after its exchange has ended.

--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -64,8 +64,8 @@
   /// Closes the connection if no request is under way.
   void CloseIfIdle();
 
-  bool busy() const { return task_ != nullptr; }
-  bool writing() const { return writing_; }
+  /// A request is under way, or its answer has not left yet.
+  bool busy() const { return !closed_ && (task_ != nullptr || writing_); }
   std::string peer() const;
 
  private:
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -1,5 +1,7 @@
 #include "gateway/caller_listener.h"
 
+#include <algorithm>
+
 #include "core/log.h"
 
 namespace jackdaw::serving {
@@ -58,15 +60,23 @@
       connection->Start();
     }
     if (++accepted_ % kCleanUpEvery == 0) {
-      open();
+      DropClosed();
     }
     Accept();
   });
 }
 
-std::size_t CallerListener::open() {
+void CallerListener::DropClosed() {
   connections_.remove_if([](const auto& weak) { return weak.expired(); });
-  return connections_.size();
+}
+
+std::size_t CallerListener::busy() {
+  DropClosed();
+  return static_cast<std::size_t>(std::count_if(
+      connections_.begin(), connections_.end(), [](const auto& weak) {
+        const auto connection = weak.lock();
+        return connection != nullptr && connection->busy();
+      }));
 }
 
 void CallerListener::StopAccepting() {
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -24,11 +24,12 @@
   Result<Endpoint> Listen(const Endpoint& endpoint);
   /// Stops accepting and closes connections without a request.
   void StopAccepting();
-  /// Connections that are open.
-  std::size_t open();
+  /// Connections with a request, or with an answer that has not left yet.
+  std::size_t busy();
 
  private:
   void Accept();
+  void DropClosed();
 
   boost::asio::io_context& context_;
   CallerHandler& handler_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -151,7 +151,8 @@
   boost::asio::steady_timer timer(context_);
   for (;;) {
     const Instant now = clock_.Now();
-    const bool idle = counts_.under_way == 0 && now > stop_at_ + kStopTaking;
+    const bool idle = counts_.under_way == 0 && listener_.busy() == 0 &&
+                      now > stop_at_ + kStopTaking;
     if (idle || now >= end_at) {
       break;
     }
--- a/src/gateway/tests/exchange_test.cc
+++ b/src/gateway/tests/exchange_test.cc
@@ -377,6 +377,19 @@
   BOOST_TEST(Call(Request("/once/b"), HasHead).starts_with("HTTP/1.1 502 "));
 }
 
+// A stop waits for this: the exchange has ended, its last bytes have not left.
+BOOST_AUTO_TEST_CASE(AnAnswerThatHasNotLeftKeepsItsConnectionBusy) {
+  first_.Script(
+      {std::string(kStreamHead) + Chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n",
+       Then::kKeep});
+  tcp::socket socket(context_);
+  socket.connect(entry_);
+  boost::asio::write(socket, boost::asio::buffer(Request("/stream/a")));
+  RunUntil([&] { return counts_.answered == 1; });
+  BOOST_TEST(listener_.busy() == 1U);
+  RunUntil([&] { return listener_.busy() == 0; });
+}
+
 BOOST_AUTO_TEST_CASE(ACallerThatLeavesEndsItsRun) {
   {
     tcp::socket socket(context_);
