Give up a watch of the store that is not answered within 2.2 s

Ruled out: stale whole reads (none came), the relay (versions were the leader's). The store now holds a call 1.5 s, and 0.7 s later it is given up. Test: a store that never answers the first call.

--- a/src/fleet/store_watch.cc
+++ b/src/fleet/store_watch.cc
@@ -12,10 +12,6 @@
 
 // Time for the store to answer a read.
 constexpr Micros kReadTime = 1500ms;
-// Time for which the store holds a call that waits for changes, and the
-// margin for its answer. Silent connections end sooner by TCP's own probes.
-constexpr Micros kWait = 10s;
-constexpr Micros kWaitMargin = 1500ms;
 // First and longest pause after a call that failed.
 constexpr Micros kPauseFirst = 60ms;
 constexpr Micros kPauseMost = 500ms;
@@ -90,7 +86,7 @@
 
 boost::asio::awaitable<bool> StoreWatch::ReadChanges() {
   const Result<platform::RowChanges> changes = co_await store_.Watch(
-      table_, version_, kWait, clock_.Now() + kWait + kWaitMargin);
+      table_, version_, kWatchWait, clock_.Now() + kWatchWait + kWatchMargin);
   if (!changes) {
     OnFailure(changes.error());
     co_return false;
--- a/src/fleet/store_watch.h
+++ b/src/fleet/store_watch.h
@@ -11,6 +11,12 @@
 
 namespace jackdaw::serving {
 
+/// Time for which the store holds a call that waits for changes, and the
+/// margin for its answer. A call made during an outage may stay without an
+/// answer after it, so together they bound how long news may be missed.
+inline constexpr Micros kWatchWait = 1500ms;
+inline constexpr Micros kWatchMargin = 700ms;
+
 /// Follows one table of the store: reads it whole, then its changes. Where
 /// the history is gone, it is read whole again.
 class StoreWatch {
--- /dev/null
+++ b/src/fleet/tests/store_watch_test.cc
@@ -0,0 +1,91 @@
+#include "fleet/store_watch.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "core/event_loop.h"
+#include "http/server.h"
+
+namespace jackdaw::serving {
+namespace {
+
+// Time after an outage within which an instance counts as in touch again; by
+// then it must have noticed that its call will not be answered.
+constexpr Micros kInTouchAfter = 3s;
+static_assert(kWatchWait + kWatchMargin < kInTouchAfter);
+
+// Longest time that a condition is waited for; reached only by a failure.
+constexpr std::chrono::seconds kPatience(20);
+
+/// A store that leaves its first call for changes without an answer.
+class SilentStore {
+ public:
+  explicit SilentStore(boost::asio::io_context& context)
+      : context_(context),
+        server_(context, HttpLimits{}, [this](HttpExchange& exchange) {
+          return Serve(exchange);
+        }) {
+    address_ =
+        server_.Listen({boost::asio::ip::make_address("127.0.0.1"), 0}).value();
+  }
+
+  const Endpoint& address() const { return address_; }
+  int feeds() const { return feeds_; }
+
+ private:
+  boost::asio::awaitable<void> Serve(HttpExchange& exchange) {
+    const bool feed = exchange.request().Path() == "/rows-feed";
+    feeds_ += feed ? 1 : 0;
+    if (feed && feeds_ == 1) {
+      boost::asio::steady_timer never(context_);
+      never.expires_after(kPatience);
+      co_await never.async_wait(boost::asio::use_awaitable);
+    }
+    // The second call for changes finds that the history is gone.
+    const int status = feed && feeds_ == 2 ? 410 : 200;
+    const int version = feeds_ < 2 ? 1 : 7;
+    HttpResponse answer = JsonResponse(
+        status, R"({"rows":[{"table":"t","part":"","key":"k","value":"dg==",)"
+                R"("ver":)" +
+                    std::to_string(version) + R"(}],"ver":)" +
+                    std::to_string(version) + R"(,"now-ms":1})");
+    co_await exchange.Respond(std::move(answer));
+  }
+
+  boost::asio::io_context& context_;
+  HttpServer server_;
+  Endpoint address_;
+  int feeds_ = 0;
+};
+
+BOOST_AUTO_TEST_CASE(ACallThatIsNeverAnsweredIsGivenUpAndTheTableReadAnew) {
+  EventLoop context;
+  const MonotonicClock clock;
+  SilentStore store(context);
+  HttpClient http(context, clock, 2);
+  platform::StoreClient client(http, store.address());
+  int whole = 0;
+  int back = 0;
+  std::int64_t version = 0;
+  StoreWatch watch(context, client, clock, "t",
+                   {[&](const platform::RowSet& rows) {
+                      ++whole;
+                      version = rows.version;
+                    },
+                    [](const platform::RowSet&) {}, [&] { ++back; }});
+  boost::asio::co_spawn(context, watch.Run(), boost::asio::detached);
+  const auto end = std::chrono::steady_clock::now() + kPatience;
+  while (whole < 2 && std::chrono::steady_clock::now() < end) {
+    context.run_one_for(std::chrono::milliseconds(50));
+  }
+  BOOST_TEST(whole == 2);
+  BOOST_TEST(version == 7);
+  BOOST_TEST(back == 1);
+  BOOST_TEST(!watch.lost());
+  context.EndPending();
+}
+
+}  // namespace
+}  // namespace jackdaw::serving
