Keep idle connections by a target's id and start

Cause, found by reading: the pool was keyed by the address of a Target in memory; when a target started again its old connections stayed under a freed address that a new Target could get. X-Expected-Instance kept requests from running at the wrong target (421), at the cost of a send. Connections now belong to id and start; expired ones are dropped.

--- a/src/gateway/link_pool.cc
+++ b/src/gateway/link_pool.cc
@@ -7,6 +7,8 @@
 
 // Idle connections kept to one target.
 constexpr std::size_t kMostIdle = 16;
+// Targets with idle connections before expired ones are looked for.
+constexpr std::size_t kMostTargets = 256;
 // Time that a connection is kept where the target names none.
 constexpr Micros kDefaultKeep = 20s;
 // A connection is given up this long before the target closes it.
@@ -15,7 +17,7 @@
 }  // namespace
 
 LinkPtr LinkPool::Take(const Target& target, Instant idle_since) {
-  const auto found = idle_.find(&target);
+  const auto found = idle_.find(KeyOf(target));
   if (found == idle_.end()) {
     return nullptr;
   }
@@ -36,8 +38,25 @@
   return link;
 }
 
+// Incarnations that have ended leave connections behind.
+void LinkPool::DropExpired(Instant now) {
+  for (auto at = idle_.begin(); at != idle_.end();) {
+    std::erase_if(at->second, [&](const LinkPtr& link) {
+      const bool keep = link->usable() && now < link->keep_until();
+      if (!keep) {
+        link->Close();
+      }
+      return !keep;
+    });
+    at = at->second.empty() ? idle_.erase(at) : std::next(at);
+  }
+}
+
 void LinkPool::Give(const Target& target, LinkPtr link, int keep_seconds) {
-  auto& links = idle_[&target];
+  if (idle_.size() > kMostTargets) {
+    DropExpired(clock_.Now());
+  }
+  auto& links = idle_[KeyOf(target)];
   if (!link->usable() || target.leaving || links.size() >= kMostIdle) {
     link->Close();
     return;
@@ -53,7 +72,7 @@
 }
 
 void LinkPool::Drop(const Target& target) {
-  const auto found = idle_.find(&target);
+  const auto found = idle_.find(KeyOf(target));
   if (found == idle_.end()) {
     return;
   }
--- a/src/gateway/link_pool.h
+++ b/src/gateway/link_pool.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <unordered_map>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "core/clock.h"
@@ -29,9 +32,17 @@
   void Drop(const Target& target);
 
  private:
+  /// Id and start of a target: a later incarnation never gets its connections.
+  using Key = std::pair<std::string, std::int64_t>;
+
+  static Key KeyOf(const Target& target) {
+    return {target.entry.id, target.entry.born_ms};
+  }
+  void DropExpired(Instant now);
+
   boost::asio::io_context& context_;
   const MonotonicClock& clock_;
-  std::unordered_map<const Target*, std::vector<LinkPtr>> idle_;
+  std::map<Key, std::vector<LinkPtr>> idle_;
 };
 
 }  // namespace jackdaw::serving
--- a/src/gateway/tests/exchange_test.cc
+++ b/src/gateway/tests/exchange_test.cc
@@ -414,6 +414,19 @@
   BOOST_TEST(first_.connections() == 2);
 }
 
+// A target that starts again under its id gets none of the connections to its
+// last incarnation, which something else may hold by now.
+BOOST_AUTO_TEST_CASE(ANewIncarnationGetsANewConnection) {
+  first_.Script({Answer("one"), Then::kKeep});
+  first_.Script({Answer("two"), Then::kKeep});
+  Call(Request("/once/a"), HasHead);
+  TargetEntry entry = board_.Find("i-1")->entry;
+  entry.born_ms = 2;
+  board_.Update(entry);
+  BOOST_TEST(Call(Request("/once/b"), HasHead).ends_with("two"));
+  BOOST_TEST(first_.connections() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(AKeptConnectionCarriesTheNextRequest) {
   first_.Script({Answer("one"), Then::kKeep});
   first_.Script({Answer("two"), Then::kKeep});
