One client of the store; stand-ins speak the published calls

Change: src/store holds the table port; platform/table_store carries it by the one StoreClient (rows, feeds, now objects too); several keys are read as of one moment by a transaction whose conditions cannot hold. src/platform (client, codec) is gone, and with it the platform's list of instances: instances are rows, written when they change and no longer each 500 ms. platform/standin/ holds the store and targets by the published calls, with the same codecs as the product. tools/demo-platform runs three instances on them; fleet_test plays a stop under load and a lost leader; LoadBudget is cut out of OrderDesk and tested with random histories on a virtual clock (CEILING).

GCC 12 puts the temporary of `a || !co_await b()` at offset 0 of the coroutine's frame, so its handle points 8 bytes off, and the resume index is read from beside it (seen in the debugger: frame 0x..2f0, resumed at 0x..2f8; the trap is the default of the resume switch). Leave() never told the leader, and a leader never gave its lease up. Ruled out: a double resume, an early end of the loop.

The client writes a caller's own Host once (it wrote two).

--- a/src/budget/absence.h
+++ b/src/budget/absence.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "core/time.h"
-#include "platform/table.h"
+#include "membership/instance_entry.h"
 
 namespace jackdaw {
 
--- a/src/budget/homes.h
+++ b/src/budget/homes.h
@@ -5,7 +5,7 @@
 #include <string_view>
 #include <vector>
 
-#include "platform/table.h"
+#include "membership/instance_entry.h"
 
 namespace jackdaw {
 
--- a/src/budget/share_ledger.h
+++ b/src/budget/share_ledger.h
@@ -13,7 +13,8 @@
 #include "budget/absence.h"
 #include "budget/share_row.h"
 #include "core/time.h"
-#include "platform/table.h"
+#include "membership/instance_entry.h"
+#include "store/table.h"
 
 namespace jackdaw {
 
--- a/src/ctl/operator_client.cc
+++ b/src/ctl/operator_client.cc
@@ -4,7 +4,7 @@
 #include "core/object_reader.h"
 #include "core/time.h"
 #include "http/client.h"
-#include "platform/codec.h"
+#include "membership/instance_entry.h"
 
 namespace jackdaw {
 namespace {
--- a/src/ctl/operator_client.h
+++ b/src/ctl/operator_client.h
@@ -6,7 +6,7 @@
 
 #include "core/error.h"
 #include "http/endpoint.h"
-#include "platform/table.h"
+#include "membership/instance_entry.h"
 
 namespace jackdaw {
 
--- a/src/daemons/jackdaw-standin.cc
+++ b/src/daemons/jackdaw-standin.cc
@@ -3,8 +3,9 @@
 #include <cxxopts.hpp>
 #include <iostream>
 
+#include "platform/standin/platform_standin.h"
+#include "platform/standin/target_standin.h"
 #include "standin/engine_standin.h"
-#include "standin/platform_standin.h"
 
 namespace {
 
@@ -28,12 +29,39 @@
   return 0;
 }
 
+// Serves as a target of the platform.
+int ServeTarget(boost::asio::io_context& context,
+                const cxxopts::ParseResult& parsed,
+                const std::string& address) {
+  const auto store = jackdaw::ParseEndpoint(parsed["store"].as<std::string>());
+  if (!store) {
+    std::cerr << "jackdaw-standin: --store: " << store.error().Line() << "\n";
+    return jackdaw::ExitCode(store.error().kind);
+  }
+  jackdaw::serving::platform::TargetStandinShape shape;
+  shape.id = parsed["name"].as<std::string>();
+  shape.service = parsed["service"].as<std::string>();
+  shape.failure_domain = parsed["failure-domain"].as<std::string>();
+  shape.models = parsed["models"].as<std::vector<std::string>>();
+  std::erase(shape.models, std::string());
+  shape.first_time =
+      jackdaw::Micros(parsed["first-token-us"].as<std::int64_t>());
+  shape.pause = jackdaw::Micros(parsed["token-us"].as<std::int64_t>());
+  shape.load_time =
+      std::chrono::milliseconds(parsed["load-ms"].as<std::int64_t>());
+  shape.store = store.value();
+  jackdaw::serving::platform::TargetStandin standin(context, shape);
+  return Serve(context, standin, address);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   cxxopts::Options options("jackdaw-standin",
                            "Stand-in for the platform or for a target.");
-  options.add_options()("role", "platform or engine",
+  options.add_options()("role",
+                        "platform, engine (own interface) or target (the "
+                        "platform's interface)",
                         cxxopts::value<std::string>())(
       "listen", "Address",
       cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
@@ -50,6 +78,12 @@
       "ignore-fence", "Carry out orders with an old fencing number")(
       "load-ms", "Time of a load without a weight store",
       cxxopts::value<std::int64_t>()->default_value("200"))(
+      "service", "Service of a target",
+      cxxopts::value<std::string>()->default_value("service"))(
+      "failure-domain", "Failure domain of a target",
+      cxxopts::value<std::string>()->default_value("a"))(
+      "store", "Where a target registers itself",
+      cxxopts::value<std::string>()->default_value(""))(
       "weights", "Platform address to fetch weights from",
       cxxopts::value<std::string>()->default_value(""))("help",
                                                         "Print this help");
@@ -67,6 +101,9 @@
       jackdaw::PlatformStandin standin(context);
       return Serve(context, standin, address);
     }
+    if (parsed["role"].as<std::string>() == "target") {
+      return ServeTarget(context, parsed, address);
+    }
     jackdaw::EngineShape shape;
     shape.name = parsed["name"].as<std::string>();
     shape.plain = parsed.count("plain") != 0;
--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -130,7 +130,11 @@
 
 boost::asio::awaitable<void> FleetAgent::Leave() {
   state_ = MemberState::kGone;
-  if (leadership_.Holds() || !co_await Follow()) {
+  bool told = false;
+  if (!leadership_.Holds()) {
+    told = co_await Follow();
+  }
+  if (!told) {
     co_await WriteFleet(true);
   }
 }
@@ -210,7 +214,11 @@
 boost::asio::awaitable<void> FleetAgent::Beat() {
   demand_.EndPeriod(clock_.Now());
   ++beat_;
-  if (leadership_.Holds() || !co_await Follow()) {
+  bool followed = false;
+  if (!leadership_.Holds()) {
+    followed = co_await Follow();
+  }
+  if (!followed) {
     co_await ActAlone();
   }
   DropShareIfSilent();
--- a/src/fleet/order_desk.cc
+++ b/src/fleet/order_desk.cc
@@ -5,7 +5,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <cmath>
 
 #include "core/log.h"
 
@@ -20,10 +19,6 @@
 constexpr Micros kUnloadTime = 9s;
 // Time allowed for a load beyond what the model names.
 constexpr Micros kLoadMargin = 8s;
-// Window of the bound on loads from the weight store.
-constexpr Micros kLoadWindow = 5s;
-// Part of the bound that is used.
-constexpr double kLoadPart = 0.9;
 
 }  // namespace
 
@@ -42,7 +37,7 @@
 
 void OrderDesk::OnTerm(Instant now) {
   desks_.clear();
-  store_loads_.assign(4, now);
+  load_budget_.OnTerm(now);
 }
 
 EngineLedger& OrderDesk::LedgerOf(const Target& target) {
@@ -166,26 +161,7 @@
 }
 
 int OrderDesk::LoadsFree(const EngineOffer& offer) const {
-  const Instant now = clock_.Now();
-  const double window = std::chrono::duration<double>(kLoadWindow).count();
-  const auto lately =
-      std::count_if(store_loads_.begin(), store_loads_.end(),
-                    [&](Instant at) { return now - at < kLoadWindow; });
-  double load_seconds = 0;
-  for (const ModelOffer& model : offer.models) {
-    load_seconds = std::max(
-        load_seconds, std::chrono::duration<double>(model.load_time).count());
-  }
-  const int at_once = std::max(
-      1, static_cast<int>(std::floor(offer.loads_per_second * load_seconds)));
-  const auto loading =
-      std::count_if(store_loads_.begin(), store_loads_.end(), [&](Instant at) {
-        return std::chrono::duration<double>(now - at).count() < load_seconds;
-      });
-  const int by_rate = static_cast<int>(std::floor(
-                          kLoadPart * offer.loads_per_second * window)) -
-                      static_cast<int>(lately);
-  return std::min(by_rate, at_once - static_cast<int>(loading));
+  return load_budget_.Free(offer, clock_.Now());
 }
 
 // Waits until the target's entry says that it holds a model, or no longer.
@@ -218,10 +194,7 @@
   LedgerOf(*target).Begin(
       move.load, clock_.Now() + kUnloadTime + kLoadMargin + load_time * 4);
   if (move.from_store) {
-    store_loads_.push_back(clock_.Now());
-    if (store_loads_.size() > 256) {
-      store_loads_.pop_front();
-    }
+    load_budget_.OnLoad(clock_.Now());
   }
   bool going = true;
   for (const std::string& model : move.unload) {
--- a/src/fleet/order_desk.h
+++ b/src/fleet/order_desk.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -12,6 +11,7 @@
 #include "core/clock.h"
 #include "fleet/engine_ledger.h"
 #include "fleet/leadership.h"
+#include "fleet/load_budget.h"
 #include "fleet/model_plan.h"
 #include "gateway/target_board.h"
 #include "http/client.h"
@@ -85,7 +85,7 @@
   std::string holder_;
   std::map<std::string, Desk> desks_;
   std::set<std::string> adapters_loading_;
-  std::deque<Instant> store_loads_;
+  LoadBudget load_budget_;
 };
 
 }  // namespace jackdaw::serving
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
@@ -108,6 +109,14 @@
   return success();
 }
 
+void Gateway::Stop() {
+  boost::asio::post(context_, [this] { OnStop(); });
+}
+
+void Gateway::Abandon() {
+  boost::asio::post(context_, [this] { context_.stop(); });
+}
+
 void Gateway::AwaitSignal() {
   signals_.async_wait([this](const auto& failure, int signal) {
     if (failure) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -24,6 +24,11 @@
   /// Binds and runs until the instance has been stopped and its work is done.
   /// @returns kAddressInUse where it cannot listen
   Result<void> Run();
+  /// Asks for a planned stop, as SIGTERM does. Any thread may call it.
+  void Stop();
+  /// Ends without a word to callers, targets or other instances, as a crash
+  /// does. Any thread may call it.
+  void Abandon();
 
   std::shared_ptr<CallerTask> Begin(
       std::shared_ptr<CallerConnection> connection,
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -109,7 +109,9 @@
     message_.version(11);
     message_.method_string(request.method);
     message_.target(request.target);
-    message_.set(http::field::host, ToText(endpoint));
+    if (FindHeader(request.headers, "Host").empty()) {
+      message_.set(http::field::host, ToText(endpoint));
+    }
     for (const auto& header : request.headers) {
       message_.insert(header.name, header.value);
     }
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -4,8 +4,6 @@
 #include <charconv>
 
 namespace jackdaw {
-namespace {
-
 std::string DecodePercent(std::string_view text) {
   std::string plain;
   for (std::size_t i = 0; i < text.size(); ++i) {
@@ -22,8 +20,6 @@
   return plain;
 }
 
-}  // namespace
-
 bool SameHeaderName(std::string_view a, std::string_view b) {
   return boost::algorithm::iequals(a, b);
 }
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -48,4 +48,7 @@
 /// Percent-encodes a query value.
 std::string EncodeQuery(std::string_view text);
 
+/// Reads percent-encoded text; what is no valid escape stays as it is.
+std::string DecodePercent(std::string_view text);
+
 }  // namespace jackdaw
--- a/src/instance/budget_agent.h
+++ b/src/instance/budget_agent.h
@@ -12,7 +12,7 @@
 #include "instance/metrics.h"
 #include "instance/run_state.h"
 #include "peer/peer_service.h"
-#include "platform/client.h"
+#include "platform/table_store.h"
 #include "settings/instance_settings.h"
 
 namespace jackdaw {
@@ -58,7 +58,7 @@
   RunState& run_state_;
   PeerService& peers_;
   Decisions& decisions_;
-  PlatformClient platform_;
+  serving::platform::TableStore platform_;
   Confirmation confirmation_;
   FleetViewPtr seen_view_;
   bool seen_leaving_ = false;
--- a/src/instance/fleet_view.h
+++ b/src/instance/fleet_view.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "config/fleet_config.h"
-#include "platform/table.h"
+#include "membership/instance_entry.h"
 
 namespace jackdaw {
 
--- a/src/instance/fleet_watcher.cc
+++ b/src/instance/fleet_watcher.cc
@@ -1,5 +1,6 @@
 #include "instance/fleet_watcher.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -83,8 +84,10 @@
 asio::awaitable<void> FleetWatcher::RunInstances() {
   asio::steady_timer timer(duty_.context());
   for (;;) {
-    static_cast<void>(co_await AnnounceNow());
     co_await PollInstances();
+    if (!IsListed()) {
+      static_cast<void>(co_await AnnounceNow());
+    }
     timer.expires_after(kPollTime);
     co_await timer.async_wait(asio::use_awaitable);
   }
@@ -93,9 +96,13 @@
 asio::awaitable<Result<bool>> FleetWatcher::AnnounceNow() {
   self_.state =
       run_state_.leaving ? InstanceState::kLeaving : InstanceState::kLive;
-  Result<void> done =
-      co_await platform_.Announce(self_, clock_.Now() + kAnswerTime);
-  co_return done ? Result<bool>(true) : Result<bool>(done.error());
+  Transaction write;
+  write.writes.push_back({std::string(kInstancePrefix) + self_.name,
+                          std::string(EncodeInstance(self_))});
+  Result<Commit> done =
+      co_await platform_.Transact(std::move(write), clock_.Now() + kAnswerTime);
+  co_return done ? Result<bool>(done.value().committed)
+                 : Result<bool>(done.error());
 }
 
 void FleetWatcher::NoteStore(bool reachable) {
@@ -202,15 +209,38 @@
   return names;
 }
 
+// Whether the list says of this instance what is true now.
+bool FleetWatcher::IsListed() const {
+  const FleetViewPtr view = view_.Get();
+  const InstanceState state =
+      run_state_.leaving ? InstanceState::kLeaving : InstanceState::kLive;
+  return std::ranges::any_of(view->instances, [&](const InstanceEntry& entry) {
+    return entry.name == self_.name && entry.state == state &&
+           entry.incarnation == self_.incarnation;
+  });
+}
+
 asio::awaitable<void> FleetWatcher::PollInstances() {
-  Result<std::vector<InstanceEntry>> entries =
-      co_await platform_.Instances(clock_.Now() + kAnswerTime);
-  if (entries) {
-    auto view = CopyOf(view_);
-    view->instances = std::move(entries.value());
-    freshness_.OnMembers(OtherNames(*view));
-    view_.Set(std::move(view));
+  ReadQuery query;
+  query.prefixes.emplace_back(kInstancePrefix);
+  Result<std::vector<Row>> rows =
+      co_await platform_.Read(std::move(query), clock_.Now() + kAnswerTime);
+  if (!rows) {
+    co_return;
+  }
+  auto view = CopyOf(view_);
+  view->instances.clear();
+  for (const auto& row : rows.value()) {
+    auto entry = DecodeInstance(row.value);
+    if (entry) {
+      view->instances.push_back(std::move(entry.value()));
+    } else {
+      Log(LogLevel::kError, "row of an instance unreadable",
+          {{"row", row.key}, {"reason", entry.error().Line()}});
+    }
   }
+  freshness_.OnMembers(OtherNames(*view));
+  view_.Set(std::move(view));
 }
 
 }  // namespace jackdaw
--- a/src/instance/fleet_watcher.h
+++ b/src/instance/fleet_watcher.h
@@ -8,7 +8,7 @@
 #include "instance/fleet_view.h"
 #include "instance/run_state.h"
 #include "membership/view_freshness.h"
-#include "platform/client.h"
+#include "platform/table_store.h"
 #include "settings/instance_settings.h"
 #include "timeline/event_log.h"
 
@@ -27,8 +27,8 @@
 std::string EncodeConfigHead(const ConfigHead& head);
 Result<ConfigHead> DecodeConfigHead(std::string_view value);
 
-/// Keeps the fleet view fresh: polls the configuration row and the platform's
-/// list of instances, and announces this instance there.
+/// Keeps the fleet view fresh: polls the configuration row and the rows that
+/// list the instances, and announces this instance there.
 class FleetWatcher {
  public:
   /// Takes a configuration; asked again later when it returns false.
@@ -58,13 +58,14 @@
   boost::asio::awaitable<void> PollConfig();
   boost::asio::awaitable<void> PollInstances();
   void NoteStore(bool reachable);
+  bool IsListed() const;
   void HandOver();
   void ConfirmConfig(Instant at);
   std::vector<std::string> OtherNames(const FleetView& view) const;
 
   Duty& duty_;
   const MonotonicClock& clock_;
-  PlatformClient platform_;
+  serving::platform::TableStore platform_;
   FleetViewHolder& view_;
   RunState& run_state_;
   EventLog& events_;
--- a/src/instance/tests/fleet_fixture.h
+++ b/src/instance/tests/fleet_fixture.h
@@ -12,8 +12,8 @@
 #include "ctl/operator_client.h"
 #include "http/client.h"
 #include "instance/instance.h"
+#include "platform/standin/platform_standin.h"
 #include "standin/engine_standin.h"
-#include "standin/platform_standin.h"
 
 namespace jackdaw {
 
--- a/src/lease/target_lease.h
+++ b/src/lease/target_lease.h
@@ -5,7 +5,7 @@
 
 #include "core/time.h"
 #include "lease/lease_row.h"
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace jackdaw {
 
--- a/src/lease/tests/lease_test.cc
+++ b/src/lease/tests/lease_test.cc
@@ -3,7 +3,7 @@
 
 #include "lease/assignment.h"
 #include "lease/target_lease.h"
-#include "platform/memory_table.h"
+#include "store/memory_table.h"
 
 namespace jackdaw {
 namespace {
--- a/src/once/expiry_sweep.cc
+++ b/src/once/expiry_sweep.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Rows deleted in one transaction.
-constexpr std::size_t kMaxDeletions = 64;
+constexpr std::size_t kMaxDeletions = 50;
 // Least time that a row without an outcome is kept.
 constexpr Micros kOpenRowTime = std::chrono::hours(1);
 
--- a/src/once/expiry_sweep.h
+++ b/src/once/expiry_sweep.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "core/time.h"
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace jackdaw {
 
--- a/src/once/intent_action.h
+++ b/src/once/intent_action.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "once/intent_row.h"
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace jackdaw {
 
--- a/src/once/intent_book.h
+++ b/src/once/intent_book.h
@@ -21,7 +21,7 @@
   Micros backoff = 100ms;
   /// Time after which a write that nobody waits for is dropped.
   Micros give_up = 600s;
-  std::size_t rows_per_batch = 64;
+  std::size_t rows_per_batch = 48;
   // A batch takes no further row once it holds this many bytes.
   std::size_t batch_bytes = 512UL * 1024;
   std::size_t batches_in_flight = 4;
--- a/src/once/intent_store.h
+++ b/src/once/intent_store.h
@@ -11,7 +11,7 @@
 #include "instance/fleet_view.h"
 #include "once/expiry_sweep.h"
 #include "once/intent_book.h"
-#include "platform/client.h"
+#include "platform/table_store.h"
 
 namespace jackdaw {
 
@@ -75,7 +75,7 @@
 
   Duty& duty_;
   const MonotonicClock& clock_;
-  PlatformClient platform_;
+  serving::platform::TableStore platform_;
   const FleetViewHolder& view_;
   IntentBook book_{IntentLimits{}};
   ExpirySweep sweep_;
--- a/src/operator/config_writer.h
+++ b/src/operator/config_writer.h
@@ -5,7 +5,7 @@
 
 #include "instance/context.h"
 #include "instance/fleet_watcher.h"
-#include "platform/client.h"
+#include "platform/table_store.h"
 
 namespace jackdaw {
 
@@ -46,7 +46,7 @@
   Result<void> Check(const ConfigWrite& write, const Found& found) const;
 
   InstanceContext& context_;
-  PlatformClient platform_;
+  serving::platform::TableStore platform_;
 };
 
 }  // namespace jackdaw
--- a/src/operator/operator_service.cc
+++ b/src/operator/operator_service.cc
@@ -3,7 +3,7 @@
 #include <boost/json.hpp>
 
 #include "core/log.h"
-#include "platform/codec.h"
+#include "membership/instance_entry.h"
 
 namespace jackdaw {
 namespace {
--- a/src/operator/operator_service.h
+++ b/src/operator/operator_service.h
@@ -9,7 +9,7 @@
 #include "instance/fleet_watcher.h"
 #include "operator/config_writer.h"
 #include "operator/refusal_reader.h"
-#include "platform/client.h"
+#include "platform/table_store.h"
 
 namespace jackdaw {
 
@@ -32,7 +32,7 @@
   HttpResponse Ready() const;
 
   InstanceContext& context_;
-  PlatformClient platform_;
+  serving::platform::TableStore platform_;
   ConfigWriter writer_;
   RefusalReader refusals_;
   std::function<void()> begin_drain_;
--- a/src/operator/refusal_reader.h
+++ b/src/operator/refusal_reader.h
@@ -5,7 +5,7 @@
 
 #include "http/message.h"
 #include "instance/fleet_view.h"
-#include "platform/client.h"
+#include "platform/table_store.h"
 #include "record/refusal_query.h"
 
 namespace jackdaw {
@@ -34,7 +34,7 @@
       Instant deadline);
 
   const MonotonicClock& clock_;
-  PlatformClient platform_;
+  serving::platform::TableStore platform_;
   const FleetViewHolder& view_;
 };
 
--- a/src/placement/copy_set.h
+++ b/src/placement/copy_set.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "core/error.h"
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace jackdaw {
 
--- a/src/placement/placement_duty.h
+++ b/src/placement/placement_duty.h
@@ -15,7 +15,7 @@
 #include "placement/load_queue.h"
 #include "placement/own_target.h"
 #include "placement/planner.h"
-#include "platform/client.h"
+#include "platform/table_store.h"
 #include "timeline/event_log.h"
 
 namespace jackdaw {
@@ -87,7 +87,7 @@
   DemandBoard& board_;
   EventLog& events_;
   Duty duty_;
-  PlatformClient platform_;
+  serving::platform::TableStore platform_;
   HttpClient engines_;
   FleetConfigPtr config_;
   std::map<std::string, OwnTarget, std::less<>> own_;
--- a/src/quarantine/crash_store.h
+++ b/src/quarantine/crash_store.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "core/duty.h"
-#include "platform/client.h"
+#include "platform/table_store.h"
 #include "quarantine/crash_row.h"
 
 namespace jackdaw {
@@ -73,7 +73,7 @@
   Instant Limit() const;
 
   const MonotonicClock& clock_;
-  PlatformClient platform_;
+  serving::platform::TableStore platform_;
   std::uint64_t newest_ = 0;
 };
 
--- a/src/record/batch_writer.h
+++ b/src/record/batch_writer.h
@@ -2,7 +2,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
-#include "platform/client.h"
+#include "platform/table_store.h"
 #include "record/line_queue.h"
 
 namespace jackdaw {
@@ -28,7 +28,7 @@
 
  private:
   const MonotonicClock& clock_;
-  PlatformClient platform_;
+  serving::platform::TableStore platform_;
 };
 
 /// Name of the object that marks the end of an incarnation.
--- a/src/replay/budgets/budget_sim.cc
+++ b/src/replay/budgets/budget_sim.cc
@@ -1,7 +1,8 @@
 #include "replay/budgets/budget_sim.h"
 
 #include "budget/codec.h"
-#include "platform/codec.h"
+#include "platform/row_codec.h"
+#include "platform/table_store.h"
 #include "proto/peer.pb.h"
 
 namespace jackdaw {
@@ -29,6 +30,25 @@
 constexpr std::int64_t kEnvelopeBytes = 90;
 constexpr std::size_t kPeersProbed = 2;
 
+// Bytes of a read of the store and its answer.
+std::int64_t ReadBytes(const ReadQuery& query, std::span<const Row> rows) {
+  namespace wire = serving::platform;
+  std::size_t bytes = wire::EncodeRowSet(wire::ToRowSet(rows)).size();
+  for (const auto& key : query.keys) {
+    bytes += key.size();
+  }
+  const auto calls = static_cast<std::int64_t>(query.prefixes.size()) +
+                     (query.keys.empty() ? 0 : 1);
+  return static_cast<std::int64_t>(bytes) + kHttpBytes * calls;
+}
+
+std::int64_t WriteBytes(const Transaction& transaction) {
+  namespace wire = serving::platform;
+  const std::string body =
+      wire::EncodeTransaction(wire::ToRowTransaction(transaction));
+  return static_cast<std::int64_t>(body.size()) + kHttpBytes;
+}
+
 EscrowPolicy PolicyOf(BudgetWay way) {
   EscrowPolicy policy;
   if (way == BudgetWay::kShortLeases) {
@@ -391,9 +411,7 @@
     node.in_round = true;
     ++figures_.table_reads;
     const std::vector<Row> rows = table_.Read(query);
-    const auto bytes = static_cast<std::int64_t>(EncodeReadQuery(query).size() +
-                                                 EncodeRows(rows).size()) +
-                       kHttpBytes;
+    const auto bytes = ReadBytes(query, rows);
     node.bytes += bytes;
     figures_.table_bytes += bytes;
     events_.After(kTableDelay, [this, &node, rows] {
@@ -419,9 +437,7 @@
       if (Reaches(node)) {
         ++figures_.table_writes;
         const Commit commit = table_.Apply(transaction);
-        const auto bytes =
-            static_cast<std::int64_t>(EncodeTransaction(transaction).size()) +
-            kHttpBytes;
+        const auto bytes = WriteBytes(transaction);
         node.bytes += bytes;
         figures_.table_bytes += bytes;
         const bool lost =
--- a/src/replay/budgets/budget_sim.h
+++ b/src/replay/budgets/budget_sim.h
@@ -4,13 +4,13 @@
 #include <optional>
 #include <vector>
 
-#include "platform/memory_table.h"
 #include "replay/budgets/case.h"
 #include "replay/budgets/central_bucket.h"
 #include "replay/budgets/event_queue.h"
 #include "replay/budgets/figures.h"
 #include "replay/budgets/node.h"
 #include "replay/budgets/workload.h"
+#include "store/memory_table.h"
 
 namespace jackdaw {
 
--- a/src/replay/joined_budgets.h
+++ b/src/replay/joined_budgets.h
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "budget/escrow_budget.h"
-#include "platform/memory_table.h"
 #include "replay/trace_world.h"
+#include "store/memory_table.h"
 
 namespace jackdaw {
 
--- a/src/replay/once_world.h
+++ b/src/replay/once_world.h
@@ -8,7 +8,7 @@
 
 #include "core/random.h"
 #include "once/intent_book.h"
-#include "platform/memory_table.h"
+#include "store/memory_table.h"
 
 namespace jackdaw {
 
--- a/src/replay/order_world.h
+++ b/src/replay/order_world.h
@@ -9,8 +9,8 @@
 #include "core/random.h"
 #include "placement/copy_set.h"
 #include "placement/target_controller.h"
-#include "platform/memory_table.h"
 #include "replay/order_engine.h"
+#include "store/memory_table.h"
 
 namespace jackdaw {
 
--- a/src/platform/memory_table.cc
+++ b/src/store/memory_table.cc
@@ -1,4 +1,4 @@
-#include "platform/memory_table.h"
+#include "store/memory_table.h"
 
 namespace jackdaw {
 
--- a/src/platform/memory_table.h
+++ b/src/store/memory_table.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include "platform/table.h"
+#include "store/table.h"
 
 namespace jackdaw {
 
--- a/src/platform/table.h
+++ b/src/store/table.h
@@ -7,7 +7,7 @@
 
 namespace jackdaw {
 
-/// One row of the platform's table service.
+/// One row of the table in which the product keeps what must last.
 struct Row {
   std::string key;
   std::string value;
@@ -50,18 +50,4 @@
   std::uint64_t newer_than = 0;
 };
 
-/// State of an instance in the platform's list.
-enum class InstanceState : std::uint8_t { kLive, kLeaving };
-
-/// An entry of the platform's lagging list of instances.
-struct InstanceEntry {
-  std::string name;
-  std::string entry_address;
-  std::string operator_address;
-  std::string peer_address;
-  std::string failure_domain;
-  std::uint64_t incarnation = 0;
-  InstanceState state = InstanceState::kLive;
-};
-
 }  // namespace jackdaw
--- a/src/platform/tests/memory_table_test.cc
+++ b/src/store/tests/memory_table_test.cc
@@ -1,9 +1,7 @@
-#include "platform/memory_table.h"
+#include "store/memory_table.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include "platform/codec.h"
-
 namespace jackdaw {
 namespace {
 
@@ -27,14 +25,5 @@
   BOOST_TEST(table.Read({{}, {"p/"}, version}).size() == 1);
 }
 
-BOOST_AUTO_TEST_CASE(CodecKeepsATransaction) {
-  const Transaction sent{{{"k", 7}}, {{"k", "v"}, {"gone", std::nullopt}}};
-  const auto received = DecodeTransaction(EncodeTransaction(sent));
-  BOOST_TEST_REQUIRE(received.has_value());
-  BOOST_TEST(received.value().checks[0].version == 7);
-  BOOST_TEST(received.value().writes[0].value.value() == "v");
-  BOOST_TEST(!received.value().writes[1].value.has_value());
-}
-
 }  // namespace
 }  // namespace jackdaw
