No copies of refusal records at peers, no rounds of freshness questions

Change: a refusal is a log line at once and an object within 5 s. What a crash takes along is told as a gap, now also for an instance that is still listed but not heard any more. Kept: intent rows (an Idempotency-Key runs once on any instance), leases of targets and polls (the first stage's engines tell their load in no other way).

A head with two Host fields is refused with 400 (seen while fleet_test was written: it was routed by the first).

--- a/src/core/refusal.cc
+++ b/src/core/refusal.cc
@@ -50,7 +50,7 @@
                   "wait until Retry-After"},
     RefusalTraits{Kind::kStaleView, "stale-view", 503,
                   "wait until Retry-After, or ask GET /v1/entry for another "
-                  "address; operators: check the platform and the peers"},
+                  "address; operators: see why the instance stood still"},
     RefusalTraits{Kind::kInternal, "internal", 500,
                   "report the request id to the operator"},
 };
--- a/src/decisions/admission.h
+++ b/src/decisions/admission.h
@@ -127,9 +127,11 @@
       return refuse(RefusalKind::kMissingKey, "the route needs a key");
     }
     if (now > info.keys_valid_until) {
-      return refuse(RefusalKind::kStaleView,
-                    "it cannot be confirmed that keys still stand", {},
-                    now + 1s);
+      return refuse(
+          RefusalKind::kStaleView,
+          "the instance stood still and has not looked yet whether keys "
+          "still stand",
+          {}, now + 1s);
     }
     const auto found = keys_.find(info.key_digest);
     if (found == keys_.end()) {
--- a/src/entry/key_check.cc
+++ b/src/entry/key_check.cc
@@ -14,9 +14,11 @@
   }
   const Instant now = context.clock.Now();
   if (now > KeysValidUntil(context)) {
-    return Refusal{RefusalKind::kStaleView, Ran::kUnknown,
-                   "it cannot be confirmed that the key still stands",
-                   now + 1s};
+    return Refusal{
+        RefusalKind::kStaleView, Ran::kUnknown,
+        "the instance stood still and has not looked yet whether the key "
+        "still stands",
+        now + 1s};
   }
   return std::nullopt;
 }
--- a/src/entry/key_check.h
+++ b/src/entry/key_check.h
@@ -12,7 +12,7 @@
 Instant KeysValidUntil(const InstanceContext& context);
 
 /// Whether a key that was admitted may be used no longer: it was withdrawn,
-/// or the view is too old to tell.
+/// or the instance stood still and its view is too old to tell.
 /// @returns the refusal that ends the request, or nothing
 std::optional<Refusal> KeyEnded(const InstanceContext& context,
                                 const std::string& key_digest);
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -18,12 +18,13 @@
 // Time for a caller to take bytes that stand in the way of the next ones.
 constexpr Micros kWriteTime = 20s;
 
-// Whether framing is ambiguous: both a length and chunks, several lengths, or
-// an encoding that is not just `chunked`.
-bool HasConflictingFraming(const http::request_header<>& head) {
+// Whether the head is ambiguous: several hosts, both a length and chunks,
+// several lengths, or an encoding that is not just `chunked`.
+bool IsAmbiguous(const http::request_header<>& head) {
   const auto lengths = head.count(http::field::content_length);
   const auto encodings = head.count(http::field::transfer_encoding);
-  if (lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0)) {
+  if (head.count(http::field::host) > 1 || lengths > 1 || encodings > 1 ||
+      (lengths > 0 && encodings > 0)) {
     return true;
   }
   return encodings == 1 && !boost::beast::iequals(
@@ -142,8 +143,8 @@
     }
     return;
   }
-  if (HasConflictingFraming(parser_->get().base())) {
-    Refuse(400, "conflicting_framing");
+  if (IsAmbiguous(parser_->get().base())) {
+    Refuse(400, "ambiguous_head");
     return;
   }
   if (parser_->is_done()) {
--- a/src/instance/fleet_watcher.cc
+++ b/src/instance/fleet_watcher.cc
@@ -9,7 +9,6 @@
 #include "config/expiry.h"
 #include "core/log.h"
 #include "core/object_reader.h"
-#include "membership/freshness_exchange.h"
 
 namespace jackdaw {
 namespace {
@@ -20,6 +19,7 @@
 constexpr auto kPollTime = std::chrono::milliseconds(500);
 // Time for one answer of the platform.
 constexpr Micros kAnswerTime = 2s;
+static_assert(kPollTime + kAnswerTime < kViewTime);
 
 std::shared_ptr<FleetView> CopyOf(const FleetViewHolder& holder) {
   return std::make_shared<FleetView>(*holder.Get());
@@ -52,7 +52,6 @@
                            FleetViewHolder& view,
                            RunState& run_state,
                            EventLog& events,
-                           ViewFreshness& freshness,
                            OnConfig on_config)
     : duty_(duty),
       clock_(clock),
@@ -60,7 +59,6 @@
       view_(view),
       run_state_(run_state),
       events_(events),
-      freshness_(freshness),
       on_config_(std::move(on_config)) {}
 
 void FleetWatcher::Start(InstanceEntry self) {
@@ -76,6 +74,8 @@
   for (;;) {
     co_await PollConfig();
     HandOver();
+    run_state_.keys_valid_until_us =
+        (clock_.Now() + kViewTime).time_since_epoch().count();
     timer.expires_after(kPollTime);
     co_await timer.async_wait(asio::use_awaitable);
   }
@@ -126,8 +126,6 @@
     co_return;
   }
   if (rows.value().empty()) {
-    freshness_.OnStoreRead(asked_at, store_version_);
-    PublishFreshness(freshness_, run_state_);
     ConfirmConfig(asked_at);
     co_return;
   }
@@ -141,8 +139,6 @@
   row_version_ = row.version;
   store_version_ = head.value().version;
   Apply(head.value());
-  freshness_.OnStoreRead(asked_at, store_version_);
-  PublishFreshness(freshness_, run_state_);
   ConfirmConfig(asked_at);
 }
 
@@ -187,7 +183,6 @@
     }
   }
   view_.Set(std::move(view));
-  freshness_.OnVersion(head.version);
   hand_over_ = true;
   HandOver();
   events_.Add(EventKind::kConfigApplied, {}, {}, {},
@@ -199,16 +194,6 @@
   }
 }
 
-std::vector<std::string> FleetWatcher::OtherNames(const FleetView& view) const {
-  std::vector<std::string> names;
-  for (const auto& instance : view.instances) {
-    if (instance.name != self_.name) {
-      names.push_back(instance.name);
-    }
-  }
-  return names;
-}
-
 // Whether the list says of this instance what is true now.
 bool FleetWatcher::IsListed() const {
   const FleetViewPtr view = view_.Get();
@@ -239,7 +224,6 @@
           {{"row", row.key}, {"reason", entry.error().Line()}});
     }
   }
-  freshness_.OnMembers(OtherNames(*view));
   view_.Set(std::move(view));
 }
 
--- a/src/instance/fleet_watcher.h
+++ b/src/instance/fleet_watcher.h
@@ -7,7 +7,6 @@
 #include "core/duty.h"
 #include "instance/fleet_view.h"
 #include "instance/run_state.h"
-#include "membership/view_freshness.h"
 #include "platform/table_store.h"
 #include "settings/instance_settings.h"
 #include "timeline/event_log.h"
@@ -27,6 +26,11 @@
 std::string EncodeConfigHead(const ConfigHead& head);
 Result<ConfigHead> DecodeConfigHead(std::string_view value);
 
+/// Time for which keys may be used after a look for a newer view has ended.
+/// Longer than a look without an answer takes; with the time that open streams
+/// take to notice, below the five seconds in which a withdrawal takes effect.
+inline constexpr Micros kViewTime = 4500ms;
+
 /// Keeps the fleet view fresh: polls the configuration row and the rows that
 /// list the instances, and announces this instance there.
 class FleetWatcher {
@@ -40,7 +44,6 @@
                FleetViewHolder& view,
                RunState& run_state,
                EventLog& events,
-               ViewFreshness& freshness,
                OnConfig on_config);
 
   /// Starts polling. @param self entry to announce
@@ -61,7 +64,6 @@
   bool IsListed() const;
   void HandOver();
   void ConfirmConfig(Instant at);
-  std::vector<std::string> OtherNames(const FleetView& view) const;
 
   Duty& duty_;
   const MonotonicClock& clock_;
@@ -69,7 +71,6 @@
   FleetViewHolder& view_;
   RunState& run_state_;
   EventLog& events_;
-  ViewFreshness& freshness_;
   OnConfig on_config_;
   InstanceEntry self_;
   std::uint64_t row_version_ = 0;
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -14,10 +14,8 @@
 #include "instance/budget_agent.h"
 #include "instance/context.h"
 #include "instance/fleet_watcher.h"
-#include "membership/freshness_exchange.h"
 #include "operator/operator_service.h"
 #include "peer/peer_service.h"
-#include "record/copy_exchange.h"
 #include "targets/report_poller.h"
 
 namespace jackdaw {
@@ -83,7 +81,6 @@
   IntentStore intents{platform_duty, clock, settings.platform, view};
   RefusalLog refusals{recorder_duty, clock, settings.platform, view,
                       RecordOwner{settings.name, incarnation}};
-  ViewFreshness freshness;
   FleetWatcher watcher{
       platform_duty,
       clock,
@@ -91,7 +88,6 @@
       view,
       run_state,
       events,
-      freshness,
       [this](FleetConfigPtr config) {
         metrics.SetConfigVersion(static_cast<double>(config->version));
         return decisions.OnConfig(std::move(config));
@@ -108,10 +104,6 @@
                     }};
   BudgetAgent budget_agent{platform_duty, clock, settings, view,
                            run_state,     peers, decisions};
-  FreshnessExchange confirmations{platform_duty, clock, peers, run_state,
-                                  freshness};
-  CopyExchange copies{recorder_duty, clock, settings, view,
-                      run_state,     peers, refusals};
   TargetProbe probe{target_duty, clock, relay};
   CrashGuard crashes{platform_duty, clock, settings.platform,
                      settings.name, view,  decisions,
@@ -177,8 +169,6 @@
   parts.watcher.Start(parts.SelfEntry(bound));
   parts.refusals.Start();
   parts.budget_agent.Start();
-  parts.copies.Start();
-  parts.confirmations.Start();
   parts.crashes.Start();
   parts.poller.Start();
   parts.intents.Start();
--- a/src/instance/run_state.h
+++ b/src/instance/run_state.h
@@ -21,17 +21,10 @@
   /// Start of the newest read that found the configuration in force to be the
   /// newest, in microseconds since the Unix epoch.
   std::atomic<std::int64_t> config_confirmed_us{0};
-  /// Bytes of refusal records held for peers.
-  std::atomic<std::uint64_t> copies_held{0};
   /// Moment until which keys may be used on this view, in microseconds since
-  /// the Unix epoch; 0 until the view is first confirmed.
+  /// the Unix epoch: some seconds after the last look for a newer one ended,
+  /// with or without an answer. So an instance that was paused looks first.
   std::atomic<std::int64_t> keys_valid_until_us{0};
-  /// Newest version of the configuration that this instance may have written.
-  std::atomic<std::uint64_t> config_written{0};
-  /// Number of the newest refusal record made here, and of the newest that,
-  /// with all before it, is stored or held by a peer.
-  std::atomic<std::uint64_t> records_made{0};
-  std::atomic<std::uint64_t> records_safe{0};
 };
 
 }  // namespace jackdaw
--- a/src/operator/config_writer.cc
+++ b/src/operator/config_writer.cc
@@ -54,12 +54,6 @@
   return transaction;
 }
 
-void RaiseTo(std::atomic<std::uint64_t>& value, std::uint64_t wanted) {
-  std::uint64_t found = value.load();
-  while (found < wanted && !value.compare_exchange_weak(found, wanted)) {
-  }
-}
-
 // Built outside a coroutine: GCC 12 destroys braced temporaries of a co_await
 // expression twice.
 Error Raced() {
@@ -143,9 +137,6 @@
   if (!checked) {
     co_return checked.error();
   }
-  // Until this version is in force here, this instance cannot vouch for
-  // having written none that others do not know.
-  RaiseTo(context_.run_state.config_written, write.expected + 1);
   Result<Commit> commit = co_await platform_.Transact(
       MakeTransaction(found.value().row_version, write),
       context_.clock.Now() + kAnswerTime);
--- a/src/operator/operator_service.cc
+++ b/src/operator/operator_service.cc
@@ -123,9 +123,8 @@
   if (ToMillis(context_.clock.Now()) * 1000 >
       context_.run_state.keys_valid_until_us) {
     return JsonResponse(
-        503,
-        R"({"ready":false,"reason":"neither the platform nor peers confirm )"
-        R"(the configuration"})");
+        503, R"({"ready":false,"reason":"the instance stood still and has not )"
+             R"(looked for a newer configuration yet"})");
   }
   return JsonResponse(200, R"({"ready":true})");
 }
@@ -144,9 +143,8 @@
                {"keys_valid_until_ms",
                 context_.run_state.keys_valid_until_us.load() / 1000},
                {"refused_total", context_.refusals.added()},
-               {"records_made", context_.run_state.records_made.load()},
-               {"records_safe", context_.run_state.records_safe.load()},
-               {"copies_held", context_.run_state.copies_held.load()}}));
+               {"records_made", context_.refusals.made()},
+               {"records_stored", context_.refusals.stored()}}));
 }
 
 // Reads the newest configuration from the table, so that an edit builds on
--- a/src/operator/refusal_reader.cc
+++ b/src/operator/refusal_reader.cc
@@ -66,10 +66,13 @@
   return last;
 }
 
-bool IsListed(const FleetView& view, const RecordOwner& owner) {
+// Whether an incarnation is listed and was heard lately.
+bool IsLive(const FleetView& view, const RecordOwner& owner) {
   for (const auto& instance : view.instances) {
     if (instance.name == owner.instance) {
-      return instance.incarnation == owner.incarnation;
+      return instance.incarnation == owner.incarnation &&
+             (instance.state == InstanceState::kLeaving ||
+              view.offered.contains(owner.instance));
     }
   }
   return false;
@@ -172,15 +175,15 @@
   co_return std::string();
 }
 
-// An incarnation that is not listed and has no clean end may have taken
-// records with it.
+// An incarnation that is not live and has no clean end may have taken records
+// with it.
 asio::awaitable<Result<json::array>> RefusalReader::TailGaps(
     const RefusalPage& page,
     Instant deadline) {
   const FleetViewPtr view = view_.Get();
   json::array gaps;
   for (const auto& [owner, last] : LastNumbers(page)) {
-    if (IsListed(*view, owner)) {
+    if (IsLive(*view, owner)) {
       continue;
     }
     Result<std::string> mark =
--- a/src/record/batch_writer.cc
+++ b/src/record/batch_writer.cc
@@ -12,13 +12,12 @@
 
 std::string EndDocument(const RecordOwner& owner,
                         std::uint64_t last,
-                        bool clean,
                         Instant now) {
   return boost::json::serialize(
       boost::json::object{{"instance", owner.instance},
                           {"incarnation", owner.incarnation},
                           {"last", last},
-                          {"clean", clean},
+                          {"clean", true},
                           {"when_ms", ToMillis(now)}});
 }
 
@@ -58,10 +57,9 @@
 }
 
 asio::awaitable<Result<bool>> BatchWriter::StoreEnd(RecordOwner owner,
-                                                    std::uint64_t last,
-                                                    bool clean) {
+                                                    std::uint64_t last) {
   co_return co_await platform_.CreateObject(
-      EndName(owner), EndDocument(owner, last, clean, clock_.Now()),
+      EndName(owner), EndDocument(owner, last, clock_.Now()),
       clock_.Now() + kStoreTime);
 }
 
--- a/src/record/batch_writer.h
+++ b/src/record/batch_writer.h
@@ -20,11 +20,10 @@
   /// repeat
   boost::asio::awaitable<Result<std::uint64_t>> Store(LineBatch batch);
 
-  /// Marks the end of an incarnation. @param last number of its last record
-  /// @param clean whether it ended itself, with all records stored
+  /// Marks the planned end of an incarnation, with all records stored.
+  /// @param last number of its last record
   boost::asio::awaitable<Result<bool>> StoreEnd(RecordOwner owner,
-                                                std::uint64_t last,
-                                                bool clean);
+                                                std::uint64_t last);
 
  private:
   const MonotonicClock& clock_;
--- a/src/record/refusal_buffer.cc
+++ b/src/record/refusal_buffer.cc
@@ -13,13 +13,7 @@
 constexpr std::int64_t kFleetPutsPerSecond = 75;
 constexpr Micros kShortestInterval = 250ms;
 constexpr Micros kLongestInterval = 5s;
-// Bytes of one object, and of one copy.
 constexpr std::size_t kBatchBytes = 256UL * 1024;
-constexpr std::size_t kCopyBytes = 32UL * 1024;
-// Time after which records that no peer confirmed are sent again.
-constexpr Micros kResendTime = 1s;
-// Time between two messages while nothing is new but records are not stored.
-constexpr Micros kAliveTime = 5s;
 
 }  // namespace
 
@@ -98,46 +92,4 @@
   queue_.DropThrough(through);
 }
 
-std::optional<CopyPiece> RefusalBuffer::NextCopy(Instant now,
-                                                 std::string_view peer) {
-  if (peer != peer_) {
-    peer_ = std::string(peer);
-    held_through_ = sent_through_ = stored_through_;
-    resend_at_ = now;
-  }
-  held_through_ = std::max(held_through_, stored_through_);
-  if (peer_.empty() || queue_.empty()) {
-    return std::nullopt;
-  }
-  const bool resend = now >= resend_at_;
-  if (resend) {
-    sent_through_ = held_through_;
-  }
-  LineBatch piece =
-      queue_.After(std::max(sent_through_, stored_through_), kCopyBytes);
-  if (piece.first == 0 && !resend) {
-    return std::nullopt;
-  }
-  sent_through_ = std::max(sent_through_, piece.last);
-  const Instant next = now + (piece.first == 0 ? kAliveTime : kResendTime);
-  resend_at_ = resend ? next : std::min(resend_at_, next);
-  return CopyPiece{piece.first, std::move(piece.bytes), stored_through_};
-}
-
-void RefusalBuffer::OnHeld(std::string_view peer,
-                           std::uint64_t held_through,
-                           std::uint64_t stored_through) {
-  if (stored_through <= queue_.last()) {
-    OnStored(stored_through);
-  }
-  if (peer != peer_ || held_through > queue_.last()) {
-    return;
-  }
-  // A peer that holds less than it did was restarted: send again.
-  if (held_through < held_through_) {
-    sent_through_ = held_through;
-  }
-  held_through_ = std::max(held_through, stored_through_);
-}
-
 }  // namespace jackdaw
--- a/src/record/refusal_log.cc
+++ b/src/record/refusal_log.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "core/log.h"
+
 namespace jackdaw {
 namespace {
 
@@ -34,6 +36,12 @@
 
 void RefusalLog::Add(RefusalRecord record) {
   ++added_;
+  Log(LogLevel::kInfo, "refused",
+      {{"request", record.request_id},
+       {"workspace", record.workspace},
+       {"kind", std::string(TraitsOf(record.kind).name)},
+       {"ran", std::string(Name(record.ran))},
+       {"reason", record.reason}});
   auto shared = std::make_shared<RefusalRecord>(std::move(record));
   const bool posted =
       duty_.TryPost([this, shared] { buffer_.Add(clock_.Now(), *shared); });
@@ -56,21 +64,28 @@
   }
   flushing_ = false;
   if (buffer_.all_stored()) {
-    static_cast<void>(co_await writer_.StoreEnd(owner_, buffer_.last(), true));
+    static_cast<void>(co_await writer_.StoreEnd(owner_, buffer_.last()));
   }
-  co_return buffer_.all_safe();
+  co_return buffer_.all_stored();
 }
 
 asio::awaitable<void> RefusalLog::Run() {
   asio::steady_timer timer(duty_.context());
   for (;;) {
     buffer_.AddLost(clock_.Now(), lost_.exchange(0));
+    Publish();
     co_await WriteBatches();
+    Publish();
     timer.expires_after(kTickTime);
     co_await timer.async_wait(asio::use_awaitable);
   }
 }
 
+void RefusalLog::Publish() {
+  made_ = buffer_.last();
+  stored_ = buffer_.stored_through();
+}
+
 // Stores what is due; all of it while a flush waits.
 asio::awaitable<void> RefusalLog::WriteBatches() {
   for (;;) {
--- a/src/record/refusal_log.h
+++ b/src/record/refusal_log.h
@@ -30,18 +30,19 @@
 
   /// Writes without pauses until all is stored, then marks the end of this
   /// incarnation; gives up after a while. On the recorder's thread.
-  /// @returns whether each record is stored or held by a peer
+  /// @returns whether each record is stored
   boost::asio::awaitable<Result<bool>> Flush();
 
-  /// Records as they are held now; on the recorder's thread.
-  RefusalBuffer& buffer() { return buffer_; }
-
-  const RecordOwner& owner() const { return owner_; }
   std::uint64_t added() const { return added_.load(); }
+  /// Number of the newest record made here, and of the newest that, with all
+  /// before it, is stored.
+  std::uint64_t made() const { return made_.load(); }
+  std::uint64_t stored() const { return stored_.load(); }
 
  private:
   boost::asio::awaitable<void> Run();
   boost::asio::awaitable<void> WriteBatches();
+  void Publish();
 
   Duty& duty_;
   const MonotonicClock& clock_;
@@ -52,6 +53,8 @@
   bool flushing_ = false;
   std::atomic<std::uint64_t> lost_{0};
   std::atomic<std::uint64_t> added_{0};
+  std::atomic<std::uint64_t> made_{0};
+  std::atomic<std::uint64_t> stored_{0};
 };
 
 }  // namespace jackdaw
--- a/src/replay/membership_command.cc
+++ b/src/replay/membership_command.cc
@@ -8,7 +8,6 @@
 #include "core/clock.h"
 #include "core/random.h"
 #include "membership/membership.h"
-#include "membership/view_freshness.h"
 #include "proto/peer.pb.h"
 #include "replay/command.h"
 
@@ -31,7 +30,6 @@
       : name(std::move(given)), members(name, 1), next_round(phase) {}
   std::string name;
   Membership members;
-  ViewFreshness freshness;
   std::uint64_t version = 1;
   Instant next_round;
   Instant next_read;
@@ -45,7 +43,7 @@
 };
 
 // The messages of a fleet of instances under a virtual clock: heartbeats with
-// news, questions for freshness, and relayed configurations.
+// news, and relayed configurations.
 class FleetRun {
  public:
   FleetRun(int count, bool cut_third)
@@ -61,18 +59,10 @@
       Node& node = *nodes_.back();
       node.next_read = kStart + phase;
       node.cut = cut_third && i % 3 == 0;
-      node.freshness.OnVersion(1);
       index_[entry.name] = static_cast<std::size_t>(i);
     }
     for (auto& node : nodes_) {
       node->members.OnList(kStart, list_);
-      std::vector<std::string> others;
-      for (const auto& entry : list_) {
-        if (entry.name != node->name) {
-          others.push_back(entry.name);
-        }
-      }
-      node->freshness.OnMembers(std::move(others));
     }
   }
 
@@ -81,7 +71,6 @@
     const Instant crash_at = kStart + 80s;
     Instant all_changed{};
     Instant all_know{};
-    Micros oldest{};
     while (clock_.Now() < kStart + kSpan) {
       clock_.Advance(kTick);
       const Instant now = clock_.Now();
@@ -103,9 +92,6 @@
       if (now >= crash_at && all_know == Instant{} && AllKnow()) {
         all_know = now;
       }
-      if (now > kStart + 20s) {
-        oldest = std::max(oldest, OldestView(now));
-      }
     }
     const double node_seconds =
         static_cast<double>(nodes_.size()) * static_cast<double>(kSpan / 1s);
@@ -120,8 +106,7 @@
              2 * static_cast<double>(messages_) / node_seconds},
             {"change_in_force_everywhere_ms", took(all_changed, change_at)},
             {"dead_known_everywhere_ms", took(all_know, crash_at)},
-            {"wrong_suspicions", wrong_suspicions_},
-            {"oldest_view_ms", oldest / Micros(1ms)}};
+            {"wrong_suspicions", wrong_suspicions_}};
   }
 
  private:
@@ -146,7 +131,6 @@
       node.next_read = now + kRound;
       if (!node.cut) {
         SetVersion(node, store_version_);
-        node.freshness.OnStoreRead(now, store_version_);
       }
     }
     if (now < node.next_round) {
@@ -170,17 +154,10 @@
     for (const auto& peer : peers) {
       Send(now, node, peer, envelope);
     }
-    for (const auto& peer : node.freshness.PeersToAsk(now)) {
-      peer::Envelope question;
-      question.mutable_freshness_request()->set_asked_us(
-          now.time_since_epoch().count());
-      Send(now, node, peer, std::move(question));
-    }
   }
 
   static void SetVersion(Node& node, std::uint64_t version) {
     node.version = std::max(node.version, version);
-    node.freshness.OnVersion(node.version);
   }
 
   void Deliver(Instant now) {
@@ -211,19 +188,6 @@
       Send(now, node, envelope.sender(), std::move(answer));
     } else if (envelope.has_config_reply()) {
       SetVersion(node, envelope.config_reply().version());
-    } else if (envelope.has_freshness_request()) {
-      Answer(now, node, envelope);
-    } else if (envelope.has_freshness_reply()) {
-      const auto& reply = envelope.freshness_reply();
-      PeerEvidence evidence;
-      evidence.version = reply.version();
-      evidence.confirmed = reply.confirmed();
-      evidence.confirmed_age =
-          Micros(static_cast<std::int64_t>(reply.confirmed_age_us()));
-      evidence.writes_settled = reply.writes_settled();
-      node.freshness.OnPeerAnswer(envelope.sender(),
-                                  Instant(Micros(reply.asked_us())), evidence);
-      Ask(now, node, envelope.sender(), evidence.version);
     }
   }
 
@@ -238,19 +202,6 @@
     }
   }
 
-  void Answer(Instant now, const Node& node, const peer::Envelope& envelope) {
-    const PeerEvidence evidence = node.freshness.Evidence(now);
-    peer::Envelope answer;
-    auto& reply = *answer.mutable_freshness_reply();
-    reply.set_asked_us(envelope.freshness_request().asked_us());
-    reply.set_version(evidence.version);
-    reply.set_confirmed(evidence.confirmed);
-    reply.set_confirmed_age_us(
-        static_cast<std::uint64_t>(evidence.confirmed_age.count()));
-    reply.set_writes_settled(evidence.writes_settled);
-    Send(now, node, envelope.sender(), std::move(answer));
-  }
-
   bool AllChanged() const {
     return std::all_of(nodes_.begin(), nodes_.end(), [](const auto& node) {
       return !node->alive || node->version == 2;
@@ -263,16 +214,6 @@
     });
   }
 
-  Micros OldestView(Instant now) const {
-    Micros oldest{};
-    for (const auto& node : nodes_) {
-      if (node->alive) {
-        oldest = std::max(oldest, now - node->freshness.ConfirmedAt());
-      }
-    }
-    return oldest;
-  }
-
   Random random_;
   VirtualClock clock_;
   std::vector<InstanceEntry> list_;
--- a/src/replay/refusal_run.h
+++ b/src/replay/refusal_run.h
@@ -8,7 +8,6 @@
 struct RefusalRunShape {
   std::uint64_t seed = 1;
   int instances = 370;
-  int failure_domains = 6;
   double refusals_per_second = 445;
   std::int64_t seconds = 120;
   /// The store fails all calls in this part of the run; equal for never.
@@ -18,8 +17,6 @@
   int crashes = 0;
   /// One in so many puts takes effect but its answer is lost; 0 for none.
   std::uint64_t lose_put_answer_one_in = 0;
-  /// One in so many messages between instances is lost; 0 for none.
-  std::uint64_t lose_message_one_in = 0;
 };
 
 /// What came of a run, judged from the store's contents at its end.
@@ -36,9 +33,6 @@
   /// Most puts in any one second.
   std::uint64_t peak_puts_per_second = 0;
   double stored_bytes_per_second = 0;
-  /// Bytes sent and received to copy records, for each instance.
-  double copy_bytes_per_node_second = 0;
-  double copy_messages_per_node_second = 0;
   std::uint64_t peak_buffer_bytes = 0;
   std::uint64_t signature = 0;
 };
--- a/src/replay/refusals_command.cc
+++ b/src/replay/refusals_command.cc
@@ -11,33 +11,29 @@
 
 json::object Row(std::string_view name, const RefusalRunShape& shape) {
   const RefusalRunResult result = RunRefusals(shape);
-  return {
-      {"run", name},
-      {"instances", shape.instances},
-      {"refused_total", result.refused},
-      {"stored", result.stored},
-      {"doubled", result.doubled},
-      {"missing", result.missing},
-      {"missing_told", result.missing_told},
-      {"puts_per_second", result.puts_per_second},
-      {"peak_puts_per_second", result.peak_puts_per_second},
-      {"stored_bytes_per_second", result.stored_bytes_per_second},
-      {"copy_bytes_per_node_second", result.copy_bytes_per_node_second},
-      {"copy_messages_per_node_second", result.copy_messages_per_node_second},
-      {"peak_buffer_bytes", result.peak_buffer_bytes},
-      {"signature", result.signature}};
+  return {{"run", name},
+          {"instances", shape.instances},
+          {"refused_total", result.refused},
+          {"stored", result.stored},
+          {"doubled", result.doubled},
+          {"missing", result.missing},
+          {"missing_told", result.missing_told},
+          {"puts_per_second", result.puts_per_second},
+          {"peak_puts_per_second", result.peak_puts_per_second},
+          {"stored_bytes_per_second", result.stored_bytes_per_second},
+          {"peak_buffer_bytes", result.peak_buffer_bytes},
+          {"signature", result.signature}};
 }
 
 }  // namespace
 
 // The recorder at 8, 64 and 370 instances without faults, and at 370 with a
-// store outage, crashes, lost answers and lost messages.
+// store outage, crashes and lost answers.
 int RefusalsCommand(std::span<const std::string> /*arguments*/) {
   json::array rows;
   for (const int instances : {8, 64, 370}) {
     RefusalRunShape shape;
     shape.instances = instances;
-    shape.failure_domains = instances == 8 ? 4 : 6;
     shape.refusals_per_second = 445.0 * instances / 370;
     rows.push_back(Row("steady", shape));
   }
@@ -48,7 +44,6 @@
   RefusalRunShape faults;
   faults.crashes = 17;
   faults.lose_put_answer_one_in = 20;
-  faults.lose_message_one_in = 20;
   rows.push_back(Row("crashes-and-losses", faults));
   RefusalRunShape both = faults;
   both.outage_from_s = 20;
