Repeat unanswered orders; final answers at the end of a stop; fewer store calls

Their load order had got no answer; the desk then counted the model as held there and the target as busy for 14 s. An order that names the same count of accepted orders may safely be sent again: the target carries out one of the two at most. It is repeated up to 3 times; a conflict is settled by a report.

Now an instance that learns of a leader follows it at once, a watch that is taken up again goes on from what the leader relayed, and changes within 40 ms take one call.

Also: callers whose model no target holds come back when it has probably been loaded (ModelWaits), and the first such request brings the next beat forward.

--- a/src/daemons/jackdaw-standin.cc
+++ b/src/daemons/jackdaw-standin.cc
@@ -98,7 +98,7 @@
     boost::asio::io_context context(1);
     const auto address = parsed["listen"].as<std::string>();
     if (parsed["role"].as<std::string>() == "platform") {
-      jackdaw::PlatformStandin standin(context);
+      jackdaw::serving::platform::PlatformStandin standin(context);
       return Serve(context, standin, address);
     }
     if (parsed["role"].as<std::string>() == "target") {
--- a/src/fleet/engine_ledger.h
+++ b/src/fleet/engine_ledger.h
@@ -35,6 +35,8 @@
 
   /// Orders accepted so far; unset until the target reported.
   std::optional<std::int64_t> orders() const { return orders_; }
+  /// The count of orders is to be asked for before the next one.
+  void ForgetOrders() { orders_.reset(); }
   /// Whether no order is to be sent now.
   bool Busy(Instant now) const;
   /// Models that the target holds or may come to hold.
--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -18,8 +18,12 @@
 constexpr Micros kBeatLeast = 400ms;
 constexpr Micros kBeatPerMember = 10ms;
 constexpr Micros kBeatMost = 1000ms;
+// Time over which instances that start together begin.
+constexpr Micros kStartSpread = 250ms;
 // Pace of an instance that leads or acts alone.
 constexpr Micros kOwnBeat = 900ms;
+// Least time between beats that are brought forward.
+constexpr Micros kHastyBeat = 150ms;
 // Time for the leader to answer a beat.
 constexpr Micros kReplyTime = 400ms;
 // Age of the last applied write up to which a leader's news count.
@@ -200,6 +204,8 @@
 }
 
 boost::asio::awaitable<void> FleetAgent::RunBeats() {
+  co_await Pause(Micros(static_cast<std::int64_t>(
+      random_.Below(static_cast<std::uint64_t>(kStartSpread.count())))));
   for (;;) {
     co_await Beat();
     const Micros span = BeatSpan();
@@ -211,15 +217,24 @@
   }
 }
 
+// Only a beat that follows is brought forward: it costs the store nothing.
+void FleetAgent::HastenBeat() {
+  if (following_ && clock_.Now() - beat_sent_at_ >= kHastyBeat) {
+    beat_timer_.cancel();
+  }
+}
+
 boost::asio::awaitable<void> FleetAgent::Beat() {
+  beat_sent_at_ = clock_.Now();
   demand_.EndPeriod(clock_.Now());
   ++beat_;
+  const bool knows_leader = LeaderAddress().has_value();
   bool followed = false;
-  if (!leadership_.Holds()) {
+  if (knows_leader) {
     followed = co_await Follow();
   }
   if (!followed) {
-    co_await ActAlone();
+    co_await ActAlone(!knows_leader);
   }
   DropShareIfSilent();
   for (const std::string& id : target_feed_.Expire(clock_.Now())) {
@@ -233,7 +248,6 @@
 boost::asio::awaitable<bool> FleetAgent::Follow() {
   const auto leader = LeaderAddress();
   if (!leader) {
-    SetFollowing(false);
     co_return false;
   }
   BeatRequest beat;
@@ -303,6 +317,10 @@
         {{"leader", leadership_.lease().holder}});
   }
   following_ = following;
+  if (!following) {
+    config_watch_.Resume(config_relay_.version());
+    target_watch_.Resume(target_relay_.version());
+  }
   config_watch_.SetActive(!following);
   target_watch_.SetActive(!following);
 }
@@ -312,11 +330,30 @@
          !config_watch_.lost() && !target_watch_.lost();
 }
 
-// Leads, or lives without a leader: the rows of the store decide.
-boost::asio::awaitable<void> FleetAgent::ActAlone() {
-  co_await ReadFleet();
-  if (fleet_known_) {
-    co_await WriteFleet(beats_failed_ >= kBeatsLost);
+// Leads, or lives without a leader: the rows of the store decide. An instance
+// that learns of a leader from them follows it at once, so that of many that
+// start together only one watches the store.
+// @param may_follow no leader was tried in this beat
+boost::asio::awaitable<void> FleetAgent::ActAlone(bool may_follow) {
+  for (;;) {
+    co_await ReadFleet();
+    const bool learned = may_follow && LeaderAddress().has_value();
+    if (learned) {
+      may_follow = false;
+      if (co_await Follow()) {
+        co_return;
+      }
+    }
+    SetFollowing(false);
+    if (!fleet_known_) {
+      co_return;
+    }
+    const bool written = co_await WriteFleet(beats_failed_ >= kBeatsLost);
+    // Another instance may have taken the lease meanwhile.
+    if (written || !may_follow || leadership_.Holds()) {
+      co_return;
+    }
+    may_follow = false;
   }
 }
 
--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -54,6 +54,9 @@
   /// not lead
   std::optional<BeatReply> OnBeat(const BeatRequest& beat);
 
+  /// Brings the next beat forward, for news that others wait for.
+  void HastenBeat();
+
   ConfigPtr config() const { return config_; }
   /// Whether the instance can serve callers.
   bool ready() const;
@@ -73,7 +76,7 @@
   boost::asio::awaitable<void> RunBeats();
   boost::asio::awaitable<void> Beat();
   boost::asio::awaitable<bool> Follow();
-  boost::asio::awaitable<void> ActAlone();
+  boost::asio::awaitable<void> ActAlone(bool may_follow);
   void OnReply(const BeatReply& reply);
   void SetFollowing(bool following);
   bool FreshAsLeader() const;
@@ -139,6 +142,7 @@
   Instant in_touch_at_{};
   bool following_ = false;
   int beats_failed_ = 0;
+  Instant beat_sent_at_{};
   bool fleet_known_ = false;
 };
 
--- a/src/fleet/order_desk.cc
+++ b/src/fleet/order_desk.cc
@@ -15,6 +15,11 @@
 constexpr Micros kAnswerTime = 700ms;
 // Pace at which an entry is looked at while an order is carried out.
 constexpr Micros kLook = 60ms;
+// Repeats of an order that was not answered, and the pause before each.
+constexpr int kOrderRepeats = 3;
+constexpr Micros kRepeatPause = 100ms;
+// Age of a target's report at most.
+constexpr Micros kReportLag = 500ms;
 // Time for a target to finish the requests of a model that it unloads.
 constexpr Micros kUnloadTime = 9s;
 // Time allowed for a load beyond what the model names.
@@ -87,7 +92,7 @@
   co_return true;
 }
 
-// Sends an order once. @returns no value where no answer came
+// Sends an order until it is answered. @returns no value where it never was
 boost::asio::awaitable<OrderDesk::Answer>
 OrderDesk::Send(TargetPtr target, EngineOffer offer, platform::Order order) {
   if (!LedgerOf(*target).orders()) {
@@ -112,6 +117,17 @@
   order.holder = holder_;
   order.fencing_token = leadership_.term();
   order.target_id = target->entry.id;
+  Answer answer = co_await SendOnce(target, order);
+  if (!answer) {
+    answer = co_await Repeat(target, order);
+  }
+  LedgerOf(*target).OnOrder(order, answer, clock_.Now());
+  co_return answer;
+}
+
+boost::asio::awaitable<OrderDesk::Answer> OrderDesk::SendOnce(
+    TargetPtr target,
+    platform::Order order) {
   auto call =
       http_.Prepare(target->entry.address, platform::EncodeOrder(order),
                     clock_.Now() + kAnswerTime, ConnectionChoice::kFresh);
@@ -120,7 +136,6 @@
   if (head) {
     answer = platform::DecodeOrderAnswer(head.value().status);
   }
-  LedgerOf(*target).OnOrder(order, answer, clock_.Now());
   Log(LogLevel::kInfo, "order",
       {{"target", target->entry.id},
        {"op", order.load ? "load" : "unload"},
@@ -133,6 +148,35 @@
   co_return answer;
 }
 
+// Sends an order again that was not answered. It names the same count of
+// accepted orders, so the target carries out one of the two at most.
+boost::asio::awaitable<OrderDesk::Answer> OrderDesk::Repeat(
+    TargetPtr target,
+    platform::Order order) {
+  for (int i = 0; i < kOrderRepeats; ++i) {
+    co_await Pause(kRepeatPause);
+    if (!leadership_.MayOrder(boot_clock_.Now()) || target->leaving) {
+      break;
+    }
+    const Answer answer = co_await SendOnce(target, order);
+    if (answer != platform::OrderAnswer::kConflict) {
+      if (answer) {
+        co_return answer;
+      }
+      continue;
+    }
+    // The first one may have been accepted meanwhile; reports lag behind.
+    co_await Pause(kReportLag);
+    co_await Refresh(target);
+    const auto orders = LedgerOf(*target).orders();
+    const bool advanced = !orders || *orders > order.expected_orders;
+    LedgerOf(*target).ForgetOrders();
+    co_return advanced ? platform::OrderAnswer::kAccepted
+                       : platform::OrderAnswer::kConflict;
+  }
+  co_return std::nullopt;
+}
+
 std::vector<EngineView> OrderDesk::Views(const Service& service) const {
   std::vector<EngineView> views;
   const Instant now = clock_.Now();
--- a/src/fleet/order_desk.h
+++ b/src/fleet/order_desk.h
@@ -58,6 +58,10 @@
   boost::asio::awaitable<Answer> Send(TargetPtr target,
                                       EngineOffer offer,
                                       platform::Order order);
+  boost::asio::awaitable<Answer> SendOnce(TargetPtr target,
+                                          platform::Order order);
+  boost::asio::awaitable<Answer> Repeat(TargetPtr target,
+                                        platform::Order order);
   boost::asio::awaitable<bool> MakeAdapterRoom(TargetPtr target,
                                                EngineOffer offer,
                                                std::string name);
--- a/src/fleet/peer_desk.h
+++ b/src/fleet/peer_desk.h
@@ -33,6 +33,7 @@
   void BorrowUnits(std::string workspace,
                    double units,
                    std::function<void(double)> done) override;
+  void TellMissing() override { agent_.HastenBeat(); }
   void TellSent(const Target& target,
                 const CallHead& call,
                 std::int64_t tokens) override;
--- a/src/fleet/store_watch.cc
+++ b/src/fleet/store_watch.cc
@@ -15,6 +15,8 @@
 // First and longest pause after a call that failed.
 constexpr Micros kPauseFirst = 60ms;
 constexpr Micros kPauseMost = 500ms;
+// Pause after changes, so that those that come together take one call.
+constexpr Micros kChangesPace = 40ms;
 
 }  // namespace
 
@@ -99,12 +101,20 @@
   }
   const platform::RowSet& set = changes.value().set;
   version_ = std::max(version_, set.version);
+  sink_.on_changes(set);
   if (!set.rows.empty()) {
-    sink_.on_changes(set);
+    co_await Pause(kChangesPace);
   }
   co_return true;
 }
 
+void StoreWatch::Resume(std::int64_t version) {
+  if (version > version_) {
+    version_ = version;
+    whole_ = true;
+  }
+}
+
 void StoreWatch::SetActive(bool active) {
   if (active_ == active) {
     return;
--- a/src/fleet/store_watch.h
+++ b/src/fleet/store_watch.h
@@ -25,7 +25,8 @@
   struct Sink {
     /// All rows of the table, as of one moment.
     std::function<void(const platform::RowSet&)> on_whole;
-    /// Rows that were written or dropped since.
+    /// Rows that were written or dropped since; none where only the version
+    /// has moved on.
     std::function<void(const platform::RowSet&)> on_changes;
     /// The store answers again after it did not.
     std::function<void()> on_back;
@@ -37,8 +38,11 @@
              std::string table,
              Sink sink);
 
-  /// Whether the table is followed; while it is not, no call is made.
+  /// Whether the table is followed, which it is not at first; while it is not,
+  /// no call is made.
   void SetActive(bool active);
+  /// What changed up to a version is known from elsewhere.
+  void Resume(std::int64_t version);
   /// The store did not answer the last call.
   bool lost() const { return lost_; }
 
@@ -57,7 +61,7 @@
   const MonotonicClock& clock_;
   std::string table_;
   Sink sink_;
-  bool active_ = true;
+  bool active_ = false;
   bool whole_ = false;
   bool lost_ = false;
   std::int64_t version_ = 0;
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -235,6 +235,12 @@
   Close();
 }
 
+void CallerConnection::EndTask() {
+  if (const auto task = task_) {
+    task->OnInstanceEnds();
+  }
+}
+
 void CallerConnection::CloseIfIdle() {
   if (task_ == nullptr && !ended_ && began_ == Instant{}) {
     Close();
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -28,6 +28,8 @@
   virtual void OnCallerGone() = 0;
   /// What was written has left, and more may be written.
   virtual void OnCallerReady() = 0;
+  /// The instance ends: the caller gets its final answer now.
+  virtual void OnInstanceEnds() = 0;
 };
 
 /// Starts a task for each request.
@@ -61,6 +63,8 @@
   void EndAnswer(bool keep);
   /// Closes without ending the answer, so that it cannot look whole.
   void Abort();
+  /// Ends a request that is under way with its final answer.
+  void EndTask();
   /// Closes the connection if no request is under way.
   void CloseIfIdle();
 
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -79,6 +79,15 @@
       }));
 }
 
+void CallerListener::EndTasks() {
+  const auto connections = connections_;
+  for (const auto& weak : connections) {
+    if (const auto connection = weak.lock()) {
+      connection->EndTask();
+    }
+  }
+}
+
 void CallerListener::StopAccepting() {
   boost::system::error_code ignored;
   acceptor_.close(ignored);
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -22,6 +22,8 @@
   /// Binds and starts to accept. Port 0 lets the system pick.
   /// @returns the bound endpoint, or kAddressInUse
   Result<Endpoint> Listen(const Endpoint& endpoint);
+  /// Ends all requests under way, each with its final answer.
+  void EndTasks();
   /// Stops accepting and closes connections without a request.
   void StopAccepting();
   /// Connections with a request, or with an answer that has not left yet.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -36,6 +36,7 @@
 
   void OnCallerGone() override;
   void OnCallerReady() override;
+  void OnInstanceEnds() override;
   void OnLinkOpen() override;
   void OnLinkBytes() override;
   void OnLinkEnd(LinkEnd end) override;
@@ -63,6 +64,7 @@
   void Dispatch();
   void OnAdapterLoaded(const TargetPtr& target);
   void OnNoTarget(const TargetPick& pick);
+  void RefuseMissingModel(Instant now);
   void TraceChoice(const TargetPick& pick, Instant now);
   bool PaceTo(const TargetPick& pick);
   void SendTo(const TargetPtr& target, Instant at);
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -56,6 +56,21 @@
   caller_->EndAnswer(!closing_);
 }
 
+// A request that no target was sent may be tried elsewhere at once.
+void Exchange::OnInstanceEnds() {
+  if (done_) {
+    return;
+  }
+  closing_ = true;
+  if (head_sent_) {
+    BreakOff("the instance ends");
+  } else if (sent_ || may_have_run_) {
+    Refuse({502, "instance_ended", "the request may have run", std::nullopt});
+  } else {
+    Refuse({503, "instance_ended", "use another instance", ports_.clock.Now()});
+  }
+}
+
 // Ends an answer that has begun, so that it does not look whole.
 void Exchange::BreakOff(std::string_view why) {
   const auto self = shared_from_this();
--- a/src/gateway/exchange_ports.h
+++ b/src/gateway/exchange_ports.h
@@ -11,6 +11,7 @@
 #include "gateway/fleet_help.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/link_pool.h"
+#include "gateway/model_waits.h"
 #include "gateway/retry_gate.h"
 #include "gateway/target_board.h"
 #include "quota/quota_book.h"
@@ -30,6 +31,7 @@
   RetryGate& retries;
   CrashMemory& crashes;
   DemandMeter& demand;
+  ModelWaits& waits;
   ExchangeCounts& counts;
   GatewayMetrics& metrics;
   FleetHelp& help;
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -28,7 +28,6 @@
 constexpr double kStallMoveMs = 600;
 // Moments at which a caller is told to come back.
 constexpr Micros kNoTargetWait = 500ms;
-constexpr Micros kNoModelWait = 1000ms;
 constexpr Micros kNoAdapterWait = 300ms;
 
 }  // namespace
@@ -99,8 +98,7 @@
                             static_cast<double>(call_.Tokens()), true);
   }
   if (pick.outcome == PickOutcome::kNoModel) {
-    Refuse({503, "model_not_held", "come back when it has been loaded",
-            now + kNoModelWait});
+    RefuseMissingModel(now);
   } else if (pick.outcome == PickOutcome::kNoAdapter) {
     Refuse({503, "adapter_not_held", "come back when it has been loaded",
             now + kNoAdapterWait});
@@ -110,6 +108,19 @@
   }
 }
 
+void Exchange::RefuseMissingModel(Instant now) {
+  const auto& models = service_->engine->models;
+  const auto offer = std::ranges::find(models, call_.model, &ModelOffer::name);
+  const Micros load_time = offer == models.end() ? Micros(0) : offer->load_time;
+  const ModelWaits::Wait wait = ports_.waits.OnMissing(
+      service_->name + "/" + call_.model, load_time, now);
+  if (wait.is_new) {
+    ports_.help.TellMissing();
+  }
+  Refuse({503, "model_not_held", "come back when it has been loaded",
+          wait.come_back});
+}
+
 // Takes the place at the target now, and sends at `at`.
 void Exchange::SendTo(const TargetPtr& target, Instant at) {
   const Instant now = ports_.clock.Now();
--- a/src/gateway/fleet_help.h
+++ b/src/gateway/fleet_help.h
@@ -21,6 +21,8 @@
   virtual void TellSent(const Target& target,
                         const CallHead& call,
                         std::int64_t tokens) = 0;
+  /// Tells the leader soon of a model that is asked for and held nowhere.
+  virtual void TellMissing() = 0;
   /// Asks for an adapter to be loaded at a target that holds its model.
   /// @param done called once with the target, or null
   virtual void LoadAdapter(std::string service,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -26,6 +26,9 @@
 constexpr Micros kStopMargin = 700ms;
 // Pace at which a stop looks whether the work is done.
 constexpr Micros kStopLook = 100ms;
+// Looks whether the last answers have left, and the time between two.
+constexpr int kEndLooks = 10;
+constexpr Micros kEndLook = 20ms;
 // How soon a caller may try another instance.
 constexpr std::string_view kElsewhere =
     "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.05\r\n"
@@ -60,8 +63,8 @@
              crashes_,
              demand_),
       peers_(context_, clock_, agent_, board_, quotas_, settings_.peer),
-      ports_{clock_,   deadlines_, board_,  links_,   quotas_, retries_,
-             crashes_, demand_,    counts_, metrics_, peers_},
+      ports_{clock_,   deadlines_, board_, links_,  quotas_,  retries_,
+             crashes_, demand_,    waits_, counts_, metrics_, peers_},
       listener_(context_, *this, deadlines_, clock_),
       ready_server_(
           context_,
@@ -170,6 +173,12 @@
         boost::asio::as_tuple(boost::asio::use_awaitable));
   }
   listener_.StopAccepting();
+  listener_.EndTasks();
+  for (int i = 0; i < kEndLooks && listener_.busy() > 0; ++i) {
+    timer.expires_after(kEndLook);
+    co_await timer.async_wait(
+        boost::asio::as_tuple(boost::asio::use_awaitable));
+  }
   co_await agent_.Leave();
   Log(LogLevel::kInfo, "drained",
       {{"under_way", std::to_string(counts_.under_way)}});
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -61,6 +61,7 @@
   RetryGate retries_;
   CrashMemory crashes_;
   DemandMeter demand_;
+  ModelWaits waits_;
   ExchangeCounts counts_;
   GatewayMetrics metrics_;
   FleetAgent agent_;
--- a/src/instance/tests/fleet_fixture.h
+++ b/src/instance/tests/fleet_fixture.h
@@ -206,7 +206,7 @@
   Duty platform_duty_{"platform", 64};
   Duty engine_duty_{"engine", 64};
   Duty desk_duty_{"desk", 64};
-  PlatformStandin platform_;
+  serving::platform::PlatformStandin platform_;
   EngineStandin engine_;
   EngineStandin desk_;
   Endpoint platform_address_;
