A leader does not relay large rows; gauges of waiting, orders and the store

Ruled out: resumed watches (all others had the version within 0.5 s).

Change: rows of more than 96 KB together are not relayed. The follower is told to read the store, watches that table until it has caught up, and follows on.

--- a/src/fleet/beat.cc
+++ b/src/fleet/beat.cc
@@ -18,6 +18,7 @@
                     {"dropped", row.dropped}});
   }
   return {{"whole", delta.whole},
+          {"read_store", delta.read_store},
           {"version", delta.version},
           {"rows", std::move(rows)}};
 }
@@ -26,6 +27,7 @@
   ObjectReader reader(value, "/rows");
   RowDelta delta;
   delta.whole = reader.FlagOr("whole", false);
+  delta.read_store = reader.FlagOr("read_store", false);
   delta.version = reader.Integer("version", 0, INT64_MAX);
   for (const auto& item : reader.ItemsOr("rows")) {
     ObjectReader fields(item, "/rows");
--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -293,6 +293,8 @@
     ApplyShares();
   }
   fleet_known_ = true;
+  read_config_ = reply.config.read_store;
+  read_targets_ = reply.targets.read_store;
   platform::RowSet rows;
   rows.version = reply.config.version;
   rows.rows = reply.config.rows;
@@ -310,6 +312,13 @@
   crashes_.OnPeerCounts("fleet", reply.crashes);
 }
 
+void FleetAgent::Watch(StoreWatch& watch, const RowRelay& known, bool active) {
+  if (active) {
+    watch.Resume(known.version());
+  }
+  watch.SetActive(active);
+}
+
 // While the leader's news can be relied on, the store is not watched.
 void FleetAgent::SetFollowing(bool following) {
   if (following_ != following) {
@@ -317,12 +326,8 @@
         {{"leader", leadership_.lease().holder}});
   }
   following_ = following;
-  if (!following) {
-    config_watch_.Resume(config_relay_.version());
-    target_watch_.Resume(target_relay_.version());
-  }
-  config_watch_.SetActive(!following);
-  target_watch_.SetActive(!following);
+  Watch(config_watch_, config_relay_, !following || read_config_);
+  Watch(target_watch_, target_relay_, !following || read_targets_);
 }
 
 bool FleetAgent::FreshAsLeader() const {
--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -70,6 +70,13 @@
   bool leads() const { return leadership_.Holds(); }
   bool following() const { return following_; }
   OrderDesk& desk() { return desk_; }
+  const OrderDesk& desk() const { return desk_; }
+  /// Calls of the store since the start.
+  std::uint64_t store_calls() const { return store_.calls(); }
+  /// The store is watched from here and does not answer.
+  bool store_lost() const {
+    return config_watch_.lost() || target_watch_.lost();
+  }
 
  private:
   // Beats.
@@ -79,6 +86,7 @@
   boost::asio::awaitable<void> ActAlone(bool may_follow);
   void OnReply(const BeatReply& reply);
   void SetFollowing(bool following);
+  static void Watch(StoreWatch& watch, const RowRelay& known, bool active);
   bool FreshAsLeader() const;
   Micros BeatSpan() const;
 
@@ -141,6 +149,9 @@
   Instant wrote_at_{};
   Instant in_touch_at_{};
   bool following_ = false;
+  /// What the leader does not relay is read from the store meanwhile.
+  bool read_config_ = false;
+  bool read_targets_ = false;
   int beats_failed_ = 0;
   Instant beat_sent_at_{};
   bool fleet_known_ = false;
--- a/src/fleet/load_budget.cc
+++ b/src/fleet/load_budget.cc
@@ -33,6 +33,7 @@
 }
 
 void LoadBudget::OnLoad(Instant now) {
+  ++begun_;
   loads_.push_back(now);
   if (loads_.size() > kMostKept) {
     loads_.pop_front();
--- a/src/fleet/load_budget.h
+++ b/src/fleet/load_budget.h
@@ -21,9 +21,12 @@
   void OnLoad(Instant now);
   /// @returns loads that may begin now; not above 0 where none may
   int Free(const EngineOffer& offer, Instant now) const;
+  /// Loads begun since the start.
+  std::uint64_t begun() const { return begun_; }
 
  private:
   std::deque<Instant> loads_;
+  std::uint64_t begun_ = 0;
 };
 
 }  // namespace jackdaw::serving
--- a/src/fleet/order_desk.cc
+++ b/src/fleet/order_desk.cc
@@ -131,6 +131,7 @@
   auto call =
       http_.Prepare(target->entry.address, platform::EncodeOrder(order),
                     clock_.Now() + kAnswerTime, ConnectionChoice::kFresh);
+  ++orders_sent_;
   const Result<HttpResponse> head = co_await call->Start();
   Answer answer;
   if (head) {
--- a/src/fleet/order_desk.h
+++ b/src/fleet/order_desk.h
@@ -42,6 +42,9 @@
   int LoadsFree(const EngineOffer& offer) const;
   /// Carries out a planned change; returns when it is done or has failed.
   boost::asio::awaitable<void> RunMove(Service service, ModelMove move);
+  /// Orders sent, and loads begun from the weight store, since the start.
+  std::uint64_t orders_sent() const { return orders_sent_; }
+  std::uint64_t loads_begun() const { return load_budget_.begun(); }
   /// The instance has become the leader: what the last one ordered is unknown.
   void OnTerm(Instant now);
 
@@ -90,6 +93,7 @@
   std::map<std::string, Desk> desks_;
   std::set<std::string> adapters_loading_;
   LoadBudget load_budget_;
+  std::uint64_t orders_sent_ = 0;
 };
 
 }  // namespace jackdaw::serving
--- a/src/fleet/row_relay.cc
+++ b/src/fleet/row_relay.cc
@@ -79,11 +79,18 @@
   RowDelta delta;
   delta.version = version_;
   delta.whole = after < complete_from_;
+  std::size_t bytes = 0;
   for (const auto& [key, kept] : rows_) {
     if (delta.whole ? !kept.row.dropped : kept.row.version > after) {
       delta.rows.push_back(kept.row);
+      bytes += kept.row.value.size();
     }
   }
+  if (bytes > kMostRelayed) {
+    delta = {};
+    delta.read_store = true;
+    delta.version = after;
+  }
   return delta;
 }
 
--- a/src/fleet/row_relay.h
+++ b/src/fleet/row_relay.h
@@ -15,11 +15,18 @@
 struct RowDelta {
   /// The rows are the whole table; what they do not name is gone.
   bool whole = false;
+  /// The rows are too large to be relayed: the receiver is to read them from
+  /// the store.
+  bool read_store = false;
   /// Version up to which the receiver is then informed.
   std::int64_t version = 0;
   std::vector<platform::StoredRow> rows;
 };
 
+/// Most bytes of rows that are relayed at once: a leader relays to a whole
+/// fleet over a link of maybe 10 Mbit/s.
+inline constexpr std::size_t kMostRelayed = 96UL * 1024;
+
 /// Copy of one table as an instance knows it, from which others are informed.
 class RowRelay {
  public:
@@ -30,7 +37,9 @@
   /// What another instance relayed.
   void OnDelta(const RowDelta& delta, Instant now);
 
-  /// What an instance lacks that knows the table up to `after`.
+  /// What an instance lacks that knows the table up to `after`. Rows that are
+  /// large together are left to the store, whose link is wider than an
+  /// instance's.
   RowDelta Since(std::int64_t after) const;
   std::int64_t version() const { return version_; }
 
--- a/src/fleet/tests/beat_test.cc
+++ b/src/fleet/tests/beat_test.cc
@@ -128,5 +128,27 @@
   BOOST_TEST(relay.Since(0).rows.size() == 2);
 }
 
+BOOST_AUTO_TEST_CASE(RowsThatAreLargeTogetherAreLeftToTheStore) {
+  RowRelay relay;
+  platform::RowSet set;
+  set.version = 5;
+  set.rows.push_back({{"op", "", "config"}, std::string(1000, 'x'), 5, false});
+  relay.OnWhole(set, kStart);
+  BOOST_TEST(!relay.Since(0).read_store);
+  set.version = 7;
+  set.rows.front().version = 7;
+  set.rows.front().value = std::string(kMostRelayed + 1, 'x');
+  relay.OnChanges(set, kStart);
+  BeatReply reply;
+  reply.config = relay.Since(5);
+  const auto read = DecodeBeatReply(EncodeBeatReply(reply));
+  BOOST_TEST_REQUIRE(read.has_value());
+  BOOST_TEST(read.value().config.read_store);
+  BOOST_TEST(read.value().config.rows.empty());
+  // The receiver is as informed as before, and has nothing to read afterwards.
+  BOOST_TEST(read.value().config.version == 5);
+  BOOST_TEST(!relay.Since(7).read_store);
+}
+
 }  // namespace
 }  // namespace jackdaw::serving
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -67,6 +67,7 @@
   void RefuseMissingModel(Instant now);
   void TraceChoice(const TargetPick& pick, Instant now);
   bool PaceTo(const TargetPick& pick);
+  void SetWaiting(bool waiting);
   void SendTo(const TargetPtr& target, Instant at);
   void OpenLink();
   void SendRequest();
--- a/src/gateway/exchange_admit.cc
+++ b/src/gateway/exchange_admit.cc
@@ -37,6 +37,7 @@
   ports_.deadlines.Clear(deadline_handle_);
   ports_.deadlines.Clear(stall_handle_);
   --ports_.counts.under_way;
+  SetWaiting(false);
 }
 
 void Exchange::Start() {
--- a/src/gateway/exchange_counts.h
+++ b/src/gateway/exchange_counts.h
@@ -15,6 +15,8 @@
   std::uint64_t resumed = 0;
   std::uint64_t broken_off = 0;
   std::uint64_t under_way = 0;
+  /// Requests that wait here for room at a target.
+  std::uint64_t waiting = 0;
 };
 
 }  // namespace jackdaw::serving
--- a/src/gateway/exchange_pace.cc
+++ b/src/gateway/exchange_pace.cc
@@ -57,7 +57,7 @@
       if (!waiting_) {
         trace_.Add(now, "lets_others_first");
       }
-      waiting_ = true;
+      SetWaiting(true);
       ports_.deadlines.Set(stall_handle_, pace.at, [this] {
         const auto self = shared_from_this();
         Dispatch();
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -124,7 +124,7 @@
 // Takes the place at the target now, and sends at `at`.
 void Exchange::SendTo(const TargetPtr& target, Instant at) {
   const Instant now = ports_.clock.Now();
-  waiting_ = false;
+  SetWaiting(false);
   target_ = target;
   sent_ = false;
   first_byte_ = false;
@@ -348,8 +348,16 @@
   Close();
 }
 
+void Exchange::SetWaiting(bool waiting) {
+  if (waiting_ != waiting) {
+    waiting_ = waiting;
+    waiting ? ++ports_.counts.waiting : --ports_.counts.waiting;
+  }
+}
+
 void Exchange::Close() {
   done_ = true;
+  SetWaiting(false);
   ports_.deadlines.Clear(deadline_handle_);
   EndAttempt(TargetOutcome::kAbandoned);
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -217,7 +217,13 @@
   GatewayState state;
   const Instant now = clock_.Now();
   state.under_way = counts_.under_way;
+  state.waiting = counts_.waiting;
   state.retries = counts_.retries;
+  state.retries_denied = retries_.denied();
+  state.store_calls = agent_.store_calls();
+  state.store_lost = agent_.store_lost();
+  state.orders_sent = agent_.desk().orders_sent();
+  state.model_loads = agent_.desk().loads_begun();
   state.resumed = counts_.resumed;
   for (const auto& [id, target] : board_.all()) {
     ++(target->leaving ? state.targets_leaving : state.targets_usable);
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -80,7 +80,9 @@
     gauges_.Add({{"name", name}}).Set(value);
   };
   set("requests_under_way", static_cast<double>(state.under_way));
+  set("requests_waiting", static_cast<double>(state.waiting));
   set("retries", static_cast<double>(state.retries));
+  set("retries_denied", static_cast<double>(state.retries_denied));
   set("streams_resumed", static_cast<double>(state.resumed));
   set("targets_usable", static_cast<double>(state.targets_usable));
   set("targets_leaving", static_cast<double>(state.targets_leaving));
@@ -88,6 +90,10 @@
   set("members", static_cast<double>(state.members));
   set("config_version", static_cast<double>(state.config_version));
   set("quota_share", state.quota_share);
+  set("store_calls", static_cast<double>(state.store_calls));
+  set("store_lost", state.store_lost ? 1 : 0);
+  set("orders_sent", static_cast<double>(state.orders_sent));
+  set("model_loads", static_cast<double>(state.model_loads));
   set("ready", state.ready ? 1 : 0);
   set("leads", state.leads ? 1 : 0);
   set("following", state.following ? 1 : 0);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -30,7 +30,9 @@
 /// State of the instance at the moment of a scrape.
 struct GatewayState {
   std::uint64_t under_way = 0;
+  std::uint64_t waiting = 0;
   std::uint64_t retries = 0;
+  std::uint64_t retries_denied = 0;
   std::uint64_t resumed = 0;
   std::uint64_t targets_usable = 0;
   std::uint64_t targets_leaving = 0;
@@ -38,6 +40,10 @@
   std::uint64_t members = 0;
   std::int64_t config_version = 0;
   double quota_share = 0;
+  std::uint64_t store_calls = 0;
+  std::uint64_t orders_sent = 0;
+  std::uint64_t model_loads = 0;
+  bool store_lost = false;
   bool ready = false;
   bool leads = false;
   bool following = false;
--- a/src/gateway/retry_gate.cc
+++ b/src/gateway/retry_gate.cc
@@ -47,6 +47,7 @@
   const double allowed =
       kUsedPart * (terms_.ratio * requests + terms_.extra / instances_);
   if (retries + 1 > allowed) {
+    ++denied_;
     return false;
   }
   ++counts.retries[static_cast<std::size_t>(counts.slice) % kSlices];
--- a/src/gateway/retry_gate.h
+++ b/src/gateway/retry_gate.h
@@ -31,6 +31,8 @@
   void OnRequest(std::string_view service, Instant now);
   /// Takes one second send. @returns false where the budget is spent
   bool TryRetry(std::string_view service, Instant now);
+  /// Second sends that found the budget spent, since the start.
+  std::uint64_t denied() const { return denied_; }
 
  private:
   // The window is counted in slices, so that it slides in small steps.
@@ -45,6 +47,7 @@
   Counts& At(std::string_view service, Instant now);
 
   RetryTerms terms_;
+  std::uint64_t denied_ = 0;
   int instances_ = 1;
   std::unordered_map<std::string, Counts> services_;
 };
