Bound what a leader relays by the size of the fleet

In both the machine that was behind was the leader: it relayed each configuration (249 routes, under the 96 KB allowed) to 90 instances while versions came each 0.3 s, and its own calls of the store got no answer for 2 to 3 s.

Change: 400 KB of rows a round of beats over all members, so 50 KB for one of 8 and 4 KB for one of 91; what is larger is read from the store by each.

--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -26,6 +26,9 @@
 constexpr Micros kHastyBeat = 150ms;
 // Time for the leader to answer a beat.
 constexpr Micros kReplyTime = 400ms;
+// Bytes of rows that a leader relays of a table in one round of beats, over a
+// link of maybe 10 Mbit/s.
+constexpr std::size_t kRelayedBytes = 400UL * 1024;
 // Age of the last applied write up to which a leader's news count.
 constexpr Micros kFreshTime = 1600ms;
 // Pace at which the leader plans models.
@@ -379,8 +382,10 @@
   if (beat.member.shares_epoch != shares_.epoch) {
     reply.shares = shares_;
   }
-  reply.config = config_relay_.Since(beat.config_after);
-  reply.targets = target_relay_.Since(beat.targets_after);
+  const std::size_t most =
+      kRelayedBytes / std::max<std::size_t>(1, view_.members.size());
+  reply.config = config_relay_.Since(beat.config_after, most);
+  reply.targets = target_relay_.Since(beat.targets_after, most);
   reply.crashes = crashes_.Own(now);
   return reply;
 }
--- a/src/fleet/row_relay.cc
+++ b/src/fleet/row_relay.cc
@@ -75,7 +75,7 @@
   }
 }
 
-RowDelta RowRelay::Since(std::int64_t after) const {
+RowDelta RowRelay::Since(std::int64_t after, std::size_t most_bytes) const {
   RowDelta delta;
   delta.version = version_;
   delta.whole = after < complete_from_;
@@ -86,7 +86,7 @@
       bytes += kept.row.value.size();
     }
   }
-  if (bytes > kMostRelayed) {
+  if (bytes > most_bytes) {
     delta = {};
     delta.read_store = true;
     delta.version = after;
--- a/src/fleet/row_relay.h
+++ b/src/fleet/row_relay.h
@@ -23,10 +23,6 @@
   std::vector<platform::StoredRow> rows;
 };
 
-/// Most bytes of rows that are relayed at once: a leader relays to a whole
-/// fleet over a link of maybe 10 Mbit/s.
-inline constexpr std::size_t kMostRelayed = 96UL * 1024;
-
 /// Copy of one table as an instance knows it, from which others are informed.
 class RowRelay {
  public:
@@ -40,7 +36,8 @@
   /// What an instance lacks that knows the table up to `after`. Rows that are
   /// large together are left to the store, whose link is wider than an
   /// instance's.
-  RowDelta Since(std::int64_t after) const;
+  /// @param most_bytes bytes of rows that may be relayed
+  RowDelta Since(std::int64_t after, std::size_t most_bytes) const;
   std::int64_t version() const { return version_; }
 
  private:
--- a/src/fleet/tests/beat_test.cc
+++ b/src/fleet/tests/beat_test.cc
@@ -5,6 +5,8 @@
 namespace jackdaw::serving {
 namespace {
 
+// Bytes that may be relayed.
+constexpr std::size_t kRelayed = 64UL * 1024;
 constexpr Instant kStart{Micros(1'700'000'000'000'000)};
 
 Member MemberOf(std::string name) {
@@ -80,15 +82,15 @@
   whole.version = 10;
   whole.rows = {RowOf("a", 3), RowOf("b", 9)};
   relay.OnWhole(whole, kStart);
-  BOOST_TEST(relay.Since(0).whole);
-  BOOST_TEST(relay.Since(0).rows.size() == 2);
-  BOOST_TEST(relay.Since(10).rows.empty());
+  BOOST_TEST(relay.Since(0, kRelayed).whole);
+  BOOST_TEST(relay.Since(0, kRelayed).rows.size() == 2);
+  BOOST_TEST(relay.Since(10, kRelayed).rows.empty());
   platform::RowSet changes;
   changes.version = 12;
   changes.rows = {RowOf("a", 11), RowOf("b", 12)};
   changes.rows[1].dropped = true;
   relay.OnChanges(changes, kStart);
-  const RowDelta delta = relay.Since(11);
+  const RowDelta delta = relay.Since(11, kRelayed);
   BOOST_TEST(!delta.whole);
   BOOST_REQUIRE(delta.rows.size() == 1);
   BOOST_TEST(delta.rows[0].dropped);
@@ -106,14 +108,14 @@
   whole.version = 20;
   whole.rows = {RowOf("a", 3)};
   relay.OnWhole(whole, kStart + 1s);
-  const RowDelta delta = relay.Since(10);
+  const RowDelta delta = relay.Since(10, kRelayed);
   BOOST_REQUIRE(delta.rows.size() == 1);
   BOOST_TEST(delta.rows[0].at.key == "b");
   BOOST_TEST(delta.rows[0].dropped);
   whole.version = 30;
   relay.OnWhole(whole, kStart + 60s);
-  BOOST_TEST(relay.Since(10).whole);
-  BOOST_TEST(!relay.Since(20).whole);
+  BOOST_TEST(relay.Since(10, kRelayed).whole);
+  BOOST_TEST(!relay.Since(20, kRelayed).whole);
 }
 
 BOOST_AUTO_TEST_CASE(AnOlderWholeReadChangesNothing) {
@@ -125,7 +127,7 @@
   whole.version = 7;
   whole.rows = {RowOf("a", 3)};
   relay.OnWhole(whole, kStart);
-  BOOST_TEST(relay.Since(0).rows.size() == 2);
+  BOOST_TEST(relay.Since(0, kRelayed).rows.size() == 2);
 }
 
 BOOST_AUTO_TEST_CASE(RowsThatAreLargeTogetherAreLeftToTheStore) {
@@ -134,20 +136,20 @@
   set.version = 5;
   set.rows.push_back({{"op", "", "config"}, std::string(1000, 'x'), 5, false});
   relay.OnWhole(set, kStart);
-  BOOST_TEST(!relay.Since(0).read_store);
+  BOOST_TEST(!relay.Since(0, kRelayed).read_store);
   set.version = 7;
   set.rows.front().version = 7;
-  set.rows.front().value = std::string(kMostRelayed + 1, 'x');
+  set.rows.front().value = std::string(kRelayed + 1, 'x');
   relay.OnChanges(set, kStart);
   BeatReply reply;
-  reply.config = relay.Since(5);
+  reply.config = relay.Since(5, kRelayed);
   const auto read = DecodeBeatReply(EncodeBeatReply(reply));
   BOOST_TEST_REQUIRE(read.has_value());
   BOOST_TEST(read.value().config.read_store);
   BOOST_TEST(read.value().config.rows.empty());
   // The receiver is as informed as before, and has nothing to read afterwards.
   BOOST_TEST(read.value().config.version == 5);
-  BOOST_TEST(!relay.Since(7).read_store);
+  BOOST_TEST(!relay.Since(7, kRelayed).read_store);
 }
 
 }  // namespace
