Log each attempt whose target ended the connection

Of a request that was sent on after targets had ended, the logs told only what the request line of a failed request holds, and no digest by which its repeats can be found. The new line attempt_broken names the digest, the target's incarnation, whether the connection was kept or new, the time since the send, and whether the break was counted. It tells the first hypothesis (not counted) from the others (counted, but not known or lost).

No functional change

--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -149,6 +149,15 @@
   // The target has probably closed the idle connection, so neither the target
   // nor the request is blamed.
   const bool stale = connection_reused_ && !first_byte_recorded_;
+  Log(LogLevel::kInfo, "attempt_broken",
+      {{"id", call_.id},
+       {"digest", std::to_string(digest_)},
+       {"target", target_->entry.id},
+       {"born", std::to_string(target_->entry.born_ms)},
+       {"connection", connection_reused_ ? "kept" : "new"},
+       {"after_ms", std::to_string((now - sent_at_) / 1ms)},
+       {"how", std::string(how)},
+       {"counted", stale ? "no" : "yes"}});
   if (!stale) {
     deps_.crashes.OnConnectionBroken(digest_, now);
     excluded_targets_.push_back(target_);
