Count a target that crashes on a kept connection

Callers saw: a request that ends each target that runs it was sent on without a bound. Cause: a break on a kept connection before the first byte was taken for one that the target had closed while idle, and not counted; most sends use kept connections. Evidence: CrashesOnKeptConnectionsBlockTheRequest failed (sent to a fourth target), with three crashes on kept connections and nothing counted.

Whether a connection was kept says nothing about the target; what the target does afterwards does. Each attempt without a complete answer is now a suspect. It counts as a crash once its target's entry was removed or replaced, or once the target stayed silent for 500 ms after it ended the connection. It is dropped if bytes arrive from the target later than 150 ms after the end, or if the target was draining. So a crash that shows as silence counts too, and a reset by a live target, which counted before on a new connection, does not.

--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -247,6 +247,7 @@
   heartbeat_sent_at_ = clock_.Now();
   demand_.EndPeriod(clock_.Now());
   ++heartbeat_number_;
+  CountCrashes();
   const bool knows_leader = LeaderAddress().has_value();
   bool followed = false;
   if (knows_leader) {
@@ -263,6 +264,18 @@
   }
 }
 
+void FleetAgent::CountCrashes() {
+  const Instant now = clock_.Now();
+  for (const CrashSuspect& crash : crashes_.CountCrashes(now)) {
+    Log(LogLevel::kInfo, "request_crashed_target",
+        {{"digest", std::to_string(crash.digest)},
+         {"target", crash.target->entry.id},
+         {"born", std::to_string(crash.target->entry.born_ms)},
+         {"silent_ms", std::to_string((now - crash.ended_at) / 1ms)},
+         {"targets", std::to_string(crashes_.Crashes(crash.digest, now))}});
+  }
+}
+
 // Sends a heartbeat to the leader and applies the reply.
 // @returns whether the leader's data are recent, so that the store need not be
 // read
--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -93,6 +93,7 @@
   boost::asio::awaitable<void> HeartbeatLoop();
   boost::asio::awaitable<void> RunHeartbeat();
   boost::asio::awaitable<bool> SendHeartbeat();
+  void CountCrashes();
   boost::asio::awaitable<void> SyncWithStore(bool try_leader);
   void OnHeartbeatReply(const HeartbeatReply& reply);
   void SetFollowing(bool following);
--- a/src/fleet/member.cc
+++ b/src/fleet/member.cc
@@ -65,8 +65,8 @@
 json::array EncodeCrashes(std::span<const CrashCount> counts) {
   json::array crashes;
   for (const CrashCount& count : counts) {
-    crashes.push_back({{"digest", std::to_string(count.digest)},
-                       {"breaks", count.broken_connections}});
+    crashes.push_back(
+        {{"digest", std::to_string(count.digest)}, {"breaks", count.crashes}});
   }
   return crashes;
 }
@@ -77,8 +77,7 @@
     ObjectReader crash(item, "/crashes");
     CrashCount count;
     count.digest = std::strtoull(crash.Text("digest").c_str(), nullptr, 10);
-    count.broken_connections =
-        static_cast<int>(crash.Integer("breaks", 0, 1000));
+    count.crashes = static_cast<int>(crash.Integer("breaks", 0, 1000));
     BOOST_OUTCOME_TRY(crash.Finish());
     counts.push_back(count);
   }
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -5,9 +5,9 @@
 namespace jackdaw::serving {
 namespace {
 
-// Broken connections after which a request is no longer sent.
-constexpr int kMaxBrokenConnections = 3;
-// Time for which broken connections are counted after the last one.
+// Crashed targets after which a request is no longer sent.
+constexpr int kMaxCrashes = 3;
+// Time for which crashes are counted after the last one.
 constexpr Micros kRetention = 60s;
 // Tracked requests; at this number, expired counts and counts of 1 are removed.
 constexpr std::size_t kMaxEntries = 2048;
@@ -25,22 +25,34 @@
   return digest * 0x9e3779b97f4a7c15ULL + hash(body);
 }
 
-void CrashTracker::OnConnectionBroken(std::uint64_t digest, Instant now) {
+void CrashTracker::OnAttemptFailed(CrashSuspect suspect) {
+  suspects_.Add(std::move(suspect));
+}
+
+std::vector<CrashSuspect> CrashTracker::CountCrashes(Instant now) {
+  std::vector<CrashSuspect> found = suspects_.TakeCrashes(now);
+  for (const CrashSuspect& suspect : found) {
+    Count(suspect.digest, now);
+  }
+  return found;
+}
+
+void CrashTracker::Count(std::uint64_t digest, Instant now) {
   if (own_counts_.size() >= kMaxEntries) {
     std::erase_if(own_counts_, [&](const auto& item) {
-      return now - item.second.last > kRetention ||
-             item.second.broken_connections < 2;
+      return now - item.second.last > kRetention || item.second.crashes < 2;
     });
   }
   Entry& entry = own_counts_[digest];
   if (now - entry.last > kRetention) {
-    entry.broken_connections = 0;
+    entry.crashes = 0;
   }
-  ++entry.broken_connections;
+  ++entry.crashes;
   entry.last = now;
 }
 
 void CrashTracker::OnAnswered(std::uint64_t digest) {
+  suspects_.Remove(digest);
   own_counts_.erase(digest);
 }
 
@@ -49,26 +61,29 @@
   peer_counts_[std::string(peer)] = std::move(counts);
 }
 
-bool CrashTracker::IsBlocked(std::uint64_t digest, Instant now) const {
-  int broken_connections = 0;
+int CrashTracker::Crashes(std::uint64_t digest, Instant now) const {
+  int crashes = suspects_.CountSilentTargets(digest);
   const auto own = own_counts_.find(digest);
   if (own != own_counts_.end() && now - own->second.last <= kRetention) {
-    broken_connections += own->second.broken_connections;
+    crashes += own->second.crashes;
   }
   for (const auto& [peer, counts] : peer_counts_) {
     for (const CrashCount& count : counts) {
-      broken_connections +=
-          count.digest == digest ? count.broken_connections : 0;
+      crashes += count.digest == digest ? count.crashes : 0;
     }
   }
-  return broken_connections >= kMaxBrokenConnections;
+  return crashes;
+}
+
+bool CrashTracker::IsBlocked(std::uint64_t digest, Instant now) const {
+  return Crashes(digest, now) >= kMaxCrashes;
 }
 
 std::vector<CrashCount> CrashTracker::OwnCounts(Instant now) const {
   std::vector<CrashCount> counts;
   for (const auto& [digest, entry] : own_counts_) {
     if (now - entry.last <= kRetention && counts.size() < kMaxSharedCounts) {
-      counts.push_back({digest, entry.broken_connections});
+      counts.push_back({digest, entry.crashes});
     }
   }
   return counts;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -128,6 +128,8 @@
   /// of the prompts queued before it.
   Micros expected_prefill_{};
   bool sent_ = false;
+  /// The target ended the connection before the response was complete.
+  bool connection_ended_ = false;
   /// TargetRegistry::OnFirstByte was called for this attempt.
   bool first_byte_recorded_ = false;
   bool head_parsed_ = false;
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -146,8 +146,8 @@
 void Exchange::OnAttemptBroken(std::string_view how) {
   const Instant now = deps_.clock.Now();
   trace_.Add(now, "broken", target_->entry.id + " " + std::string(how));
-  // The target has probably closed the idle connection, so neither the target
-  // nor the request is blamed.
+  // The target has probably closed the idle connection, so the request may be
+  // sent to it again. CrashSuspects finds out whether it has crashed.
   const bool stale = connection_reused_ && !first_byte_recorded_;
   Log(LogLevel::kInfo, "attempt_broken",
       {{"id", call_.id},
@@ -156,10 +156,8 @@
        {"born", std::to_string(target_->entry.born_ms)},
        {"connection", connection_reused_ ? "kept" : "new"},
        {"after_ms", std::to_string((now - sent_at_) / 1ms)},
-       {"how", std::string(how)},
-       {"counted", stale ? "no" : "yes"}});
+       {"how", std::string(how)}});
   if (!stale) {
-    deps_.crashes.OnConnectionBroken(digest_, now);
     excluded_targets_.push_back(target_);
   }
   EndAttempt(stale ? TargetOutcome::kAbandoned : TargetOutcome::kBroken);
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -127,6 +127,7 @@
   SetWaiting(false);
   target_ = target;
   sent_ = false;
+  connection_ended_ = false;
   first_byte_recorded_ = false;
   head_parsed_ = false;
   parser_.reset();
@@ -291,8 +292,13 @@
   if (target_ == nullptr) {
     return;
   }
-  deps_.targets.OnEnded(*target_, outcome, first_byte_recorded_, sent_at_,
-                        deps_.clock.Now());
+  const Instant now = deps_.clock.Now();
+  const bool complete = parser_ && parser_->is_done();
+  if (sent_ && !complete) {
+    deps_.crashes.OnAttemptFailed(
+        {digest_, target_, sent_at_, now, connection_ended_});
+  }
+  deps_.targets.OnEnded(*target_, outcome, first_byte_recorded_, sent_at_, now);
   if (connection_ != nullptr) {
     connection_->Close();
     connection_.reset();
@@ -324,6 +330,7 @@
       return;
     }
   }
+  connection_ended_ = end != ConnectionEnd::kTimedOut;
   OnAttemptBroken(end == ConnectionEnd::kClosed ? "closed" : "reset");
 }
 
--- a/src/gateway/target.h
+++ b/src/gateway/target.h
@@ -17,6 +17,8 @@
   TargetRegistration entry;
   /// The entry was removed or is draining: no new request is sent.
   bool leaving = false;
+  /// The entry was removed, or another incarnation or address has replaced it.
+  bool ended = false;
   /// Requests of this instance that have not ended.
   int in_flight = 0;
   /// Estimated time at which the target ends the prefill of the prompts that
--- a/src/gateway/target_connection.cc
+++ b/src/gateway/target_connection.cc
@@ -11,6 +11,14 @@
 // Bytes read from a connection at once.
 constexpr std::size_t kReadBytes = 16UL * 1024;
 
+ConnectionEnd EndOf(const boost::system::error_code& failure) {
+  if (failure == boost::asio::error::eof) {
+    return ConnectionEnd::kClosed;
+  }
+  return failure == boost::asio::error::timed_out ? ConnectionEnd::kTimedOut
+                                                  : ConnectionEnd::kBroken;
+}
+
 }  // namespace
 
 TargetConnection::TargetConnection(boost::asio::io_context& context)
@@ -88,9 +96,7 @@
   TargetConnectionUser* user = user_;
   Close();
   if (user != nullptr) {
-    user->OnConnectionEnd(failure == boost::asio::error::eof
-                              ? ConnectionEnd::kClosed
-                              : ConnectionEnd::kBroken);
+    user->OnConnectionEnd(EndOf(failure));
   }
 }
 
--- a/src/gateway/target_connection.h
+++ b/src/gateway/target_connection.h
@@ -15,8 +15,11 @@
 enum class ConnectionEnd : std::uint8_t {
   /// The target closed the connection normally.
   kClosed,
-  /// The connection was reset, timed out, or could not be opened.
+  /// The connection was reset, or could not be opened.
   kBroken,
+  /// The target acknowledged nothing for too long. It may still run the
+  /// request.
+  kTimedOut,
 };
 
 /// Receives the events of a connection while a request uses it.
--- a/src/gateway/target_registry.cc
+++ b/src/gateway/target_registry.cc
@@ -110,6 +110,9 @@
   }
   if (target == nullptr || restarted ||
       target->entry.address != entry.address) {
+    if (target != nullptr) {
+      target->ended = true;
+    }
     target = std::make_shared<Target>();
     by_digest_[TargetDigest(entry.id)] = target;
   }
@@ -134,6 +137,7 @@
   const auto found = targets_.find(std::string(id));
   if (found != targets_.end()) {
     found->second->leaving = true;
+    found->second->ended = true;
     by_digest_.erase(TargetDigest(id));
     targets_.erase(found);
   }
--- a/src/gateway/tests/crash_tracker_test.cc
+++ b/src/gateway/tests/crash_tracker_test.cc
@@ -7,25 +7,38 @@
 
 constexpr Instant kStart{Micros(1'700'000'000'000'000)};
 
-BOOST_AUTO_TEST_CASE(BlocksRequestAfterThreeBrokenConnections) {
+/// Lets a new target crash under a request.
+void Crash(CrashTracker& tracker, std::uint64_t digest, std::string_view id) {
+  CrashSuspect suspect;
+  suspect.digest = digest;
+  suspect.target = std::make_shared<Target>();
+  suspect.target->entry.id = id;
+  suspect.target->ended = true;
+  suspect.sent_at = kStart;
+  suspect.ended_at = kStart;
+  tracker.OnAttemptFailed(suspect);
+  tracker.CountCrashes(kStart);
+}
+
+BOOST_AUTO_TEST_CASE(BlocksRequestAfterThreeCrashedTargets) {
   CrashTracker tracker;
   const auto digest = RequestDigest("/a/b", "key", "body");
-  tracker.OnConnectionBroken(digest, kStart);
-  tracker.OnConnectionBroken(digest, kStart);
+  Crash(tracker, digest, "t-1");
+  Crash(tracker, digest, "t-2");
   BOOST_TEST(!tracker.IsBlocked(digest, kStart));
-  tracker.OnConnectionBroken(digest, kStart);
+  Crash(tracker, digest, "t-3");
   BOOST_TEST(tracker.IsBlocked(digest, kStart));
   BOOST_TEST(!tracker.IsBlocked(RequestDigest("/a/b", "key", "other"), kStart));
   BOOST_TEST(!tracker.IsBlocked(digest, kStart + 61s));
 }
 
-BOOST_AUTO_TEST_CASE(CountsBrokenConnectionsOfPeers) {
+BOOST_AUTO_TEST_CASE(CountsCrashesOfPeers) {
   CrashTracker first;
   CrashTracker second;
   const auto digest = RequestDigest("/a/b", "key", "body");
-  first.OnConnectionBroken(digest, kStart);
-  first.OnConnectionBroken(digest, kStart);
-  second.OnConnectionBroken(digest, kStart);
+  Crash(first, digest, "t-1");
+  Crash(first, digest, "t-2");
+  Crash(second, digest, "t-3");
   second.OnPeerCounts("first", first.OwnCounts(kStart));
   BOOST_TEST(second.IsBlocked(digest, kStart));
 }
@@ -33,8 +46,8 @@
 BOOST_AUTO_TEST_CASE(ResponseClearsCount) {
   CrashTracker tracker;
   const auto digest = RequestDigest("/a/b", "key", "body");
-  for (int i = 0; i < 5; ++i) {
-    tracker.OnConnectionBroken(digest, kStart);
+  for (const char* id : {"t-1", "t-2", "t-3", "t-4", "t-5"}) {
+    Crash(tracker, digest, id);
   }
   tracker.OnAnswered(digest);
   BOOST_TEST(!tracker.IsBlocked(digest, kStart));
