Tell each instance of the targets that crashed at all of them

Callers saw: a request went on to targets at each instance until that instance had seen three crashes itself. Cause: a member's count reached the leader, and the leader's answer held only what the leader had seen.

Instances now exchange crashes in place of counts: request and incarnation of the target. Members report theirs until the leader has acknowledged them, and all again to another leader; the leader joins them and names the blocked requests in its answers. As a crash has an identity, reports may come twice, in any order and from several instances that saw the same one, and count once. An answered request is reported too and clears the leader's count. At the bound of tracked requests the least suspicious go first, where all with one crash went. The wire format stays readable for instances of the last version. Two new gauges tell the requests under which targets crashed and the blocked ones.

--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -209,7 +209,7 @@
   for (const auto& [key, demand] : demand_.averages()) {
     own.demand.push_back({key, demand});
   }
-  own.crashes = crashes_.OwnCounts(clock_.Now());
+  own.crashes = crashes_.Unreported(clock_.Now());
   return own;
 }
 
@@ -284,6 +284,12 @@
   if (!leader) {
     co_return false;
   }
+  const std::string leader_term = leadership_.lease().holder + "/" +
+                                  std::to_string(leadership_.lease().term);
+  if (reported_to_ != leader_term) {
+    reported_to_ = leader_term;
+    crashes_.ReportAgain();
+  }
   HeartbeatRequest heartbeat;
   heartbeat.member = OwnMember();
   heartbeat.view_id = view_.id;
@@ -311,6 +317,7 @@
   }
   failed_heartbeats_ = 0;
   leader_contact_at_ = sent_at;
+  crashes_.OnReported(heartbeat.member.crashes);
   OnHeartbeatReply(reply.value());
   SetFollowing(reply.value().fresh);
   co_return reply.value().fresh;
@@ -343,7 +350,7 @@
   const auto targets = DecodeTargets(rows);
   OnTargetChanges(reply.targets.whole ? target_feed_.OnSnapshot(targets, now)
                                       : target_feed_.OnChanges(targets, now));
-  crashes_.OnPeerCounts("fleet", reply.crashes);
+  crashes_.Merge(reply.crashes, now);
 }
 
 void FleetAgent::ConfigureWatch(StoreWatch& watch,
@@ -410,7 +417,7 @@
   }
   const Instant now = clock_.Now();
   members_.OnHeartbeat(heartbeat.member, now);
-  crashes_.OnPeerCounts(heartbeat.member.name, heartbeat.member.crashes);
+  crashes_.Merge(heartbeat.member.crashes, now);
   RefreshView();
   HeartbeatReply reply;
   reply.fresh = IsFreshLeader();
@@ -426,7 +433,7 @@
   reply.config = config_replica_.DeltaSince(heartbeat.config_after, max_bytes);
   reply.targets =
       target_replica_.DeltaSince(heartbeat.targets_after, max_bytes);
-  reply.crashes = crashes_.OwnCounts(now);
+  reply.crashes = crashes_.BlockedRequests(now);
   return reply;
 }
 
--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -159,6 +159,8 @@
   std::string view_written_;
   ShareTable shares_;
   std::int64_t shares_row_version_ = 0;
+  /// Leader and term to which crashes are reported.
+  std::string reported_to_;
   /// Epoch of the share table that is applied; -1 after the share was dropped.
   std::int64_t applied_shares_epoch_ = 0;
   /// Row version that was applied last, by the key of the member's row.
--- a/src/fleet/heartbeat.h
+++ b/src/fleet/heartbeat.h
@@ -40,8 +40,8 @@
   /// Rows of the tables of configurations and of targets.
   RowDelta config;
   RowDelta targets;
-  /// Broken connections that the leader itself has counted, per request digest.
-  std::vector<CrashCount> crashes;
+  /// Requests that crash their targets and are not to be sent.
+  std::vector<CrashReport> crashes;
 };
 
 /// Returns the row value of the leader's view.
--- a/src/fleet/member.cc
+++ b/src/fleet/member.cc
@@ -17,6 +17,11 @@
 // Largest integer that is accepted in a field of a member's row, if the field
 // has no limit of its own.
 constexpr std::int64_t kMaxInteger = 1'000'000'000'000;
+// Largest number of crashes in a report.
+constexpr std::int64_t kMaxCrashes = 1000;
+// Separates the digest of a request from that of the crashed target. Instances
+// that know no targets read the digest up to it.
+constexpr char kTargetMark = '/';
 
 // An unknown state counts as gone.
 MemberState ParseState(std::string_view text) {
@@ -62,26 +67,34 @@
 
 }  // namespace
 
-json::array EncodeCrashes(std::span<const CrashCount> counts) {
+json::array EncodeCrashes(std::span<const CrashReport> reports) {
   json::array crashes;
-  for (const CrashCount& count : counts) {
-    crashes.push_back(
-        {{"digest", std::to_string(count.digest)}, {"breaks", count.crashes}});
+  for (const CrashReport& report : reports) {
+    std::string digest = std::to_string(report.digest);
+    if (report.target != 0) {
+      digest += kTargetMark + std::to_string(report.target);
+    }
+    crashes.push_back({{"digest", digest}, {"breaks", report.crashes}});
   }
   return crashes;
 }
 
-Result<std::vector<CrashCount>> ReadCrashes(ObjectReader& reader) {
-  std::vector<CrashCount> counts;
+Result<std::vector<CrashReport>> ReadCrashes(ObjectReader& reader) {
+  std::vector<CrashReport> reports;
   for (const auto& item : reader.ItemsOr("crashes")) {
     ObjectReader crash(item, "/crashes");
-    CrashCount count;
-    count.digest = std::strtoull(crash.Text("digest").c_str(), nullptr, 10);
-    count.crashes = static_cast<int>(crash.Integer("breaks", 0, 1000));
+    const std::string digest = crash.Text("digest");
+    const std::size_t mark = digest.find(kTargetMark);
+    CrashReport report;
+    report.digest = std::strtoull(digest.c_str(), nullptr, 10);
+    if (mark != std::string::npos) {
+      report.target = std::strtoull(&digest[mark + 1], nullptr, 10);
+    }
+    report.crashes = static_cast<int>(crash.Integer("breaks", 0, kMaxCrashes));
     BOOST_OUTCOME_TRY(crash.Finish());
-    counts.push_back(count);
+    reports.push_back(report);
   }
-  return counts;
+  return reports;
 }
 
 std::string EncodeMember(const Member& member) {
--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -41,15 +41,15 @@
   /// first, -1 after the share was dropped or while it is unknown.
   std::int64_t shares_epoch = 0;
   std::vector<ModelDemand> demand;
-  /// Broken connections that the instance itself has seen.
-  std::vector<CrashCount> crashes;
+  /// Crashes of targets that the leader has not been told yet.
+  std::vector<CrashReport> crashes;
 };
 
-/// Encodes counts of broken connections for rows and heartbeats.
-boost::json::array EncodeCrashes(std::span<const CrashCount> counts);
+/// Encodes reports of crashed targets for rows and heartbeats.
+boost::json::array EncodeCrashes(std::span<const CrashReport> reports);
 /// Reads the field `crashes` of an object.
-/// @returns the counts, or the error of the first malformed one
-Result<std::vector<CrashCount>> ReadCrashes(ObjectReader& reader);
+/// @returns the reports, or the error of the first malformed one
+Result<std::vector<CrashReport>> ReadCrashes(ObjectReader& reader);
 
 /// Returns the row value of a member.
 std::string EncodeMember(const Member& member);
--- a/src/fleet/tests/heartbeat_test.cc
+++ b/src/fleet/tests/heartbeat_test.cc
@@ -32,14 +32,17 @@
   heartbeat.member = MemberOf("a");
   heartbeat.member.shares_epoch = -1;
   heartbeat.member.demand.push_back({{"s", "m/a1"}, {1.5, 2000, 0}});
-  heartbeat.member.crashes.push_back({0xffffffffffffffffULL, 2});
+  heartbeat.member.crashes.push_back({0xffffffffffffffffULL, 5, 1});
   const auto read = DecodeHeartbeat(EncodeHeartbeat(heartbeat));
   BOOST_REQUIRE(read);
   BOOST_TEST(read.value().view_id.empty());
   BOOST_TEST(read.value().member.name == "a");
   BOOST_TEST(read.value().member.shares_epoch == -1);
   BOOST_TEST(read.value().member.demand[0].demand.tokens == 2000);
-  BOOST_TEST(read.value().member.crashes[0].digest == 0xffffffffffffffffULL);
+  const CrashReport& crash = read.value().member.crashes[0];
+  BOOST_TEST(crash.digest == 0xffffffffffffffffULL);
+  BOOST_TEST(crash.target == 5U);
+  BOOST_TEST(crash.crashes == 1);
 }
 
 BOOST_AUTO_TEST_CASE(AReplyReadsBackWithAndWithoutChanges) {
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -1,5 +1,6 @@
 #include "gateway/crash_tracker.h"
 
+#include <algorithm>
 #include <functional>
 
 namespace jackdaw::serving {
@@ -7,86 +8,206 @@
 
 // Crashed targets after which a request is no longer sent.
 constexpr int kMaxCrashes = 3;
-// Time for which crashes are counted after the last one.
+// Time for which the crashes of a request are remembered after the last one.
 constexpr Micros kRetention = 60s;
-// Tracked requests; at this number, expired counts and counts of 1 are removed.
-constexpr std::size_t kMaxEntries = 2048;
-// Counts sent to the peers, at most.
-constexpr std::size_t kMaxSharedCounts = 64;
+// Tracked requests, at most.
+constexpr std::size_t kMaxRequests = 2048;
+// Crashes and answers in one report to the leader.
+constexpr std::size_t kMaxReports = 64;
+// Blocked requests in one report to other instances.
+constexpr std::size_t kMaxBlockedReports = 64;
+// Requests whose answer waits to be reported.
+constexpr std::size_t kMaxUnreportedAnswers = 256;
+
+constexpr std::uint64_t kDigestFactor = 0x9e3779b97f4a7c15ULL;
+
+std::uint64_t IncarnationDigest(const Target& target) {
+  const std::uint64_t digest = TargetDigest(target.entry.id) * kDigestFactor +
+                               static_cast<std::uint64_t>(target.entry.born_ms);
+  return digest == 0 ? 1 : digest;
+}
+
+bool IsAnswer(const CrashReport& report) {
+  return report.target == 0 && report.crashes == 0;
+}
 
 }  // namespace
 
 std::uint64_t RequestDigest(std::string_view request_target,
-                            std::string_view key,
+                            std::string_view caller,
                             std::string_view body) {
   const std::hash<std::string_view> hash;
   std::uint64_t digest = hash(request_target);
-  digest = digest * 0x9e3779b97f4a7c15ULL + hash(key);
-  return digest * 0x9e3779b97f4a7c15ULL + hash(body);
+  digest = digest * kDigestFactor + hash(caller);
+  return digest * kDigestFactor + hash(body);
+}
+
+int CrashTracker::Request::Count() const {
+  return std::max(static_cast<int>(crashes.size()), reported_crashes);
 }
 
 void CrashTracker::OnAttemptFailed(CrashSuspect suspect) {
   suspects_.Add(std::move(suspect));
 }
 
+void CrashTracker::OnAnswered(std::uint64_t digest) {
+  suspects_.Remove(digest);
+  if (requests_.erase(digest) == 0) {
+    return;
+  }
+  if (unreported_answers_.size() < kMaxUnreportedAnswers) {
+    unreported_answers_.push_back(digest);
+  }
+}
+
 std::vector<CrashSuspect> CrashTracker::CountCrashes(Instant now) {
   std::vector<CrashSuspect> found = suspects_.TakeCrashes(now);
   for (const CrashSuspect& suspect : found) {
-    Count(suspect.digest, now);
+    Request& request = Remember(suspect.digest, now);
+    std::uint64_t target = IncarnationDigest(*suspect.target);
+    // A target that was sent the request after it had crashed has restarted
+    // under the same id, which the registry did not know yet.
+    for (const Crash& crash : request.crashes) {
+      if (crash.target == target && suspect.sent_at > crash.at) {
+        target = target * kDigestFactor + 1;
+      }
+    }
+    AddCrash(request, {target, suspect.ended_at, false}, now);
   }
   return found;
 }
 
-void CrashTracker::Count(std::uint64_t digest, Instant now) {
-  if (own_counts_.size() >= kMaxEntries) {
-    std::erase_if(own_counts_, [&](const auto& item) {
-      return now - item.second.last > kRetention || item.second.crashes < 2;
-    });
+// Adds a crash unless it is known.
+void CrashTracker::AddCrash(Request& request, Crash crash, Instant now) {
+  if (std::ranges::find(request.crashes, crash.target, &Crash::target) ==
+      request.crashes.end()) {
+    request.crashes.push_back(crash);
+    request.last_crash_at = now;
   }
-  Entry& entry = own_counts_[digest];
-  if (now - entry.last > kRetention) {
-    entry.crashes = 0;
+}
+
+void CrashTracker::Merge(std::span<const CrashReport> reports, Instant now) {
+  for (const CrashReport& report : reports) {
+    if (IsAnswer(report)) {
+      requests_.erase(report.digest);
+      continue;
+    }
+    Request& request = Remember(report.digest, now);
+    if (report.target != 0) {
+      AddCrash(request, {report.target, now, true}, now);
+    } else if (report.crashes > request.reported_crashes) {
+      request.reported_crashes = report.crashes;
+      request.last_crash_at = now;
+    }
   }
-  ++entry.crashes;
-  entry.last = now;
 }
 
-void CrashTracker::OnAnswered(std::uint64_t digest) {
-  suspects_.Remove(digest);
-  own_counts_.erase(digest);
+CrashTracker::Request& CrashTracker::Remember(std::uint64_t digest,
+                                              Instant now) {
+  if (requests_.size() >= kMaxRequests && !requests_.contains(digest)) {
+    MakeRoom(now);
+  }
+  return requests_[digest];
 }
 
-void CrashTracker::OnPeerCounts(std::string_view peer,
-                                std::vector<CrashCount> counts) {
-  peer_counts_[std::string(peer)] = std::move(counts);
+// Removes the expired requests, and the less suspicious half if there are none.
+void CrashTracker::MakeRoom(Instant now) {
+  std::erase_if(requests_, [&](const Entry& entry) {
+    return now - entry.second.last_crash_at > kRetention;
+  });
+  if (requests_.size() < kMaxRequests) {
+    return;
+  }
+  const std::vector<const Entry*> entries = MostCrashesFirst(now);
+  std::vector<std::uint64_t> removed;
+  for (std::size_t i = kMaxRequests / 2; i < entries.size(); ++i) {
+    removed.push_back(entries[i]->first);
+  }
+  for (const std::uint64_t digest : removed) {
+    requests_.erase(digest);
+  }
 }
 
 int CrashTracker::Crashes(std::uint64_t digest, Instant now) const {
-  int crashes = suspects_.CountSilentTargets(digest);
-  const auto own = own_counts_.find(digest);
-  if (own != own_counts_.end() && now - own->second.last <= kRetention) {
-    crashes += own->second.crashes;
+  const auto found = requests_.find(digest);
+  const bool known = found != requests_.end() &&
+                     now - found->second.last_crash_at <= kRetention;
+  return (known ? found->second.Count() : 0) +
+         suspects_.CountSilentTargets(digest);
+}
+
+bool CrashTracker::IsBlocked(std::uint64_t digest, Instant now) const {
+  return Crashes(digest, now) >= kMaxCrashes;
+}
+
+std::vector<const CrashTracker::Entry*> CrashTracker::MostCrashesFirst(
+    Instant now) const {
+  std::vector<const Entry*> entries;
+  for (const Entry& entry : requests_) {
+    if (now - entry.second.last_crash_at <= kRetention) {
+      entries.push_back(&entry);
+    }
+  }
+  std::ranges::sort(entries, [](const Entry* a, const Entry* b) {
+    const int crashes_a = a->second.Count();
+    const int crashes_b = b->second.Count();
+    return crashes_a != crashes_b
+               ? crashes_a > crashes_b
+               : a->second.last_crash_at > b->second.last_crash_at;
+  });
+  return entries;
+}
+
+std::vector<CrashReport> CrashTracker::Unreported(Instant now) const {
+  std::vector<CrashReport> reports;
+  for (const std::uint64_t digest : unreported_answers_) {
+    if (reports.size() < kMaxReports) {
+      reports.push_back({digest, 0, 0});
+    }
   }
-  for (const auto& [peer, counts] : peer_counts_) {
-    for (const CrashCount& count : counts) {
-      crashes += count.digest == digest ? count.crashes : 0;
+  for (const Entry* entry : MostCrashesFirst(now)) {
+    for (const Crash& crash : entry->second.crashes) {
+      if (!crash.reported && reports.size() < kMaxReports) {
+        reports.push_back({entry->first, crash.target, 1});
+      }
     }
   }
-  return crashes;
+  return reports;
 }
 
-bool CrashTracker::IsBlocked(std::uint64_t digest, Instant now) const {
-  return Crashes(digest, now) >= kMaxCrashes;
+void CrashTracker::OnReported(std::span<const CrashReport> reports) {
+  for (const CrashReport& report : reports) {
+    if (IsAnswer(report)) {
+      std::erase(unreported_answers_, report.digest);
+      continue;
+    }
+    const auto found = requests_.find(report.digest);
+    if (found == requests_.end()) {
+      continue;
+    }
+    for (Crash& crash : found->second.crashes) {
+      crash.reported = crash.reported || crash.target == report.target;
+    }
+  }
+}
+
+void CrashTracker::ReportAgain() {
+  for (auto& [digest, request] : requests_) {
+    for (Crash& crash : request.crashes) {
+      crash.reported = false;
+    }
+  }
 }
 
-std::vector<CrashCount> CrashTracker::OwnCounts(Instant now) const {
-  std::vector<CrashCount> counts;
-  for (const auto& [digest, entry] : own_counts_) {
-    if (now - entry.last <= kRetention && counts.size() < kMaxSharedCounts) {
-      counts.push_back({digest, entry.crashes});
+std::vector<CrashReport> CrashTracker::BlockedRequests(Instant now) const {
+  std::vector<CrashReport> reports;
+  for (const Entry* entry : MostCrashesFirst(now)) {
+    const int crashes = entry->second.Count();
+    if (crashes >= kMaxCrashes && reports.size() < kMaxBlockedReports) {
+      reports.push_back({entry->first, 0, crashes});
     }
   }
-  return counts;
+  return reports;
 }
 
 }  // namespace jackdaw::serving
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include <cstdint>
-#include <string>
+#include <span>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -10,49 +11,83 @@
 namespace jackdaw::serving {
 
 /// Returns a digest of the parts that stay the same when a caller repeats a
-/// request: path, key and body.
+/// request: path, caller and body.
 std::uint64_t RequestDigest(std::string_view request_target,
-                            std::string_view key,
+                            std::string_view caller,
                             std::string_view body);
 
-/// A request, and how many targets crashed while they ran it.
-struct CrashCount {
+/// What one instance tells others of a request that may crash its targets.
+/// Reports may arrive in any order and repeatedly.
+struct CrashReport {
+  /// Digest of the request.
   std::uint64_t digest = 0;
+  /// Digest of the target that crashed while it ran the request, or 0 if the
+  /// report is about the request as a whole.
+  std::uint64_t target = 0;
+  /// Targets that crashed: 1 if `target` is set, else the number that the
+  /// reporter knows of, or 0 if a target has answered the request.
   int crashes = 0;
 };
 
-/// Counts, per request, how many targets crashed while they ran it. A request
-/// that crashes each target that runs it is blocked instead of being sent to
-/// one target after another.
+/// Remembers which targets crashed while they ran a request, as seen by this
+/// instance and as reported by others. A request that crashes each target that
+/// runs it is blocked instead of being sent to one target after another.
+///
+/// A crash is identified by request and target, so that reports of the same
+/// crash, from several instances or from the store, count once.
 class CrashTracker {
  public:
   /// Records an attempt that ended without a complete response.
   void OnAttemptFailed(CrashSuspect suspect);
-  /// Counts the suspects that are found to have crashed by now.
+  /// Forgets the crashes of a request that a target has answered.
+  void OnAnswered(std::uint64_t digest);
+  /// Records the suspects that are found to have crashed by now.
   /// @returns those suspects, for the log
   std::vector<CrashSuspect> CountCrashes(Instant now);
-  /// Clears the count of a request that a target has answered.
-  void OnAnswered(std::uint64_t digest);
-  /// Replaces the counts that `peer` reported before.
-  void OnPeerCounts(std::string_view peer, std::vector<CrashCount> counts);
-  /// Returns whether the request must not be sent, by the sum of this
-  /// instance's recent count and the counts of the peers.
+  /// Adds the reports of another instance or of the store.
+  void Merge(std::span<const CrashReport> reports, Instant now);
+
+  /// Returns whether the request must not be sent.
   bool IsBlocked(std::uint64_t digest, Instant now) const;
   /// Returns the number of targets that crashed while they ran the request.
   int Crashes(std::uint64_t digest, Instant now) const;
-  /// Returns this instance's recent counts, to be sent to the peers.
-  std::vector<CrashCount> OwnCounts(Instant now) const;
+
+  /// Returns what the leader has not been told yet, most crashes first, up to a
+  /// bound.
+  std::vector<CrashReport> Unreported(Instant now) const;
+  /// Marks reports as received by the leader.
+  void OnReported(std::span<const CrashReport> reports);
+  /// Marks everything as not reported, for a new leader.
+  void ReportAgain();
+  /// Returns the blocked requests as reports for other instances.
+  std::vector<CrashReport> BlockedRequests(Instant now) const;
+  std::size_t tracked_requests() const { return requests_.size(); }
 
  private:
-  struct Entry {
-    int crashes = 0;
-    Instant last{};
+  struct Crash {
+    std::uint64_t target = 0;
+    Instant at{};
+    bool reported = false;
+  };
+  struct Request {
+    std::vector<Crash> crashes;
+    /// Largest number of crashes that another instance reported as a whole.
+    int reported_crashes = 0;
+    Instant last_crash_at{};
+
+    int Count() const;
   };
+  using Entry = std::pair<const std::uint64_t, Request>;
 
-  void Count(std::uint64_t digest, Instant now);
+  Request& Remember(std::uint64_t digest, Instant now);
+  void AddCrash(Request& request, Crash crash, Instant now);
+  void MakeRoom(Instant now);
+  std::vector<const Entry*> MostCrashesFirst(Instant now) const;
 
-  std::unordered_map<std::uint64_t, Entry> own_counts_;
-  std::unordered_map<std::string, std::vector<CrashCount>> peer_counts_;
+  std::unordered_map<std::uint64_t, Request> requests_;
+  /// Requests whose crashes were forgotten and of which the leader was not told
+  /// yet.
+  std::vector<std::uint64_t> unreported_answers_;
   CrashSuspects suspects_;
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -235,6 +235,8 @@
     ++(target->leaving ? state.targets_leaving : state.targets_usable);
     state.targets_suspected += now < target->backoff_until ? 1 : 0;
   }
+  state.crash_requests = crashes_.tracked_requests();
+  state.crash_blocked = crashes_.BlockedRequests(now).size();
   const ConfigPtr config = agent_.config();
   state.config_version = config == nullptr ? 0 : config->version;
   state.members = agent_.Peers().size() + 1;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -37,6 +37,10 @@
   std::uint64_t targets_usable = 0;
   std::uint64_t targets_leaving = 0;
   std::uint64_t targets_suspected = 0;
+  /// Requests during which a target crashed, and those of them that are not
+  /// sent any more.
+  std::uint64_t crash_requests = 0;
+  std::uint64_t crash_blocked = 0;
   /// Instances in the fleet, this one included.
   std::uint64_t members = 0;
   std::int64_t config_version = 0;
--- a/src/gateway/tests/crash_tracker_test.cc
+++ b/src/gateway/tests/crash_tracker_test.cc
@@ -1,5 +1,6 @@
 #include "gateway/crash_tracker.h"
 
+#include <array>
 #include <boost/test/unit_test.hpp>
 
 namespace jackdaw::serving {
@@ -32,15 +33,77 @@
   BOOST_TEST(!tracker.IsBlocked(digest, kStart + 61s));
 }
 
-BOOST_AUTO_TEST_CASE(CountsCrashesOfPeers) {
-  CrashTracker first;
-  CrashTracker second;
+/// Sends a member's reports to the leader and the leader's answer back.
+void ExchangeReports(CrashTracker& member, CrashTracker& leader) {
+  const auto reports = member.Unreported(kStart);
+  leader.Merge(reports, kStart);
+  member.OnReported(reports);
+  member.Merge(leader.BlockedRequests(kStart), kStart);
+}
+
+BOOST_AUTO_TEST_CASE(EachInstanceLearnsTheSumOfAll) {
+  CrashTracker leader;
+  std::array<CrashTracker, 3> members;
   const auto digest = RequestDigest("/a/b", "key", "body");
-  Crash(first, digest, "t-1");
-  Crash(first, digest, "t-2");
-  Crash(second, digest, "t-3");
-  second.OnPeerCounts("first", first.OwnCounts(kStart));
-  BOOST_TEST(second.IsBlocked(digest, kStart));
+  Crash(members[0], digest, "t-1");
+  Crash(members[1], digest, "t-2");
+  Crash(leader, digest, "t-3");
+  for (CrashTracker& member : members) {
+    ExchangeReports(member, leader);
+  }
+  for (CrashTracker& member : members) {
+    ExchangeReports(member, leader);
+    BOOST_TEST(member.IsBlocked(digest, kStart));
+    BOOST_TEST(member.Unreported(kStart).empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(CrashSeenBySeveralInstancesCountsOnce) {
+  CrashTracker leader;
+  std::array<CrashTracker, 3> members;
+  for (CrashTracker& member : members) {
+    Crash(member, 7, "t-1");
+    ExchangeReports(member, leader);
+    member.ReportAgain();
+    ExchangeReports(member, leader);
+  }
+  BOOST_TEST(leader.Crashes(7, kStart) == 1);
+  BOOST_TEST(!leader.IsBlocked(7, kStart));
+}
+
+BOOST_AUTO_TEST_CASE(RestartUnderTheSameIdCountsAgain) {
+  CrashTracker tracker;
+  auto target = std::make_shared<Target>();
+  target->ended = true;
+  for (int i = 0; i < 3; ++i) {
+    const Instant sent_at = kStart + i * 10s;
+    tracker.OnAttemptFailed({7, target, sent_at, sent_at + 1s, true});
+    tracker.CountCrashes(sent_at + 2s);
+  }
+  BOOST_TEST(tracker.IsBlocked(7, kStart + 22s));
+}
+
+BOOST_AUTO_TEST_CASE(AnswerClearsTheCountAtTheLeader) {
+  CrashTracker leader;
+  CrashTracker member;
+  Crash(leader, 7, "t-1");
+  Crash(member, 7, "t-2");
+  ExchangeReports(member, leader);
+  member.OnAnswered(7);
+  ExchangeReports(member, leader);
+  BOOST_TEST(leader.Crashes(7, kStart) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ManyRequestsDoNotDisplaceABlockedOne) {
+  CrashTracker tracker;
+  for (const char* id : {"t-1", "t-2", "t-3"}) {
+    Crash(tracker, 7, id);
+  }
+  for (std::uint64_t digest = 100; digest < 10'000; ++digest) {
+    Crash(tracker, digest, "t-4");
+  }
+  BOOST_TEST(tracker.IsBlocked(7, kStart));
+  BOOST_TEST(tracker.tracked_requests() < 3000U);
 }
 
 BOOST_AUTO_TEST_CASE(ResponseClearsCount) {
