Do not take a successor's bytes for life of the crashed target

A crashed target's successor at the same address answered 421 within the 500 ms in which the instance watched the target, and any byte from the address counted as life.

Only bytes on a connection that was open when the attempt ended clear the target now, as the process that holds it is the same.

--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -17,11 +17,6 @@
 // Suspects kept; beyond this the oldest are discarded.
 constexpr std::size_t kMaxSuspects = 1024;
 
-bool IsAlive(const CrashSuspect& suspect) {
-  return suspect.target->last_received_at >
-         suspect.ended_at + kMaxBytesInTransit;
-}
-
 bool HasLeftAsPlanned(const CrashSuspect& suspect) {
   return suspect.target->entry.state == TargetState::kDraining;
 }
@@ -40,16 +35,25 @@
   suspects_.push_back(std::move(suspect));
 }
 
-bool CrashSuspects::Remove(std::uint64_t digest) {
-  return std::erase_if(suspects_, [&](const CrashSuspect& suspect) {
-           return suspect.digest == digest;
-         }) > 0;
+void CrashSuspects::Remove(std::uint64_t digest) {
+  std::erase_if(suspects_, [&](const CrashSuspect& suspect) {
+    return suspect.digest == digest;
+  });
+}
+
+void CrashSuspects::OnBytes(const Target& target,
+                            Instant opened_at,
+                            Instant now) {
+  std::erase_if(suspects_, [&](const CrashSuspect& suspect) {
+    return suspect.target.get() == &target && opened_at < suspect.ended_at &&
+           now > suspect.ended_at + kMaxBytesInTransit;
+  });
 }
 
 std::vector<CrashSuspect> CrashSuspects::TakeCrashes(Instant now) {
   std::vector<CrashSuspect> crashes;
   std::erase_if(suspects_, [&](const CrashSuspect& suspect) {
-    if (IsAlive(suspect) || HasLeftAsPlanned(suspect)) {
+    if (HasLeftAsPlanned(suspect)) {
       return true;
     }
     if (HasCrashed(suspect, now)) {
@@ -61,16 +65,16 @@
   return crashes;
 }
 
-int CrashSuspects::CountSilentTargets(std::uint64_t digest) const {
-  std::vector<const Target*> silent;
+int CrashSuspects::CountTargets(std::uint64_t digest) const {
+  std::vector<const Target*> targets;
   for (const CrashSuspect& suspect : suspects_) {
     if (suspect.digest == digest && suspect.connection_ended &&
-        !IsAlive(suspect) && !HasLeftAsPlanned(suspect) &&
-        std::ranges::find(silent, suspect.target.get()) == silent.end()) {
-      silent.push_back(suspect.target.get());
+        !HasLeftAsPlanned(suspect) &&
+        std::ranges::find(targets, suspect.target.get()) == targets.end()) {
+      targets.push_back(suspect.target.get());
     }
   }
-  return static_cast<int>(silent.size());
+  return static_cast<int>(targets.size());
 }
 
 }  // namespace jackdaw::serving
--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -21,19 +21,22 @@
 };
 
 /// Decides which attempts without a complete response ended in a crash of the
-/// target. A target that sends bytes after the attempt ended has not crashed,
-/// and one that was draining has left as planned.
+/// target. A target has not crashed if a connection that was open at that time
+/// still delivers bytes, and has left as planned if it was draining.
 class CrashSuspects {
  public:
   void Add(CrashSuspect suspect);
-  /// Removes the suspects of a request. @returns whether there were any
-  bool Remove(std::uint64_t digest);
+  /// Removes the suspects of a request.
+  void Remove(std::uint64_t digest);
+  /// Clears a target from which bytes arrived.
+  /// @param opened_at when their connection was opened
+  void OnBytes(const Target& target, Instant opened_at, Instant now);
   /// Removes and returns the suspects whose target is now known to have
-  /// crashed. Discards those whose target is alive or has left as planned.
+  /// crashed. Discards those whose target has left as planned.
   std::vector<CrashSuspect> TakeCrashes(Instant now);
-  /// Returns the number of targets whose connection ended while they ran the
-  /// request and that have shown no life since.
-  int CountSilentTargets(std::uint64_t digest) const;
+  /// Returns the number of targets that ended the connection while they ran the
+  /// request.
+  int CountTargets(std::uint64_t digest) const;
 
  private:
   std::vector<CrashSuspect> suspects_;
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -50,6 +50,12 @@
   suspects_.Add(std::move(suspect));
 }
 
+void CrashTracker::OnBytes(const Target& target,
+                           Instant opened_at,
+                           Instant now) {
+  suspects_.OnBytes(target, opened_at, now);
+}
+
 void CrashTracker::OnAnswered(std::uint64_t digest) {
   suspects_.Remove(digest);
   if (requests_.erase(digest) == 0) {
@@ -133,7 +139,7 @@
   const bool known = found != requests_.end() &&
                      now - found->second.last_crash_at <= kRetention;
   return (known ? found->second.Count() : 0) +
-         suspects_.CountSilentTargets(digest);
+         suspects_.CountTargets(digest);
 }
 
 bool CrashTracker::IsBlocked(std::uint64_t digest, Instant now) const {
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -39,6 +39,8 @@
  public:
   /// Records an attempt that ended without a complete response.
   void OnAttemptFailed(CrashSuspect suspect);
+  /// Clears a target from which bytes arrived; see CrashSuspects.
+  void OnBytes(const Target& target, Instant opened_at, Instant now);
   /// Forgets the crashes of a request that a target has answered.
   void OnAnswered(std::uint64_t digest);
   /// Records the suspects that are found to have crashed by now.
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -34,6 +34,7 @@
   }
   last_progress_at_ = now;
   target_->last_received_at = now;
+  deps_.crashes.OnBytes(*target_, connection_->opened_at(), now);
   if (!ParseResponse()) {
     return;
   }
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -181,6 +181,7 @@
 void Exchange::OnConnected() {
   const auto self = shared_from_this();
   deps_.timers.Clear(attempt_timer_);
+  connection_->set_opened_at(deps_.clock.Now());
   SendRequest();
 }
 
--- a/src/gateway/target_connection.h
+++ b/src/gateway/target_connection.h
@@ -61,6 +61,8 @@
   /// The connection has carried a request before.
   bool used() const { return used_; }
   void set_used() { used_ = true; }
+  Instant opened_at() const { return opened_at_; }
+  void set_opened_at(Instant at) { opened_at_ = at; }
   Instant keep_until() const { return keep_until_; }
   void set_keep_until(Instant until) { keep_until_ = until; }
   Instant idle_since() const { return idle_since_; }
@@ -80,6 +82,7 @@
   bool reading_ = false;
   bool reading_paused_ = false;
   bool used_ = false;
+  Instant opened_at_{};
   Instant keep_until_{};
   Instant idle_since_{};
 };
--- a/src/gateway/tests/crash_suspects_test.cc
+++ b/src/gateway/tests/crash_suspects_test.cc
@@ -21,8 +21,8 @@
 
 BOOST_FIXTURE_TEST_CASE(TargetThatStaysSilentHasCrashed, SuspectsFixture) {
   Add(true);
-  target_->last_received_at = kStart + 30ms;
-  BOOST_TEST(suspects_.CountSilentTargets(kDigest) == 1);
+  suspects_.OnBytes(*target_, kStart - 1s, kStart + 60ms);
+  BOOST_TEST(suspects_.CountTargets(kDigest) == 1);
   BOOST_TEST(suspects_.TakeCrashes(kStart + 60ms).empty());
   BOOST_TEST(suspects_.TakeCrashes(kStart + 1s).size() == 1U);
   BOOST_TEST(suspects_.TakeCrashes(kStart + 1s).empty());
@@ -30,11 +30,17 @@
 
 BOOST_FIXTURE_TEST_CASE(ResetByALiveTargetIsNoCrash, SuspectsFixture) {
   Add(true);
-  target_->last_received_at = kStart + 400ms;
-  BOOST_TEST(suspects_.CountSilentTargets(kDigest) == 0);
+  suspects_.OnBytes(*target_, kStart - 1s, kStart + 400ms);
+  BOOST_TEST(suspects_.CountTargets(kDigest) == 0);
   BOOST_TEST(suspects_.TakeCrashes(kStart + 1s).empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(BytesOfASuccessorDoNotClearTheTarget, SuspectsFixture) {
+  Add(true);
+  suspects_.OnBytes(*target_, kStart + 100ms, kStart + 400ms);
+  BOOST_TEST(suspects_.TakeCrashes(kStart + 1s).size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(EndOfADrainedTargetIsNoCrash, SuspectsFixture) {
   Add(true);
   target_->entry.state = TargetState::kDraining;
@@ -52,7 +58,7 @@
 BOOST_FIXTURE_TEST_CASE(AbandonedAttemptAtALiveTargetIsNoCrash,
                         SuspectsFixture) {
   Add(false);
-  target_->last_received_at = kStart + 2s;
+  suspects_.OnBytes(*target_, kStart - 1s, kStart + 2s);
   BOOST_TEST(suspects_.TakeCrashes(kStart + 3s).empty());
   target_->ended = true;
   BOOST_TEST(suspects_.TakeCrashes(kStart + 4s).empty());
@@ -61,7 +67,7 @@
 BOOST_FIXTURE_TEST_CASE(OneTargetCountsOnce, SuspectsFixture) {
   Add(true);
   Add(true);
-  BOOST_TEST(suspects_.CountSilentTargets(kDigest) == 1);
+  BOOST_TEST(suspects_.CountTargets(kDigest) == 1);
 }
 
 }  // namespace
