Keep the crashes of a request in the store

Callers saw: after a restart of all instances, or when the leader was killed, a blocked request was sent to targets again. Cause: the counts were in the memory of the processes only, and a new leader began with none.

The leader writes the crashes it knows into one row, with the renewal of its lease, so that it costs no further call; whoever reads the fleet's table takes them from there. A member whose heartbeat fails counts everything as unreported again, and writes its own row while no leader answers; instances without a leader read each other's rows. Blocked requests learned from a leader are reported to the next one.

--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -304,15 +304,13 @@
   const Result<HttpResponse> answer = co_await http_.Fetch(
       *leader, std::move(request), clock_.Now() + kHeartbeatTimeout);
   if (!answer || answer.value().status != 200) {
-    ++failed_heartbeats_;
-    SetFollowing(false);
+    OnHeartbeatFailed();
     co_return false;
   }
   const auto reply = DecodeHeartbeatReply(answer.value().body);
   if (!reply) {
     Log(LogLevel::kError, "beat_unreadable", {{"error", reply.error().Line()}});
-    ++failed_heartbeats_;
-    SetFollowing(false);
+    OnHeartbeatFailed();
     co_return false;
   }
   failed_heartbeats_ = 0;
@@ -323,6 +321,19 @@
   co_return reply.value().fresh;
 }
 
+// The leader may have ended before it stored what it was told.
+void FleetAgent::OnHeartbeatFailed() {
+  ++failed_heartbeats_;
+  crashes_.ReportAgain();
+  SetFollowing(false);
+}
+
+// A leader has nobody to report to: it stores the crashes itself.
+bool FleetAgent::HasUnreportedCrash() const {
+  return !leadership_.HoldsLease() &&
+         !crashes_.Unreported(clock_.Now()).empty();
+}
+
 void FleetAgent::OnHeartbeatReply(const HeartbeatReply& reply) {
   const Instant now = clock_.Now();
   if (reply.view) {
@@ -399,8 +410,9 @@
     if (!fleet_known_) {
       co_return;
     }
-    const bool written = co_await WriteFleetTable(failed_heartbeats_ >=
-                                                  kFailedHeartbeatThreshold);
+    const bool with_member =
+        failed_heartbeats_ >= kFailedHeartbeatThreshold || HasUnreportedCrash();
+    const bool written = co_await WriteFleetTable(with_member);
     // The write failed, perhaps because another instance has acquired the
     // lease, so the rows are read and written once more.
     if (written || !try_leader || leadership_.HoldsLease()) {
--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -95,6 +95,8 @@
   boost::asio::awaitable<bool> SendHeartbeat();
   void CountCrashes();
   boost::asio::awaitable<void> SyncWithStore(bool try_leader);
+  void OnHeartbeatFailed();
+  bool HasUnreportedCrash() const;
   void OnHeartbeatReply(const HeartbeatReply& reply);
   void SetFollowing(bool following);
   static void ConfigureWatch(StoreWatch& watch,
@@ -159,6 +161,10 @@
   std::string view_written_;
   ShareTable shares_;
   std::int64_t shares_row_version_ = 0;
+  /// Version of the row of crashes that was read or written last, and the
+  /// revision of the tracker that this instance wrote last.
+  std::int64_t crashes_row_version_ = 0;
+  std::uint64_t crashes_written_ = 0;
   /// Leader and term to which crashes are reported.
   std::string reported_to_;
   /// Epoch of the share table that is applied; -1 after the share was dropped.
--- a/src/fleet/fleet_agent_store.cc
+++ b/src/fleet/fleet_agent_store.cc
@@ -20,6 +20,7 @@
 constexpr std::string_view kLeaseKey = "leader";
 constexpr std::string_view kSharesKey = "shares";
 constexpr std::string_view kViewKey = "view";
+constexpr std::string_view kCrashesKey = "crashes";
 
 platform::RowKey FleetKey(std::string_view key) {
   return {std::string(platform::kFleetTable), "", std::string(key)};
@@ -59,6 +60,7 @@
             {{"key", row.at.key}, {"error", member.error().Line()}});
       } else if (member.value().name != settings_.name) {
         members_.OnHeartbeat(member.value(), now);
+        crashes_.Merge(member.value().crashes, now);
       }
     } else if (row.at.key == kLeaseKey) {
       auto lease = DecodeLeaderLease(row.value);
@@ -74,6 +76,15 @@
       if (view) {
         view_ = std::move(view.value());
       }
+    } else if (row.at.key == kCrashesKey &&
+               row.version > crashes_row_version_) {
+      crashes_row_version_ = row.version;
+      if (const auto reports = DecodeCrashRow(row.value)) {
+        crashes_.Merge(reports.value(), now);
+      } else {
+        Log(LogLevel::kWarn, "row_unreadable",
+            {{"key", row.at.key}, {"error", reports.error().Line()}});
+      }
     } else if (row.at.key == kSharesKey && row.version > shares_row_version_) {
       auto shares = DecodeShares(row.value);
       if (shares && shares.value().epoch >= shares_.epoch) {
@@ -215,6 +226,17 @@
     }
     write.puts.push_back({FleetKey(kViewKey), EncodeViewRow(view)});
   }
+  const std::uint64_t crashes = crashes_.revision();
+  const bool writes_crashes =
+      leadership_.HoldsLease() && crashes != crashes_written_;
+  if (writes_crashes) {
+    if (write.conditions.empty()) {
+      write.conditions.push_back(
+          {FleetKey(kLeaseKey), leadership_.lease().row_version});
+    }
+    write.puts.push_back({FleetKey(kCrashesKey),
+                          EncodeCrashRow(crashes_.AllCrashes(clock_.Now()))});
+  }
   if (write.puts.empty()) {
     co_return true;
   }
@@ -230,6 +252,10 @@
     view_written_ = view.id;
     view_row_version_ = commit.value().version;
   }
+  if (writes_crashes) {
+    crashes_written_ = crashes;
+    crashes_row_version_ = commit.value().version;
+  }
   if (step != LeaseStep::kNone) {
     const bool acquired = step == LeaseStep::kAcquire;
     const std::string last_holder = leadership_.lease().holder;
--- a/src/fleet/member.cc
+++ b/src/fleet/member.cc
@@ -97,6 +97,18 @@
   return reports;
 }
 
+std::string EncodeCrashRow(std::span<const CrashReport> reports) {
+  return json::serialize(json::value{{"crashes", EncodeCrashes(reports)}});
+}
+
+Result<std::vector<CrashReport>> DecodeCrashRow(std::string_view document) {
+  BOOST_OUTCOME_TRY(const json::value value, ParseJson(document));
+  ObjectReader reader(value, "");
+  BOOST_OUTCOME_TRY(auto reports, ReadCrashes(reader));
+  BOOST_OUTCOME_TRY(reader.Finish());
+  return reports;
+}
+
 std::string EncodeMember(const Member& member) {
   return json::serialize(json::value{
       {"name", member.name},
--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -51,6 +51,10 @@
 /// @returns the reports, or the error of the first malformed one
 Result<std::vector<CrashReport>> ReadCrashes(ObjectReader& reader);
 
+/// Returns the row value of the crashes that the leader knows.
+std::string EncodeCrashRow(std::span<const CrashReport> reports);
+Result<std::vector<CrashReport>> DecodeCrashRow(std::string_view document);
+
 /// Returns the row value of a member.
 std::string EncodeMember(const Member& member);
 /// @returns the member, or kMalformed
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -16,6 +16,8 @@
 constexpr std::size_t kMaxReports = 64;
 // Blocked requests in one report to other instances.
 constexpr std::size_t kMaxBlockedReports = 64;
+// Crashes in one report to the store, so that it fits into a row.
+constexpr std::size_t kMaxStoredCrashes = 256;
 // Requests whose answer waits to be reported.
 constexpr std::size_t kMaxUnreportedAnswers = 256;
 
@@ -42,6 +44,10 @@
   return digest * kDigestFactor + hash(body);
 }
 
+bool CrashTracker::Request::HasSum() const {
+  return reported_crashes > static_cast<int>(crashes.size());
+}
+
 int CrashTracker::Request::Count() const {
   return std::max(static_cast<int>(crashes.size()), reported_crashes);
 }
@@ -61,6 +67,7 @@
   if (requests_.erase(digest) == 0) {
     return;
   }
+  ++revision_;
   if (unreported_answers_.size() < kMaxUnreportedAnswers) {
     unreported_answers_.push_back(digest);
   }
@@ -89,13 +96,14 @@
       request.crashes.end()) {
     request.crashes.push_back(crash);
     request.last_crash_at = now;
+    ++revision_;
   }
 }
 
 void CrashTracker::Merge(std::span<const CrashReport> reports, Instant now) {
   for (const CrashReport& report : reports) {
     if (IsAnswer(report)) {
-      requests_.erase(report.digest);
+      revision_ += requests_.erase(report.digest);
       continue;
     }
     Request& request = Remember(report.digest, now);
@@ -103,7 +111,9 @@
       AddCrash(request, {report.target, now, true}, now);
     } else if (report.crashes > request.reported_crashes) {
       request.reported_crashes = report.crashes;
+      request.sum_reported = true;
       request.last_crash_at = now;
+      ++revision_;
     }
   }
 }
@@ -138,8 +148,7 @@
   const auto found = requests_.find(digest);
   const bool known = found != requests_.end() &&
                      now - found->second.last_crash_at <= kRetention;
-  return (known ? found->second.Count() : 0) +
-         suspects_.CountTargets(digest);
+  return (known ? found->second.Count() : 0) + suspects_.CountTargets(digest);
 }
 
 bool CrashTracker::IsBlocked(std::uint64_t digest, Instant now) const {
@@ -172,7 +181,12 @@
     }
   }
   for (const Entry* entry : MostCrashesFirst(now)) {
-    for (const Crash& crash : entry->second.crashes) {
+    const Request& request = entry->second;
+    if (request.HasSum() && !request.sum_reported &&
+        reports.size() < kMaxReports) {
+      reports.push_back({entry->first, 0, request.reported_crashes});
+    }
+    for (const Crash& crash : request.crashes) {
       if (!crash.reported && reports.size() < kMaxReports) {
         reports.push_back({entry->first, crash.target, 1});
       }
@@ -191,7 +205,9 @@
     if (found == requests_.end()) {
       continue;
     }
-    for (Crash& crash : found->second.crashes) {
+    Request& request = found->second;
+    request.sum_reported = request.sum_reported || report.target == 0;
+    for (Crash& crash : request.crashes) {
       crash.reported = crash.reported || crash.target == report.target;
     }
   }
@@ -199,6 +215,7 @@
 
 void CrashTracker::ReportAgain() {
   for (auto& [digest, request] : requests_) {
+    request.sum_reported = false;
     for (Crash& crash : request.crashes) {
       crash.reported = false;
     }
@@ -216,4 +233,22 @@
   return reports;
 }
 
+std::vector<CrashReport> CrashTracker::AllCrashes(Instant now) const {
+  std::vector<CrashReport> reports;
+  for (const Entry* entry : MostCrashesFirst(now)) {
+    const Request& request = entry->second;
+    if (request.HasSum()) {
+      reports.push_back({entry->first, 0, request.reported_crashes});
+    }
+    for (const Crash& crash : request.crashes) {
+      reports.push_back({entry->first, crash.target, 1});
+    }
+    if (reports.size() >= kMaxStoredCrashes) {
+      reports.resize(kMaxStoredCrashes);
+      break;
+    }
+  }
+  return reports;
+}
+
 }  // namespace jackdaw::serving
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -63,6 +63,10 @@
   void ReportAgain();
   /// Returns the blocked requests as reports for other instances.
   std::vector<CrashReport> BlockedRequests(Instant now) const;
+  /// Returns all known crashes, most crashes first, up to a bound.
+  std::vector<CrashReport> AllCrashes(Instant now) const;
+  /// Number that grows when AllCrashes changes other than by time.
+  std::uint64_t revision() const { return revision_; }
   std::size_t tracked_requests() const { return requests_.size(); }
 
  private:
@@ -75,8 +79,12 @@
     std::vector<Crash> crashes;
     /// Largest number of crashes that another instance reported as a whole.
     int reported_crashes = 0;
+    /// The leader has been told of `reported_crashes`.
+    bool sum_reported = false;
     Instant last_crash_at{};
 
+    /// Another instance has reported more crashes than are known one by one.
+    bool HasSum() const;
     int Count() const;
   };
   using Entry = std::pair<const std::uint64_t, Request>;
@@ -91,6 +99,7 @@
   /// yet.
   std::vector<std::uint64_t> unreported_answers_;
   CrashSuspects suspects_;
+  std::uint64_t revision_ = 0;
 };
 
 }  // namespace jackdaw::serving
--- a/src/gateway/tests/crash_tracker_test.cc
+++ b/src/gateway/tests/crash_tracker_test.cc
@@ -83,6 +83,22 @@
   BOOST_TEST(tracker.IsBlocked(7, kStart + 22s));
 }
 
+BOOST_AUTO_TEST_CASE(NewLeaderLearnsWhatMembersAndTheStoreKnow) {
+  CrashTracker first_leader;
+  CrashTracker member;
+  Crash(first_leader, 7, "t-1");
+  Crash(first_leader, 7, "t-2");
+  Crash(member, 7, "t-3");
+  ExchangeReports(member, first_leader);
+  CrashTracker from_store;
+  from_store.Merge(first_leader.AllCrashes(kStart), kStart);
+  BOOST_TEST(from_store.IsBlocked(7, kStart));
+  CrashTracker from_member;
+  member.ReportAgain();
+  ExchangeReports(member, from_member);
+  BOOST_TEST(from_member.IsBlocked(7, kStart));
+}
+
 BOOST_AUTO_TEST_CASE(AnswerClearsTheCountAtTheLeader) {
   CrashTracker leader;
   CrashTracker member;
