Let only an answer clear the crashes of a request

Callers saw: a request that crashes its targets was sent on after a target had answered it 500. Cause: each complete response cleared the count, also an error by which the target does not show that it ran the request. Evidence: ErrorOfATargetDoesNotClearCrashes failed: two crashes, a 500, one more crash, and the request went to a fourth target.

Responses with X-Not-Executed, 429 or a status from 500 on leave the count as it is now; a request that crashes what runs it never gets another one.

--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -273,7 +273,10 @@
     const int status = static_cast<int>(parser_->get().result_int());
     const bool reusable = parser_->get().keep_alive() && !parser_->need_eof() &&
                           !connection_->sending();
-    deps_.crashes.OnAnswered(digest_);
+    // Other responses do not show that the target ran the request.
+    if (!response_head_.not_executed && status < 500 && status != 429) {
+      deps_.crashes.OnAnswered(digest_);
+    }
     if (reusable) {
       deps_.connections.Release(*target_, std::move(connection_),
                                 response_head_.keep_alive_seconds);
