Know a crashing request by its workspace, not by the key

Callers saw: a blocked request was sent to targets again under another key of the same workspace, as callers use when keys are withdrawn. Cause: its digest was taken over path, key and body. Evidence: AnotherKeyOfTheWorkspaceDoesNotUnblock failed: three crashes under one key, then a fourth target under the other.

The digest is taken over path, workspace and body now, and over the key where the caller belongs to no workspace.

--- a/src/gateway/exchange_admit.cc
+++ b/src/gateway/exchange_admit.cc
@@ -52,7 +52,10 @@
                     : limit;
   deadline_ = trace_.started_at() + std::min(limit, wait);
   deps_.timers.Set(deadline_timer_, deadline_, [this] { OnDeadline(); });
-  digest_ = RequestDigest(call_.target, call_.key, request_.body());
+  // A workspace's keys may change while its callers repeat a request.
+  const std::string_view caller =
+      workspace_ == nullptr ? call_.key : workspace_->name;
+  digest_ = RequestDigest(call_.target, caller, request_.body());
   const Instant now = deps_.clock.Now();
   if (deps_.crashes.IsBlocked(digest_, now)) {
     Reject({503, "request_crashes_targets",
