Ask for the crashes of a request before each send

Callers saw: the attempt that crashed the third target was retried at a fourth. Cause: the guard was asked once, when the request arrived, and not before retries, nor after waiting for an adapter, a connection or its turn. Evidence: ThirdCrashPreventsTheRetry failed.

A retry is not granted to a blocked request, and each send asks again at the moment at which the bytes leave. If no target can have run the request, the refusal is 503 as before; otherwise 502, as it may have run. The steps of the request name its digest and the number of crashed targets.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -60,6 +60,7 @@
   bool ResolveRoute();
   void Admit();
   void OnUnitsReceived(double required_units);
+  void RejectCrashing();
   void ChooseService();
 
   // Sending.
--- a/src/gateway/exchange_admit.cc
+++ b/src/gateway/exchange_admit.cc
@@ -56,11 +56,8 @@
   const std::string_view caller =
       workspace_ == nullptr ? call_.key : workspace_->name;
   digest_ = RequestDigest(call_.target, caller, request_.body());
-  const Instant now = deps_.clock.Now();
-  if (deps_.crashes.IsBlocked(digest_, now)) {
-    Reject({503, "request_crashes_targets",
-            "change the request; targets ended while they ran it",
-            now + kCrashRetryAfter});
+  if (deps_.crashes.IsBlocked(digest_, deps_.clock.Now())) {
+    RejectCrashing();
     return;
   }
   ChooseService();
@@ -94,6 +91,24 @@
   return true;
 }
 
+// Ends a request that crashes each target that runs it.
+void Exchange::RejectCrashing() {
+  constexpr std::string_view kKind = "request_crashes_targets";
+  constexpr std::string_view kRemedy =
+      "change the request; targets ended while they ran it";
+  const Instant now = deps_.clock.Now();
+  trace_.Add(now, "crashing",
+             "digest=" + std::to_string(digest_) + " targets=" +
+                 std::to_string(deps_.crashes.Crashes(digest_, now)));
+  if (head_sent_) {
+    AbortResponse(kKind);
+  } else if (may_have_run_) {
+    Reject({502, kKind, kRemedy, std::nullopt});
+  } else {
+    Reject({503, kKind, kRemedy, now + kCrashRetryAfter});
+  }
+}
+
 // Chooses a service of the route by weight. The same request id always gets the
 // same service.
 void Exchange::ChooseService() {
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -192,6 +192,12 @@
     Dispatch();
     return;
   }
+  // The request may have waited since it was admitted.
+  if (deps_.crashes.IsBlocked(digest_, now)) {
+    EndAttempt(TargetOutcome::kAbandoned);
+    RejectCrashing();
+    return;
+  }
   platform::ForwardedHead head;
   head.target_id = target_->entry.id;
   head.remaining_ms = std::max<std::int64_t>(1, (deadline_ - now) / 1ms);
@@ -273,7 +279,7 @@
     return false;
   }
   if (attempts_ >= route_->max_attempts || deadline_ - now < kMinTimeLeft ||
-      response_ended_) {
+      response_ended_ || deps_.crashes.IsBlocked(digest_, now)) {
     return false;
   }
   return deps_.retries.TryRetry(service_->name, now);
