Share the extra retries with instances that may have used them

The extra retries of a window are divided by the live instances, as far as this process knows. A new process knew of no other and began with the whole of them, also in a fleet that it read from the store alone, and its predecessor may have used its share in the same window; when instances were lost, the others took their shares at once. So repeats could pile up beyond the retry budget after a kill of many.

A process uses none of the extra retries in its first window, the divisor falls only one window after instances were lost, and the view that is read from the store sets it too. The ratio of own requests is as before.

--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -338,7 +338,7 @@
   const Instant now = clock_.Now();
   if (reply.view) {
     view_ = *reply.view;
-    retries_.SetInstances(static_cast<int>(view_.members.size()));
+    retries_.SetInstances(static_cast<int>(view_.members.size()), now);
   }
   if (reply.shares && reply.shares->epoch >= shares_.epoch) {
     shares_ = *reply.shares;
--- a/src/fleet/fleet_agent_store.cc
+++ b/src/fleet/fleet_agent_store.cc
@@ -75,6 +75,7 @@
       view_row_version_ = row.version;
       if (view) {
         view_ = std::move(view.value());
+        retries_.SetInstances(static_cast<int>(view_.members.size()), now);
       }
     } else if (row.at.key == kCrashesKey &&
                row.version > crashes_row_version_) {
@@ -152,7 +153,7 @@
   view.id =
       settings_.name + "/" + boot_id_ + "/" + std::to_string(view_sequence_);
   view_ = std::move(view);
-  retries_.SetInstances(static_cast<int>(view_.members.size()));
+  retries_.SetInstances(static_cast<int>(view_.members.size()), clock_.Now());
 }
 
 // A new leader has no state of the members yet. Members of the previous view
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -53,7 +53,7 @@
       targets_(settings.failure_domain),
       target_connections_(context_, clock_),
       quotas_(settings.quotas),
-      retries_(settings.retries),
+      retries_(settings.retries, clock_.Now()),
       agent_(context_,
              settings_,
              clock_,
--- a/src/gateway/retry_limiter.cc
+++ b/src/gateway/retry_limiter.cc
@@ -41,6 +41,31 @@
   ++counts.requests[static_cast<std::size_t>(counts.slice) % kSlices];
 }
 
+void RetryLimiter::SetInstances(int instances, Instant now) {
+  const int count = std::max(1, instances);
+  if (count >= instances_) {
+    instances_ = count;
+    fewer_instances_ = 0;
+    return;
+  }
+  if (fewer_instances_ == 0) {
+    fewer_from_ = now + limits_.window;
+  }
+  fewer_instances_ = std::max(fewer_instances_, count);
+}
+
+// Returns the extra retries per window that this instance may use.
+double RetryLimiter::ExtraShare(Instant now) {
+  if (now < extra_from_) {
+    return 0;
+  }
+  if (fewer_instances_ > 0 && now >= fewer_from_) {
+    instances_ = fewer_instances_;
+    fewer_instances_ = 0;
+  }
+  return limits_.extra / instances_;
+}
+
 bool RetryLimiter::TryRetry(std::string_view service, Instant now) {
   ServiceCounts& counts = CountsAt(service, now);
   const int requests =
@@ -48,7 +73,7 @@
   const int retries =
       std::accumulate(counts.retries.begin(), counts.retries.end(), 0);
   const double allowed =
-      kUsedShare * (limits_.ratio * requests + limits_.extra / instances_);
+      kUsedShare * (limits_.ratio * requests + ExtraShare(now));
   if (retries + 1 > allowed) {
     ++denied_;
     return false;
