Reserve no memory for the announced length of an answer

Found with the first tests of endless bytes. A target that announced a body of 999,999,999,999 bytes ended the instance: Beast's string body reserves the announced length at once, std::bad_alloc left the event loop, and all callers of the instance lost their requests. EndlessBodyWaitsForTheCallerAndEndsWithIt ended with std::bad_alloc before (address space limited to 4 GB) and passes now: the body goes on at the pace of the caller, other requests are served meanwhile, and the target's connection is closed with the caller's.

The parser has a body type of its own that takes bytes as they come. EndlessBytesAfterAnAnswerEndTheConnection passed before and is kept as a guard.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,6 +10,7 @@
 #include "gateway/event_splitter.h"
 #include "gateway/exchange_dependencies.h"
 #include "gateway/request_trace.h"
+#include "gateway/response_body.h"
 #include "gateway/target_connection.h"
 #include "serving/request_metadata.h"
 
@@ -43,8 +43,7 @@
   void OnConnectionEnd(ConnectionEnd end) override;
 
  private:
-  using ResponseParser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using ResponseParser = boost::beast::http::response_parser<ResponseBody>;
 
   /// An error response that the instance itself sends: a machine-readable kind,
   /// and a remedy that says what the caller can do.
