Cut an answer that can end no more

Callers and operators saw: a target that sends bytes without end, in a head, a chunk's extension or size, a trailer, informational heads, an event or the body of a failure, was read until the caller's deadline, and what it sent was kept: 4.4 GB in 15 s in the test, on instances of 260 MB. Cause: only the head of a response was bounded by the parser; lines within the body and bodies that are read whole before they are judged had no bound.

Unparsed bytes are bounded by 64 KB now, an incomplete event and the body of a failure by 256 KB, informational heads by 8. Beyond that the connection is closed and the request is retried within its budget or answered 502.

--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -25,6 +25,9 @@
   /// continues it starts with a new event.
   void DropPartialEvent() { pending_.clear(); }
 
+  /// Number of bytes of the incomplete event.
+  std::size_t partial_bytes() const { return pending_.size(); }
+
   /// Returns the bytes after the last complete event of a stream that ended.
   std::string TakeRemainder() { return std::exchange(pending_, {}); }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -133,6 +133,7 @@
   /// TargetRegistry::OnFirstByte was called for this attempt.
   bool first_byte_recorded_ = false;
   bool head_parsed_ = false;
+  int informational_responses_ = 0;
   bool connection_reused_ = false;
 
   // All attempts.
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -16,6 +16,13 @@
 // bytes, before any of it is forwarded, so that the request can still be
 // retried if the response breaks off.
 constexpr std::size_t kMaxBufferedResponse = 256UL * 1024;
+// Unparsed bytes of a response, at most: an end of line that does not come
+// within them will not come.
+constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
+// Bytes of an incomplete event, at most.
+constexpr std::size_t kMaxPartialEvent = 256UL * 1024;
+// Informational responses before the final one, at most.
+constexpr int kMaxInformational = 8;
 // Bytes buffered for a slow caller before reading from the target is paused.
 constexpr std::size_t kMaxPendingBytes = 64UL * 1024;
 
@@ -64,11 +71,19 @@
       return false;
     }
     if (parser_->is_header_done() && parser_->get().result_int() < 200) {
+      if (++informational_responses_ > kMaxInformational) {
+        OnAttemptBroken("endless answer");
+        return false;
+      }
       parser_.emplace();
       parser_->eager(true);
       parser_->body_limit(boost::none);
     }
   }
+  if (!parser_->is_done() && input.size() > kMaxUnparsedBytes) {
+    OnAttemptBroken("endless answer");
+    return false;
+  }
   if (parser_->is_header_done() && !head_parsed_) {
     OnResponseHead();
     return head_parsed_;
@@ -100,6 +115,8 @@
   if (failed || (head_sent_ && is_stream_ && !IsEventStream(parser_->get()))) {
     if (parser_->is_done()) {
       OnFailedResponse();
+    } else if (parser_->get().body().size() > kMaxBufferedResponse) {
+      OnAttemptBroken("endless answer");
     }
     return;
   }
@@ -108,6 +125,9 @@
     events_.Add(parser_->get().body());
     parser_->get().body().clear();
     ForwardEvents(parser_->is_done());
+    if (!done_ && events_.partial_bytes() > kMaxPartialEvent) {
+      OnAttemptBroken("endless answer");
+    }
     return;
   }
   if (head_sent_ || parser_->get().body().size() > kMaxBufferedResponse) {
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -130,6 +130,7 @@
   connection_ended_ = false;
   first_byte_recorded_ = false;
   head_parsed_ = false;
+  informational_responses_ = 0;
   parser_.reset();
   response_head_ = {};
   ++target_choices_;
