Count several broken connections to one target as one crash

Cause: a request sent to a known target after its crash was taken for one to its successor under the same id, at any distance. BreaksOfSeveralConnectionsToOneTargetCountOnce counted 3 before, 1 now: a successor takes at least 1 s. Callers saw nothing of it yet; a third kept connection would have refused a sound request.

--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -12,6 +12,9 @@
 constexpr Micros kRetention = std::chrono::minutes(10);
 // Tracked requests, at most.
 constexpr std::size_t kMaxRequests = 2048;
+// Shortest time from the crash of a target to the first request that its
+// successor can crash on.
+constexpr Micros kMinRestartTime = 1s;
 // Crashes and answers in one report to the leader.
 constexpr std::size_t kMaxReports = 64;
 // Blocked requests in one report to other instances.
@@ -78,10 +81,11 @@
   for (const CrashSuspect& suspect : found) {
     Request& request = Remember(suspect.digest, now);
     std::uint64_t target = IncarnationDigest(*suspect.target);
-    // A target that was sent the request after it had crashed has restarted
-    // under the same id, which the registry did not know yet.
+    // A target that was sent the request long after it had crashed has
+    // restarted under the same id, which the registry did not know yet.
     for (const Crash& crash : request.crashes) {
-      if (crash.target == target && suspect.sent_at > crash.at) {
+      if (crash.target == target &&
+          suspect.sent_at > crash.at + kMinRestartTime) {
         target = target * kDigestFactor + 1;
       }
     }
--- a/src/gateway/tests/crash_tracker_test.cc
+++ b/src/gateway/tests/crash_tracker_test.cc
@@ -100,6 +100,17 @@
   BOOST_TEST(from_member.IsBlocked(7, kStart));
 }
 
+BOOST_AUTO_TEST_CASE(BreaksOfSeveralConnectionsToOneTargetCountOnce) {
+  CrashTracker tracker;
+  const auto target = std::make_shared<Target>();
+  for (int i = 0; i < 3; ++i) {
+    const Instant sent_at = kStart + i * 1ms;
+    tracker.OnAttemptFailed({7, target, sent_at, sent_at, true});
+  }
+  tracker.CountCrashes(kStart + 1s);
+  BOOST_TEST(tracker.Crashes(7, kStart + 1s) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(AnswerClearsTheCountAtTheLeader) {
   CrashTracker leader;
   CrashTracker member;
