--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -89,6 +89,10 @@
   }
 
  private:
+  /// After this many failed heartbeats in a row an instance writes its row to
+  /// the store. After one more, callers are no longer sent to the leader.
+  static constexpr int kFailedHeartbeatThreshold = 2;
+
   // Heartbeats.
   boost::asio::awaitable<void> HeartbeatLoop();
   boost::asio::awaitable<void> RunHeartbeat();
--- /dev/null
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -0,0 +1,290 @@
+// Heartbeats: following a leader, leading, or working with the store directly.
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "core/log.h"
+#include "fleet/fleet_agent.h"
+#include "platform/tables.h"
+
+namespace jackdaw::serving {
+namespace {
+
+// Interval of heartbeats to the leader: its minimum, the time that each member
+// of the fleet adds, and its maximum.
+constexpr Micros kMinHeartbeatInterval = 400ms;
+constexpr Micros kHeartbeatIntervalPerMember = 10ms;
+constexpr Micros kMaxHeartbeatInterval = 1000ms;
+// The first heartbeat of an instance is delayed by a random time up to this, so
+// that instances that start together do not send at once.
+constexpr Micros kStartupSpread = 250ms;
+// Heartbeat interval of an instance that leads or has no leader.
+constexpr Micros kStoreSyncInterval = 900ms;
+// Least time between the previous heartbeat and one that is sent early.
+constexpr Micros kMinExpediteInterval = 150ms;
+// Timeout of a heartbeat to the leader.
+constexpr Micros kHeartbeatTimeout = 400ms;
+// Limit of the bytes of a table's rows that a leader relays to all members
+// together in one round of heartbeats. The link of the leader may have only 10
+// Mbit/s.
+constexpr std::size_t kMaxRelayedBytes = 400UL * 1024;
+// Followers rely on a leader only if its last successful write to the store is
+// younger than this.
+constexpr Micros kMaxLeaderWriteAge = 1600ms;
+
+}  // namespace
+
+Member FleetAgent::OwnMember() const {
+  Member own;
+  own.name = settings_.name;
+  own.entry = settings_.entry;
+  own.peer = settings_.peer;
+  own.failure_domain = settings_.failure_domain;
+  own.boot_id = boot_id_;
+  own.heartbeat_number = heartbeat_number_;
+  own.state = ready() ? MemberState::kReady : state_;
+  own.shares_epoch = applied_shares_epoch_;
+  for (const auto& [key, demand] : demand_.averages()) {
+    own.demand.push_back({key, demand});
+  }
+  own.crashes = crashes_.Unreported(clock_.Now());
+  return own;
+}
+
+Micros FleetAgent::HeartbeatInterval() const {
+  if (!following_) {
+    return kStoreSyncInterval;
+  }
+  const auto members = static_cast<std::int64_t>(view_.members.size());
+  return std::clamp(kHeartbeatIntervalPerMember * members,
+                    kMinHeartbeatInterval, kMaxHeartbeatInterval);
+}
+
+boost::asio::awaitable<void> FleetAgent::HeartbeatLoop() {
+  co_await Pause(Micros(static_cast<std::int64_t>(
+      random_.Below(static_cast<std::uint64_t>(kStartupSpread.count())))));
+  for (;;) {
+    co_await RunHeartbeat();
+    const Micros span = HeartbeatInterval();
+    const auto jitter = Micros(static_cast<std::int64_t>(
+        random_.Below(static_cast<std::uint64_t>(span.count() / 8))));
+    heartbeat_timer_.expires_after(span - jitter);
+    co_await heartbeat_timer_.async_wait(
+        boost::asio::as_tuple(boost::asio::use_awaitable));
+  }
+}
+
+// Only a heartbeat to a leader is sent early, as it makes no call to the store.
+void FleetAgent::ExpediteHeartbeat() {
+  if (following_ && clock_.Now() - heartbeat_sent_at_ >= kMinExpediteInterval) {
+    heartbeat_timer_.cancel();
+  }
+}
+
+boost::asio::awaitable<void> FleetAgent::RunHeartbeat() {
+  heartbeat_sent_at_ = clock_.Now();
+  demand_.EndPeriod(clock_.Now());
+  ++heartbeat_number_;
+  CountCrashes();
+  const bool knows_leader = LeaderAddress().has_value();
+  bool followed = false;
+  if (knows_leader) {
+    followed = co_await SendHeartbeat();
+  }
+  if (!followed) {
+    co_await SyncWithStore(!knows_leader);
+  }
+  DropShareIfDisconnected();
+  for (const std::string& id : target_feed_.Expire(clock_.Now())) {
+    TargetFeed::Changes changes;
+    changes.removed.push_back(id);
+    OnTargetChanges(changes);
+  }
+}
+
+void FleetAgent::CountCrashes() {
+  const Instant now = clock_.Now();
+  for (const CrashSuspect& crash : crashes_.CountCrashes(now)) {
+    Log(LogLevel::kInfo, "request_crashed_target",
+        {{"digest", std::to_string(crash.digest)},
+         {"target", crash.target->entry.id},
+         {"born", std::to_string(crash.target->entry.born_ms)},
+         {"silent_ms", std::to_string((now - crash.ended_at) / 1ms)},
+         {"targets", std::to_string(crashes_.Crashes(crash.digest, now))}});
+  }
+}
+
+// Sends a heartbeat to the leader and applies the reply.
+// @returns whether the leader's data are recent, so that the store need not be
+// read
+boost::asio::awaitable<bool> FleetAgent::SendHeartbeat() {
+  const auto leader = LeaderAddress();
+  if (!leader) {
+    co_return false;
+  }
+  const std::string leader_term = leadership_.lease().holder + "/" +
+                                  std::to_string(leadership_.lease().term);
+  if (reported_to_ != leader_term) {
+    reported_to_ = leader_term;
+    crashes_.ReportAgain();
+  }
+  HeartbeatRequest heartbeat;
+  heartbeat.member = OwnMember();
+  heartbeat.view_id = view_.id;
+  heartbeat.config_after = config_replica_.version();
+  heartbeat.targets_after = target_replica_.version();
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/peer/beat";
+  request.headers.push_back({"Content-Type", "application/json"});
+  request.body = EncodeHeartbeat(heartbeat);
+  const Instant sent_at = boot_clock_.Now();
+  const Result<HttpResponse> answer = co_await http_.Fetch(
+      *leader, std::move(request), clock_.Now() + kHeartbeatTimeout);
+  if (!answer || answer.value().status != 200) {
+    OnHeartbeatFailed();
+    co_return false;
+  }
+  const auto reply = DecodeHeartbeatReply(answer.value().body);
+  if (!reply) {
+    Log(LogLevel::kError, "beat_unreadable", {{"error", reply.error().Line()}});
+    OnHeartbeatFailed();
+    co_return false;
+  }
+  failed_heartbeats_ = 0;
+  leader_contact_at_ = sent_at;
+  crashes_.OnReported(heartbeat.member.crashes);
+  OnHeartbeatReply(reply.value());
+  SetFollowing(reply.value().fresh);
+  co_return reply.value().fresh;
+}
+
+// The leader may have ended before it stored what it was told.
+void FleetAgent::OnHeartbeatFailed() {
+  ++failed_heartbeats_;
+  crashes_.ReportAgain();
+  SetFollowing(false);
+}
+
+// A leader has nobody to report to: it stores the crashes itself.
+bool FleetAgent::HasUnreportedCrash() const {
+  return !leadership_.HoldsLease() &&
+         !crashes_.Unreported(clock_.Now()).empty();
+}
+
+void FleetAgent::OnHeartbeatReply(const HeartbeatReply& reply) {
+  const Instant now = clock_.Now();
+  if (reply.view) {
+    view_ = *reply.view;
+    retries_.SetInstances(static_cast<int>(view_.members.size()), now);
+  }
+  if (reply.shares && reply.shares->epoch >= shares_.epoch) {
+    shares_ = *reply.shares;
+    ApplyShares();
+  }
+  fleet_known_ = true;
+  read_config_ = reply.config.read_store;
+  read_targets_ = reply.targets.read_store;
+  platform::RowSet rows;
+  rows.version = reply.config.version;
+  rows.rows = reply.config.rows;
+  for (platform::StoredRow& row : rows.rows) {
+    row.at.table = platform::kConfigTable;
+  }
+  config_replica_.OnDelta(reply.config, now);
+  OnConfigRows(rows);
+  rows.version = reply.targets.version;
+  rows.rows = reply.targets.rows;
+  target_replica_.OnDelta(reply.targets, now);
+  const auto targets = DecodeTargets(rows);
+  OnTargetChanges(reply.targets.whole ? target_feed_.OnSnapshot(targets, now)
+                                      : target_feed_.OnChanges(targets, now));
+  crashes_.Merge(reply.crashes, now);
+}
+
+void FleetAgent::ConfigureWatch(StoreWatch& watch,
+                                const TableReplica& replica,
+                                bool active) {
+  if (active) {
+    watch.ResumeFrom(replica.version());
+  }
+  watch.SetActive(active);
+}
+
+// The store is watched only while no leader supplies recent data.
+void FleetAgent::SetFollowing(bool following) {
+  if (following_ != following) {
+    Log(LogLevel::kInfo, following ? "following" : "acting_alone",
+        {{"leader", leadership_.lease().holder}});
+  }
+  following_ = following;
+  ConfigureWatch(config_watch_, config_replica_, !following || read_config_);
+  ConfigureWatch(target_watch_, target_replica_, !following || read_targets_);
+}
+
+bool FleetAgent::IsFreshLeader() const {
+  return leadership_.HoldsLease() &&
+         boot_clock_.Now() - last_write_at_ < kMaxLeaderWriteAge &&
+         !config_watch_.lost() && !target_watch_.lost();
+}
+
+// Reads and writes the fleet table, as the leader or while no leader is
+// reachable. An instance that learns of a leader from the rows follows it at
+// once, so that of many instances that start together only one watches the
+// store.
+// @param try_leader whether a leader that the rows name is to be contacted;
+// false if this heartbeat has already tried one
+boost::asio::awaitable<void> FleetAgent::SyncWithStore(bool try_leader) {
+  for (;;) {
+    co_await ReadFleetTable();
+    const bool learned = try_leader && LeaderAddress().has_value();
+    if (learned) {
+      try_leader = false;
+      if (co_await SendHeartbeat()) {
+        co_return;
+      }
+    }
+    SetFollowing(false);
+    if (!fleet_known_) {
+      co_return;
+    }
+    const bool with_member =
+        failed_heartbeats_ >= kFailedHeartbeatThreshold || HasUnreportedCrash();
+    const bool written = co_await WriteFleetTable(with_member);
+    // The write failed, perhaps because another instance has acquired the
+    // lease, so the rows are read and written once more.
+    if (written || !try_leader || leadership_.HoldsLease()) {
+      co_return;
+    }
+    try_leader = false;
+  }
+}
+
+std::optional<HeartbeatReply> FleetAgent::OnHeartbeat(
+    const HeartbeatRequest& heartbeat) {
+  if (!leadership_.HoldsLease()) {
+    return std::nullopt;
+  }
+  const Instant now = clock_.Now();
+  members_.OnHeartbeat(heartbeat.member, now);
+  crashes_.Merge(heartbeat.member.crashes, now);
+  RefreshView();
+  HeartbeatReply reply;
+  reply.fresh = IsFreshLeader();
+  reply.term = leadership_.term();
+  if (heartbeat.view_id != view_.id) {
+    reply.view = view_;
+  }
+  if (heartbeat.member.shares_epoch != shares_.epoch) {
+    reply.shares = shares_;
+  }
+  const std::size_t max_bytes =
+      kMaxRelayedBytes / std::max<std::size_t>(1, view_.members.size());
+  reply.config = config_replica_.DeltaSince(heartbeat.config_after, max_bytes);
+  reply.targets =
+      target_replica_.DeltaSince(heartbeat.targets_after, max_bytes);
+  reply.crashes = crashes_.BlockedRequests(now);
+  return reply;
+}
+
+}  // namespace jackdaw::serving
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -3,6 +3,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,9 @@
   void OnConnectionEnd(ConnectionEnd end) override;
 
  private:
+  /// No attempt is started with less time left before the deadline.
+  static constexpr Micros kMinTimeLeft = 20ms;
+
   using ResponseParser = boost::beast::http::response_parser<ResponseBody>;
 
   /// An error response that the instance itself sends: a machine-readable kind,
@@ -64,6 +68,7 @@
 
   // Sending.
   void Dispatch();
+  TargetPick PickTarget(std::span<const TargetPtr> excluded) const;
   void OnAdapterLoaded(const TargetPtr& target);
   void OnNoTarget(const TargetPick& pick);
   void RejectMissingModel(Instant now);
@@ -73,6 +78,8 @@
   void SendTo(const TargetPtr& target, Instant at);
   void OpenConnection();
   void SendRequest();
+
+  // End of an attempt.
   bool TryTakeRetry(bool may_have_run);
   void Retry(std::string_view reason, bool may_have_run);
   void EndAttempt(TargetOutcome outcome);
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -1,4 +1,4 @@
-// Sending of a request: choice of a target, retries, timeouts.
+// Sending of a request: choice of a target, connection, first bytes.
 #include <algorithm>
 
 #include "core/log.h"
@@ -9,8 +9,7 @@
 namespace jackdaw::serving {
 namespace {
 
-// Maximum of targets chosen, and of adapter loads requested, per request.
-constexpr int kMaxTargetChoices = 4;
+// Maximum of adapter loads requested per request.
 constexpr int kMaxAdapterRequests = 2;
 // Time to open a connection before another target is tried.
 constexpr Micros kConnectTimeout = 250ms;
@@ -18,13 +17,6 @@
 // older one. Requests that may not be repeated use the lower limit.
 constexpr Micros kMaxIdleNonRepeatable = 3s;
 constexpr Micros kMaxIdle = 60s;
-// No attempt is started with less time left before the deadline.
-constexpr Micros kMinTimeLeft = 20ms;
-// Time without bytes after which a repeatable request moves to another target.
-constexpr Micros kStreamStallTime = 1300ms;
-constexpr Micros kPlainStallTime = 600ms;
-// Highest cost of another target at which a stalled request is retried there.
-constexpr double kMaxMoveCostMs = 600;
 // Values of Retry-After.
 constexpr Micros kNoTargetRetryAfter = 500ms;
 constexpr Micros kNoAdapterRetryAfter = 300ms;
@@ -37,12 +29,7 @@
     OnDeadline();
     return;
   }
-  TargetQuery query;
-  query.service = service_->name;
-  query.call = &call_;
-  query.engine = service_->engine ? &*service_->engine : nullptr;
-  query.excluded = excluded_targets_;
-  const TargetPick pick = deps_.targets.Pick(query, now);
+  const TargetPick pick = PickTarget(excluded_targets_);
   if (pick.outcome == PickOutcome::kChosen) {
     if (!waiting_) {
       TraceChoice(pick, now);
@@ -69,6 +56,15 @@
   OnNoTarget(pick);
 }
 
+TargetPick Exchange::PickTarget(std::span<const TargetPtr> excluded) const {
+  TargetQuery query;
+  query.service = service_->name;
+  query.call = &call_;
+  query.engine = service_->engine ? &*service_->engine : nullptr;
+  query.excluded = excluded;
+  return deps_.targets.Pick(query, deps_.clock.Now());
+}
+
 void Exchange::OnAdapterLoaded(const TargetPtr& target) {
   const Instant now = deps_.clock.Now();
   if (target == nullptr) {
@@ -227,155 +223,4 @@
   ArmStallTimer();
 }
 
-// Sets the stall timer if the request may be retried at another target.
-void Exchange::ArmStallTimer() {
-  if (!route_->Repeatable() || attempts_ >= route_->max_attempts) {
-    return;
-  }
-  const Micros limit =
-      route_->kind == RouteKind::kStream ? kStreamStallTime : kPlainStallTime;
-  deps_.timers.Set(attempt_timer_, last_progress_at_ + limit,
-                   [this] { OnStall(); });
-}
-
-void Exchange::OnStall() {
-  const auto self = shared_from_this();
-  const Instant now = deps_.clock.Now();
-  const Micros limit =
-      route_->kind == RouteKind::kStream ? kStreamStallTime : kPlainStallTime;
-  if (now - last_progress_at_ < limit) {
-    ArmStallTimer();
-    return;
-  }
-  TargetQuery query;
-  query.service = service_->name;
-  query.call = &call_;
-  query.engine = service_->engine ? &*service_->engine : nullptr;
-  std::vector<TargetPtr> excluded = excluded_targets_;
-  excluded.push_back(target_);
-  query.excluded = excluded;
-  const TargetPick pick = deps_.targets.Pick(query, now);
-  if (pick.outcome != PickOutcome::kChosen || pick.cost_ms > kMaxMoveCostMs ||
-      reading_paused_ || !TryTakeRetry(true)) {
-    last_progress_at_ = now;
-    ArmStallTimer();
-    return;
-  }
-  trace_.Add(now, "stalled", target_->entry.id);
-  may_have_run_ = true;
-  excluded_targets_.push_back(target_);
-  EndAttempt(TargetOutcome::kFailed);
-  events_.DropPartialEvent();
-  ++deps_.counters.retries;
-  SendTo(pick.target, now);
-}
-
-// Takes a retry from the retry budget. @returns false if it must not be sent
-bool Exchange::TryTakeRetry(bool may_have_run) {
-  const Instant now = deps_.clock.Now();
-  if (may_have_run && !route_->Repeatable()) {
-    return false;
-  }
-  if (head_sent_ && !(is_stream_ && route_->resumable)) {
-    return false;
-  }
-  if (attempts_ >= route_->max_attempts || deadline_ - now < kMinTimeLeft ||
-      response_ended_ || deps_.crashes.IsBlocked(digest_, now)) {
-    return false;
-  }
-  return deps_.retries.TryRetry(service_->name, now);
-}
-
-void Exchange::Retry(std::string_view reason, bool may_have_run) {
-  trace_.Add(deps_.clock.Now(), "retry", std::string(reason));
-  may_have_run_ = may_have_run_ || may_have_run;
-  ++deps_.counters.retries;
-  events_.DropPartialEvent();
-  Dispatch();
-}
-
-// Records the outcome and closes the connection unless the pool has it back.
-void Exchange::EndAttempt(TargetOutcome outcome) {
-  deps_.timers.Clear(attempt_timer_);
-  if (target_ == nullptr) {
-    return;
-  }
-  const Instant now = deps_.clock.Now();
-  const bool complete = parser_ && parser_->is_done();
-  if (sent_ && !complete) {
-    deps_.crashes.OnAttemptFailed(
-        {digest_, target_, sent_at_, now, connection_ended_});
-  }
-  deps_.targets.OnEnded(*target_, outcome, first_byte_recorded_, sent_at_, now);
-  if (connection_ != nullptr) {
-    connection_->Close();
-    connection_.reset();
-  }
-  target_.reset();
-  reading_paused_ = false;
-}
-
-void Exchange::OnConnectionEnd(ConnectionEnd end) {
-  const auto self = shared_from_this();
-  deps_.timers.Clear(attempt_timer_);
-  const Instant now = deps_.clock.Now();
-  if (!sent_) {
-    trace_.Add(now, "unreachable", target_->entry.id);
-    excluded_targets_.push_back(target_);
-    EndAttempt(TargetOutcome::kUnreachable);
-    if (target_choices_ < kMaxTargetChoices) {
-      Dispatch();
-    } else {
-      OnNoTarget({});
-    }
-    return;
-  }
-  if (head_parsed_ && end == ConnectionEnd::kClosed && parser_->need_eof()) {
-    boost::system::error_code failure;
-    parser_->put_eof(failure);
-    if (!failure && parser_->is_done()) {
-      OnResponseProgress();
-      return;
-    }
-  }
-  connection_ended_ = end != ConnectionEnd::kTimedOut;
-  OnAttemptBroken(end == ConnectionEnd::kClosed ? "closed" : "reset");
-}
-
-void Exchange::OnDeadline() {
-  const auto self = shared_from_this();
-  trace_.Add(deps_.clock.Now(), "deadline");
-  if (head_sent_) {
-    AbortResponse("deadline");
-    return;
-  }
-  Reject({attempts_ == 0 ? 503 : 504, "deadline", "allow more time",
-          std::nullopt});
-}
-
-void Exchange::OnCallerDisconnected() {
-  const auto self = shared_from_this();
-  if (done_) {
-    return;
-  }
-  trace_.Add(deps_.clock.Now(), "caller_gone");
-  ++deps_.counters.abandoned;
-  RecordEnd("abandoned", 0, "caller closed the connection");
-  Close();
-}
-
-void Exchange::SetWaiting(bool waiting) {
-  if (waiting_ != waiting) {
-    waiting_ = waiting;
-    waiting ? ++deps_.counters.waiting : --deps_.counters.waiting;
-  }
-}
-
-void Exchange::Close() {
-  done_ = true;
-  SetWaiting(false);
-  deps_.timers.Clear(deadline_timer_);
-  EndAttempt(TargetOutcome::kAbandoned);
-}
-
 }  // namespace jackdaw::serving
--- a/src/gateway/tests/retry_limiter_test.cc
+++ b/src/gateway/tests/retry_limiter_test.cc
@@ -27,7 +27,8 @@
   constexpr int kInstances = 6;
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     Random random(seed);
-    std::vector<RetryLimiter> limiters(kInstances, RetryLimiter(limits, kLongAgo));
+    std::vector<RetryLimiter> limiters(kInstances,
+                                       RetryLimiter(limits, kLongAgo));
     for (RetryLimiter& limiter : limiters) {
       limiter.SetInstances(kInstances, kStart);
     }
