--- a/src/gateway/response_body.h
+++ b/src/gateway/response_body.h
@@ -15,10 +15,10 @@
 struct ResponseBody {
   using value_type = std::string;
 
-  class reader {
+  class Reader {
    public:
     template <bool kIsRequest, class Fields>
-    reader(boost::beast::http::header<kIsRequest, Fields>& /*head*/,
+    Reader(boost::beast::http::header<kIsRequest, Fields>& /*head*/,
            value_type& body)
         : body_(body) {}
 
@@ -43,6 +43,8 @@
    private:
     value_type& body_;
   };
+  /// The name under which the parser looks for it.
+  using reader = Reader;
 };
 
 }  // namespace jackdaw::serving
