Take an answer for life of a target that reset its connections

A target that ended a connection is now also cleared by an answer of its own over a new one within a second, where a successor is told by its 421; the time of silence after which it counts is 1 s, was 500 ms, which leaves the contact time of 3 s.

--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -9,8 +9,8 @@
 // sent before the target crashed.
 constexpr Micros kMaxBytesInTransit = 150ms;
 // A target counts as crashed if it stays silent for this time after it ended
-// the connection.
-constexpr Micros kMaxSilence = 500ms;
+// the connection. A crashed target takes longer to restart.
+constexpr Micros kMaxSilence = 1s;
 // Time for which an attempt that was given up is a suspect. By then the store
 // has removed the entry of a target that crashed.
 constexpr Micros kMaxSuspicion = 10s;
@@ -50,6 +50,13 @@
   });
 }
 
+void CrashSuspects::OnAnswer(const Target& target, Instant now) {
+  std::erase_if(suspects_, [&](const CrashSuspect& suspect) {
+    return suspect.target.get() == &target && suspect.connection_ended &&
+           now > suspect.ended_at + kMaxBytesInTransit;
+  });
+}
+
 std::vector<CrashSuspect> CrashSuspects::TakeCrashes(Instant now) {
   std::vector<CrashSuspect> crashes;
   std::erase_if(suspects_, [&](const CrashSuspect& suspect) {
--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -22,7 +22,8 @@
 
 /// Decides which attempts without a complete response ended in a crash of the
 /// target. A target has not crashed if a connection that was open at that time
-/// still delivers bytes, and has left as planned if it was draining.
+/// still delivers bytes, or if the target answers soon after it ended the
+/// connection, and it has left as planned if it was draining.
 class CrashSuspects {
  public:
   void Add(CrashSuspect suspect);
@@ -31,6 +32,9 @@
   /// Clears a target from which bytes arrived.
   /// @param opened_at when their connection was opened
   void OnBytes(const Target& target, Instant opened_at, Instant now);
+  /// Clears a target that ended a connection and answers now. It must have
+  /// checked that it is the target meant: a successor may have its address.
+  void OnAnswer(const Target& target, Instant now);
   /// Removes and returns the suspects whose target is now known to have
   /// crashed. Discards those whose target has left as planned.
   std::vector<CrashSuspect> TakeCrashes(Instant now);
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -65,6 +65,10 @@
   suspects_.OnBytes(target, opened_at, now);
 }
 
+void CrashTracker::OnTargetAnswer(const Target& target, Instant now) {
+  suspects_.OnAnswer(target, now);
+}
+
 void CrashTracker::OnAnswered(std::uint64_t digest) {
   suspects_.Remove(digest);
   if (requests_.erase(digest) == 0) {
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -41,6 +41,8 @@
   void OnAttemptFailed(CrashSuspect suspect);
   /// Clears a target from which bytes arrived; see CrashSuspects.
   void OnBytes(const Target& target, Instant opened_at, Instant now);
+  /// Clears a target that answers; see CrashSuspects.
+  void OnTargetAnswer(const Target& target, Instant now);
   /// Forgets the crashes of a request that a target has answered.
   void OnAnswered(std::uint64_t digest);
   /// Records the suspects that are found to have crashed by now.
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -100,6 +100,10 @@
     return;
   }
   head_parsed_ = true;
+  // 421 comes from another target that has taken over the address.
+  if (parser_->get().result_int() != 421) {
+    deps_.crashes.OnTargetAnswer(*target_, now);
+  }
   first_byte_recorded_ = true;
   deps_.targets.OnFirstByte(*target_, response_head_, expected_prefill_,
                             sent_at_, now);
