Bound what a control call reads ahead of its answer

The class of the endless answers, looked for elsewhere: the client of control calls (orders and reports to targets, the store, peers) bounds heads and bodies, but kept the bytes of an endless chunk extension or trailer until the call's deadline. EndlessAnswerToAControlCallFails ended with std::bad_alloc before (address space limited to 4 GB, deadline 15 s) and passes now.

Bytes ahead of the parser are bounded by 128 KB; beyond that the call fails and the connection is closed.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -23,6 +23,9 @@
 
 // Largest answer body read from a server.
 constexpr std::uint64_t kAnswerBodyLimit = 64ULL * 1024 * 1024;
+// Bytes read ahead of the parser, at most. An answer whose head or chunk size
+// does not end within them fails.
+constexpr std::size_t kMaxUnparsedBytes = 128UL * 1024;
 // Body bytes taken from a connection in one read.
 constexpr std::size_t kReadBytes = 16UL * 1024;
 // Time to connect; a server's system accepts at once also when it is slow.
@@ -226,7 +229,7 @@
   bool cancelled_ = false;
   http::request<http::string_body> message_;
   std::unique_ptr<beast::tcp_stream> stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxUnparsedBytes};
   std::optional<http::response_parser<http::buffer_body>> parser_;
 };
 
