--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -199,7 +199,7 @@
   const auto targets = DecodeTargets(rows);
   OnTargetChanges(reply.targets.whole ? target_feed_.OnSnapshot(targets, now)
                                       : target_feed_.OnChanges(targets, now));
-  crashes_.Merge(reply.crashes, now);
+  crashes_.AddReports(reply.crashes, now);
 }
 
 void FleetAgent::ConfigureWatch(StoreWatch& watch,
@@ -267,7 +267,7 @@
   }
   const Instant now = clock_.Now();
   members_.OnHeartbeat(heartbeat.member, now);
-  crashes_.Merge(heartbeat.member.crashes, now);
+  crashes_.AddReports(heartbeat.member.crashes, now);
   RefreshView();
   HeartbeatReply reply;
   reply.fresh = IsFreshLeader();
--- a/src/fleet/fleet_agent_store.cc
+++ b/src/fleet/fleet_agent_store.cc
@@ -60,7 +60,7 @@
             {{"key", row.at.key}, {"error", member.error().Line()}});
       } else if (member.value().name != settings_.name) {
         members_.OnHeartbeat(member.value(), now);
-        crashes_.Merge(member.value().crashes, now);
+        crashes_.AddReports(member.value().crashes, now);
       }
     } else if (row.at.key == kLeaseKey) {
       auto lease = DecodeLeaderLease(row.value);
@@ -81,7 +81,7 @@
                row.version > crashes_row_version_) {
       crashes_row_version_ = row.version;
       if (const auto reports = DecodeCrashRow(row.value)) {
-        crashes_.Merge(reports.value(), now);
+        crashes_.AddReports(reports.value(), now);
       } else {
         Log(LogLevel::kWarn, "row_unreadable",
             {{"key", row.at.key}, {"error", reports.error().Line()}});
--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -41,16 +41,16 @@
   });
 }
 
-void CrashSuspects::OnBytes(const Target& target,
-                            Instant opened_at,
-                            Instant now) {
+void CrashSuspects::OnTargetBytes(const Target& target,
+                                  Instant opened_at,
+                                  Instant now) {
   std::erase_if(suspects_, [&](const CrashSuspect& suspect) {
     return suspect.target.get() == &target && opened_at < suspect.ended_at &&
            now > suspect.ended_at + kMaxBytesInTransit;
   });
 }
 
-void CrashSuspects::OnAnswer(const Target& target, Instant now) {
+void CrashSuspects::OnTargetAnswered(const Target& target, Instant now) {
   std::erase_if(suspects_, [&](const CrashSuspect& suspect) {
     return suspect.target.get() == &target && suspect.connection_ended &&
            now > suspect.ended_at + kMaxBytesInTransit;
--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -31,10 +31,10 @@
   void Remove(std::uint64_t digest);
   /// Clears a target from which bytes arrived.
   /// @param opened_at when their connection was opened
-  void OnBytes(const Target& target, Instant opened_at, Instant now);
+  void OnTargetBytes(const Target& target, Instant opened_at, Instant now);
   /// Clears a target that ended a connection and answers now. It must have
   /// checked that it is the target meant: a successor may have its address.
-  void OnAnswer(const Target& target, Instant now);
+  void OnTargetAnswered(const Target& target, Instant now);
   /// Removes and returns the suspects whose target is now known to have
   /// crashed. Discards those whose target has left as planned.
   std::vector<CrashSuspect> TakeCrashes(Instant now);
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -59,17 +59,17 @@
   suspects_.Add(std::move(suspect));
 }
 
-void CrashTracker::OnBytes(const Target& target,
-                           Instant opened_at,
-                           Instant now) {
-  suspects_.OnBytes(target, opened_at, now);
+void CrashTracker::OnTargetBytes(const Target& target,
+                                 Instant opened_at,
+                                 Instant now) {
+  suspects_.OnTargetBytes(target, opened_at, now);
 }
 
-void CrashTracker::OnTargetAnswer(const Target& target, Instant now) {
-  suspects_.OnAnswer(target, now);
+void CrashTracker::OnTargetAnswered(const Target& target, Instant now) {
+  suspects_.OnTargetAnswered(target, now);
 }
 
-void CrashTracker::OnAnswered(std::uint64_t digest) {
+void CrashTracker::OnRequestAnswered(std::uint64_t digest) {
   suspects_.Remove(digest);
   if (requests_.erase(digest) == 0) {
     return;
@@ -108,7 +108,8 @@
   }
 }
 
-void CrashTracker::Merge(std::span<const CrashReport> reports, Instant now) {
+void CrashTracker::AddReports(std::span<const CrashReport> reports,
+                              Instant now) {
   for (const CrashReport& report : reports) {
     if (IsAnswer(report)) {
       revision_ += requests_.erase(report.digest);
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -40,16 +40,16 @@
   /// Records an attempt that ended without a complete response.
   void OnAttemptFailed(CrashSuspect suspect);
   /// Clears a target from which bytes arrived; see CrashSuspects.
-  void OnBytes(const Target& target, Instant opened_at, Instant now);
+  void OnTargetBytes(const Target& target, Instant opened_at, Instant now);
   /// Clears a target that answers; see CrashSuspects.
-  void OnTargetAnswer(const Target& target, Instant now);
+  void OnTargetAnswered(const Target& target, Instant now);
   /// Forgets the crashes of a request that a target has answered.
-  void OnAnswered(std::uint64_t digest);
+  void OnRequestAnswered(std::uint64_t digest);
   /// Records the suspects that are found to have crashed by now.
   /// @returns those suspects, for the log
   std::vector<CrashSuspect> CountCrashes(Instant now);
   /// Adds the reports of another instance or of the store.
-  void Merge(std::span<const CrashReport> reports, Instant now);
+  void AddReports(std::span<const CrashReport> reports, Instant now);
 
   /// Returns whether the request must not be sent.
   bool IsBlocked(std::uint64_t digest, Instant now) const;
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -41,7 +41,7 @@
   }
   last_progress_at_ = now;
   target_->last_received_at = now;
-  deps_.crashes.OnBytes(*target_, connection_->opened_at(), now);
+  deps_.crashes.OnTargetBytes(*target_, connection_->opened_at(), now);
   if (!ParseResponse()) {
     return;
   }
@@ -102,7 +102,7 @@
   head_parsed_ = true;
   // 421 comes from another target that has taken over the address.
   if (parser_->get().result_int() != 421) {
-    deps_.crashes.OnTargetAnswer(*target_, now);
+    deps_.crashes.OnTargetAnswered(*target_, now);
   }
   first_byte_recorded_ = true;
   deps_.targets.OnFirstByte(*target_, response_head_, expected_prefill_,
@@ -299,7 +299,7 @@
                           !connection_->sending();
     // Other responses do not show that the target ran the request.
     if (!response_head_.not_executed && status < 500 && status != 429) {
-      deps_.crashes.OnAnswered(digest_);
+      deps_.crashes.OnRequestAnswered(digest_);
     }
     if (reusable) {
       deps_.connections.Release(*target_, std::move(connection_),
--- a/src/gateway/tests/crash_suspects_test.cc
+++ b/src/gateway/tests/crash_suspects_test.cc
@@ -21,7 +21,7 @@
 
 BOOST_FIXTURE_TEST_CASE(TargetThatStaysSilentHasCrashed, SuspectsFixture) {
   Add(true);
-  suspects_.OnBytes(*target_, kStart - 1s, kStart + 60ms);
+  suspects_.OnTargetBytes(*target_, kStart - 1s, kStart + 60ms);
   BOOST_TEST(suspects_.CountTargets(kDigest) == 1);
   BOOST_TEST(suspects_.TakeCrashes(kStart + 60ms).empty());
   BOOST_TEST(suspects_.TakeCrashes(kStart + 1100ms).size() == 1U);
@@ -30,7 +30,7 @@
 
 BOOST_FIXTURE_TEST_CASE(ResetByALiveTargetIsNoCrash, SuspectsFixture) {
   Add(true);
-  suspects_.OnBytes(*target_, kStart - 1s, kStart + 400ms);
+  suspects_.OnTargetBytes(*target_, kStart - 1s, kStart + 400ms);
   BOOST_TEST(suspects_.CountTargets(kDigest) == 0);
   BOOST_TEST(suspects_.TakeCrashes(kStart + 1100ms).empty());
 }
@@ -38,15 +38,15 @@
 BOOST_FIXTURE_TEST_CASE(ResetOfAllConnectionsByALiveTargetIsNoCrash,
                         SuspectsFixture) {
   Add(true);
-  suspects_.OnAnswer(*target_, kStart + 60ms);
+  suspects_.OnTargetAnswered(*target_, kStart + 60ms);
   BOOST_TEST(suspects_.CountTargets(kDigest) == 1);
-  suspects_.OnAnswer(*target_, kStart + 400ms);
+  suspects_.OnTargetAnswered(*target_, kStart + 400ms);
   BOOST_TEST(suspects_.CountTargets(kDigest) == 0);
 }
 
 BOOST_FIXTURE_TEST_CASE(BytesOfASuccessorDoNotClearTheTarget, SuspectsFixture) {
   Add(true);
-  suspects_.OnBytes(*target_, kStart + 100ms, kStart + 400ms);
+  suspects_.OnTargetBytes(*target_, kStart + 100ms, kStart + 400ms);
   BOOST_TEST(suspects_.TakeCrashes(kStart + 1100ms).size() == 1U);
 }
 
@@ -67,7 +67,7 @@
 BOOST_FIXTURE_TEST_CASE(AbandonedAttemptAtALiveTargetIsNoCrash,
                         SuspectsFixture) {
   Add(false);
-  suspects_.OnBytes(*target_, kStart - 1s, kStart + 2s);
+  suspects_.OnTargetBytes(*target_, kStart - 1s, kStart + 2s);
   BOOST_TEST(suspects_.TakeCrashes(kStart + 3s).empty());
   target_->ended = true;
   BOOST_TEST(suspects_.TakeCrashes(kStart + 4s).empty());
--- a/src/gateway/tests/crash_tracker_test.cc
+++ b/src/gateway/tests/crash_tracker_test.cc
@@ -37,9 +37,9 @@
 /// Sends a member's reports to the leader and the leader's answer back.
 void ExchangeReports(CrashTracker& member, CrashTracker& leader) {
   const auto reports = member.Unreported(kStart);
-  leader.Merge(reports, kStart);
+  leader.AddReports(reports, kStart);
   member.OnReported(reports);
-  member.Merge(leader.BlockedRequests(kStart), kStart);
+  member.AddReports(leader.BlockedRequests(kStart), kStart);
 }
 
 BOOST_AUTO_TEST_CASE(EachInstanceLearnsTheSumOfAll) {
@@ -92,7 +92,7 @@
   Crash(member, 7, "t-3");
   ExchangeReports(member, first_leader);
   CrashTracker from_store;
-  from_store.Merge(first_leader.AllCrashes(kStart), kStart);
+  from_store.AddReports(first_leader.AllCrashes(kStart), kStart);
   BOOST_TEST(from_store.IsBlocked(7, kStart));
   CrashTracker from_member;
   member.ReportAgain();
@@ -117,7 +117,7 @@
   Crash(leader, 7, "t-1");
   Crash(member, 7, "t-2");
   ExchangeReports(member, leader);
-  member.OnAnswered(7);
+  member.OnRequestAnswered(7);
   ExchangeReports(member, leader);
   BOOST_TEST(leader.Crashes(7, kStart) == 0);
 }
@@ -140,7 +140,7 @@
   for (const char* id : {"t-1", "t-2", "t-3", "t-4", "t-5"}) {
     Crash(tracker, digest, id);
   }
-  tracker.OnAnswered(digest);
+  tracker.OnRequestAnswered(digest);
   BOOST_TEST(!tracker.IsBlocked(digest, kStart));
 }
 
