--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -89,6 +89,7 @@
 
   // Response.
   bool ParseResponse();
+  std::string_view AnswerFraming() const;
   void OnResponseHead();
   void OnResponseProgress();
   void OnFailedResponse();
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -128,6 +128,8 @@
        {"tokens", std::to_string(call_.Tokens())},
        {"config", config_ == nullptr ? "" : std::to_string(config_->version)},
        {"sends", std::to_string(attempts_)},
+       {"framing", std::string(AnswerFraming())},
+       {"partial_event_bytes", std::to_string(events_.partial_bytes())},
        {"late", late ? "yes" : "no"},
        {"first_ms",
         first_forwarded_at_ == Instant{}
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -91,6 +91,17 @@
   return true;
 }
 
+// Returns by what the end of the target's answer shows.
+std::string_view Exchange::AnswerFraming() const {
+  if (!parser_ || !parser_->is_header_done()) {
+    return "";
+  }
+  if (parser_->need_eof()) {
+    return "connection";
+  }
+  return parser_->chunked() ? "chunks" : "length";
+}
+
 void Exchange::OnResponseHead() {
   const Instant now = deps_.clock.Now();
   response_head_ = platform::DecodeAnswer(parser_->get());
@@ -181,6 +192,8 @@
        {"born", std::to_string(target_->entry.born_ms)},
        {"connection", connection_reused_ ? "kept" : "new"},
        {"after_ms", std::to_string((now - sent_at_) / 1ms)},
+       {"framing", std::string(AnswerFraming())},
+       {"partial_event_bytes", std::to_string(events_.partial_bytes())},
        {"how", std::string(how)}});
   if (!stale) {
     excluded_targets_.push_back(target_);
