Do not vouch for the end of an answer that was not seen

An answer may have neither a length nor chunks and end with its connection, which a target that fails closes in order too. The gateway took each orderly close for the end, forwarded what was left of an event and added a length or the last chunk of its own.

Now a stream that closes inside an event or before its first one is broken off: it is resumed where the route allows that, else ended as an error. A whole answer that ends with its connection is forwarded in the same way, so the caller knows as much as the gateway; whatever else closes that connection resets it, the end of the process included. A chunked stream that continues at a target without chunks is not ended by a last chunk. Callers of HTTP/1.0 get no chunks.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -211,6 +211,21 @@
       });
 }
 
+void CallerConnection::SetResetOnClose(bool reset) {
+  boost::system::error_code failure;
+  socket_.set_option(boost::asio::socket_base::linger(reset, 0), failure);
+  if (failure) {
+    Log(LogLevel::kWarn, "linger_not_set",
+        {{"caller", peer()}, {"error", failure.message()}});
+  }
+}
+
+void CallerConnection::EndWithConnection() {
+  ends_with_connection_ = true;
+  keep_open_ = false;
+  SetResetOnClose(true);
+}
+
 void CallerConnection::EndResponse(bool keep_open) {
   keep_open_ = keep_open_ && keep_open;
   response_ended_ = true;
@@ -225,6 +240,10 @@
 void CallerConnection::PrepareNextRequest() {
   response_ended_ = false;
   if (!keep_open_ || closed_) {
+    if (ends_with_connection_ && !closed_) {
+      ends_with_connection_ = false;
+      SetResetOnClose(false);
+    }
     Close();
     return;
   }
@@ -257,7 +276,10 @@
   closed_ = true;
   timers_.Clear(deadline_);
   boost::system::error_code ignored;
-  socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  // A shutdown would send the orderly end that a reset must not have.
+  if (!ends_with_connection_) {
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  }
   socket_.close(ignored);
   if (const auto task = std::move(task_)) {
     task->OnCallerDisconnected();
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -63,6 +63,10 @@
   /// Starts to write bytes of a response. Only one write may be in progress;
   /// OnWriteComplete reports its end.
   void Write(std::string bytes);
+  /// Lets the end of the connection mark the end of the response. Until the
+  /// response is complete, whatever closes the connection resets it, the end of
+  /// the process included, so that the caller cannot take it for that mark.
+  void EndWithConnection();
   /// Marks the response as complete.
   /// @param keep_open whether the connection may carry another request
   void EndResponse(bool keep_open);
@@ -90,6 +94,7 @@
   void Reject(int status, std::string_view kind);
   void SetIdleDeadline();
   void PrepareNextRequest();
+  void SetResetOnClose(bool reset);
   void Close();
 
   boost::asio::ip::tcp::socket socket_;
@@ -107,6 +112,7 @@
   bool closed_ = false;
   bool response_ended_ = false;
   bool keep_open_ = true;
+  bool ends_with_connection_ = false;
   bool continue_sent_ = false;
 };
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -49,6 +49,9 @@
 
   using ResponseParser = boost::beast::http::response_parser<ResponseBody>;
 
+  /// What shows the caller where the body of the response ends.
+  enum class BodyEnd : std::uint8_t { kLength, kLastChunk, kConnection };
+
   /// An error response that the instance itself sends: a machine-readable kind,
   /// and a remedy that says what the caller can do.
   struct Rejection {
@@ -97,7 +100,10 @@
   void ForwardEvents(bool last);
   void ForwardBytes(bool last);
   void SendBufferedResponse();
-  void AppendChunk(std::string_view bytes);
+  bool EndsInsideEvent() const;
+  void BeginResponse(BodyEnd body_end, std::string_view framing);
+  void AppendBody(std::string_view bytes);
+  void EndBody();
   void Flush();
   std::string ResponseHeadText(std::string_view framing) const;
   void Reject(const Rejection& rejection);
@@ -138,6 +144,8 @@
   bool sent_ = false;
   /// The target ended the connection before the response was complete.
   bool connection_ended_ = false;
+  /// An event has arrived in this attempt.
+  bool event_received_ = false;
   /// TargetRegistry::OnFirstByte was called for this attempt.
   bool first_byte_recorded_ = false;
   bool head_parsed_ = false;
@@ -159,8 +167,7 @@
   EventSplitter events_;
   bool is_stream_ = false;
   bool head_sent_ = false;
-  /// A large response without a known length is sent in chunks.
-  bool chunked_ = false;
+  BodyEnd body_end_ = BodyEnd::kLength;
   bool response_ended_ = false;
   bool caller_writing_ = false;
   bool reading_paused_ = false;
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -25,6 +25,9 @@
 constexpr int kMaxInformational = 8;
 // Bytes buffered for a slow caller before reading from the target is paused.
 constexpr std::size_t kMaxPendingBytes = 64UL * 1024;
+// Version of HTTP from which on callers read chunks.
+constexpr unsigned kHttp11 = 11;
+constexpr std::string_view kChunkedField = "Transfer-Encoding: chunked\r\n";
 
 bool IsEventStream(const http::response_header<>& head) {
   const auto type = head[http::field::content_type];
@@ -221,17 +224,21 @@
   text += "\r\n";
   text += platform::EncodeAnswerFields(head);
   text += framing;
-  if (closing_) {
+  if (closing_ && body_end_ != BodyEnd::kConnection) {
     text += "Connection: close\r\n";
   }
   text += "\r\n";
   return text;
 }
 
-void Exchange::AppendChunk(std::string_view bytes) {
+void Exchange::AppendBody(std::string_view bytes) {
   if (bytes.empty()) {
     return;
   }
+  if (body_end_ != BodyEnd::kLastChunk) {
+    pending_output_ += bytes;
+    return;
+  }
   std::array<char, 20> size{};
   const int length =
       std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
@@ -240,22 +247,58 @@
   pending_output_ += "\r\n";
 }
 
+void Exchange::EndBody() {
+  if (body_end_ == BodyEnd::kLastChunk) {
+    pending_output_ += "0\r\n\r\n";
+  }
+  response_ended_ = true;
+}
+
+// Returns whether a stream that ended now would end inside an event, or before
+// its first one.
+bool Exchange::EndsInsideEvent() const {
+  const auto& head = parser_->get();
+  return head.result_int() == 200 && IsEventStream(head) &&
+         (events_.partial_bytes() > 0 || !event_received_);
+}
+
+// Queues the head of a response. A target that leaves the end of its answer to
+// the connection may have failed when the connection closes, so the caller is
+// not told more than that either.
+void Exchange::BeginResponse(BodyEnd body_end, std::string_view framing) {
+  const bool knows_chunks = request_.version() >= kHttp11;
+  body_end_ = body_end;
+  if (parser_->need_eof() ||
+      (body_end == BodyEnd::kLastChunk && !knows_chunks)) {
+    body_end_ = BodyEnd::kConnection;
+    framing = "Connection: close\r\n";
+    caller_->EndWithConnection();
+  }
+  head_sent_ = true;
+  first_forwarded_at_ = deps_.clock.Now();
+  pending_output_ += ResponseHeadText(framing);
+}
+
 // Forwards the complete events, and after the last one the remaining bytes.
 void Exchange::ForwardEvents(bool last) {
   std::string complete_events;
-  events_.TakeCompleteEvents(complete_events);
+  event_received_ |= events_.TakeCompleteEvents(complete_events) > 0;
+  if (last && head_sent_ && parser_->need_eof() &&
+      body_end_ != BodyEnd::kConnection) {
+    AppendBody(complete_events);
+    Flush();
+    AbortResponse("end of the continued stream unknown");
+    return;
+  }
   if (last) {
     complete_events += events_.TakeRemainder();
   }
   if (!head_sent_ && (!complete_events.empty() || last)) {
-    head_sent_ = true;
-    first_forwarded_at_ = deps_.clock.Now();
-    pending_output_ += ResponseHeadText("Transfer-Encoding: chunked\r\n");
+    BeginResponse(BodyEnd::kLastChunk, kChunkedField);
   }
-  AppendChunk(complete_events);
+  AppendBody(complete_events);
   if (last) {
-    pending_output_ += "0\r\n\r\n";
-    response_ended_ = true;
+    EndBody();
   }
   Flush();
 }
@@ -264,23 +307,18 @@
 void Exchange::ForwardBytes(bool last) {
   auto& body = parser_->get().body();
   if (!head_sent_) {
-    head_sent_ = true;
-    first_forwarded_at_ = deps_.clock.Now();
     const auto length = parser_->content_length();
-    chunked_ = !length;
-    pending_output_ += ResponseHeadText(
-        length ? "Content-Length: " + std::to_string(*length) + "\r\n"
-               : std::string("Transfer-Encoding: chunked\r\n"));
-  }
-  if (chunked_) {
-    AppendChunk(body);
-  } else {
-    pending_output_ += body;
+    if (length) {
+      BeginResponse(BodyEnd::kLength,
+                    "Content-Length: " + std::to_string(*length) + "\r\n");
+    } else {
+      BeginResponse(BodyEnd::kLastChunk, kChunkedField);
+    }
   }
+  AppendBody(body);
   body.clear();
   if (last) {
-    pending_output_ += chunked_ ? "0\r\n\r\n" : "";
-    response_ended_ = true;
+    EndBody();
   }
   Flush();
 }
@@ -293,12 +331,11 @@
                           : std::to_string(head.body().size());
   const bool bodiless =
       head.result_int() == 204 || head.result_int() == 304 || length.empty();
-  pending_output_ = ResponseHeadText(
-      bodiless ? std::string() : "Content-Length: " + length + "\r\n");
+  BeginResponse(BodyEnd::kLength, bodiless
+                                      ? std::string()
+                                      : "Content-Length: " + length + "\r\n");
   pending_output_ += head.body();
-  head_sent_ = true;
-  first_forwarded_at_ = deps_.clock.Now();
-  response_ended_ = true;
+  EndBody();
   Flush();
 }
 
--- a/src/gateway/exchange_retry.cc
+++ b/src/gateway/exchange_retry.cc
@@ -115,7 +115,8 @@
     }
     return;
   }
-  if (head_parsed_ && end == ConnectionEnd::kClosed && parser_->need_eof()) {
+  if (head_parsed_ && end == ConnectionEnd::kClosed && parser_->need_eof() &&
+      !EndsInsideEvent()) {
     boost::system::error_code failure;
     parser_->put_eof(failure);
     if (!failure && parser_->is_done()) {
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -124,6 +124,7 @@
   target_ = target;
   sent_ = false;
   connection_ended_ = false;
+  event_received_ = false;
   first_byte_recorded_ = false;
   head_parsed_ = false;
   informational_responses_ = 0;
