Clear no crash by an answer whose end was not seen

The class of ORDER looked for elsewhere: the crash tracker took an orderly close of an answer without length and chunks for a complete answer, forgot the crashes of the request, and held no crash against it when the target ended then. Callers would have had a crashing request sent to further targets.

It counts as a crash only if the target's entry ends without a drain, and not if the target goes on sending.

--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -347,8 +347,9 @@
     const int status = static_cast<int>(parser_->get().result_int());
     const bool reusable = parser_->get().keep_alive() && !parser_->need_eof() &&
                           !connection_->sending();
-    // Other responses do not show that the target ran the request.
-    if (!response_head_.not_executed && status < 500 && status != 429) {
+    // Other responses do not show that the target ran the request to its end.
+    if (!parser_->need_eof() && !response_head_.not_executed && status < 500 &&
+        status != 429) {
       deps_.crashes.OnRequestAnswered(digest_);
     }
     if (reusable) {
--- a/src/gateway/exchange_retry.cc
+++ b/src/gateway/exchange_retry.cc
@@ -86,7 +86,7 @@
     return;
   }
   const Instant now = deps_.clock.Now();
-  const bool complete = parser_ && parser_->is_done();
+  const bool complete = parser_ && parser_->is_done() && !parser_->need_eof();
   if (sent_ && !complete) {
     deps_.crashes.OnAttemptFailed(
         {digest_, target_, sent_at_, now, connection_ended_});
