Block prompt parts that crash targets, not only whole requests

The tracker holds a crash against each shared part of the prompt as well. A part is blocked after three crashes of different targets, at different moments, under at least two requests; what the part with the most crashes explains says nothing against the others. Reports, the store's row and blocks use the ways that exist.

It works because the deadly part is the only one in all crashes that no complete answer ever clears.

--- a/src/fleet/member.cc
+++ b/src/fleet/member.cc
@@ -74,7 +74,14 @@
     if (report.target != 0) {
       digest += kTargetMark + std::to_string(report.target);
     }
-    crashes.push_back({{"digest", digest}, {"breaks", report.crashes}});
+    json::object crash{{"digest", digest}, {"breaks", report.crashes}};
+    if (report.request != 0) {
+      crash["request"] = std::to_string(report.request);
+    }
+    if (report.target != 0) {
+      crash["age_ms"] = report.age / 1ms;
+    }
+    crashes.push_back(std::move(crash));
   }
   return crashes;
 }
@@ -91,6 +98,10 @@
       report.target = std::strtoull(&digest[mark + 1], nullptr, 10);
     }
     report.crashes = static_cast<int>(crash.Integer("breaks", 0, kMaxCrashes));
+    report.request =
+        std::strtoull(crash.TextOr("request", "0").c_str(), nullptr, 10);
+    report.age =
+        std::chrono::milliseconds(crash.IntegerOr("age_ms", 0, kMaxInteger, 0));
     BOOST_OUTCOME_TRY(crash.Finish());
     reports.push_back(report);
   }
--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -14,6 +14,9 @@
 // Time for which an attempt that was given up is a suspect. By then the store
 // has removed the entry of a target that crashed.
 constexpr Micros kMaxSuspicion = 10s;
+// Silence after which a crash is held against the parts of a prompt. It is
+// shorter than kMaxSilence: one crash alone blocks no part.
+constexpr Micros kMinPartSilence = 400ms;
 // Suspects kept; beyond this the oldest are discarded.
 constexpr std::size_t kMaxSuspects = 1024;
 
@@ -72,6 +75,20 @@
   return crashes;
 }
 
+std::vector<CrashSuspect> CrashSuspects::TakePartCrashes(Instant now) {
+  std::vector<CrashSuspect> crashes;
+  for (CrashSuspect& suspect : suspects_) {
+    const bool silent =
+        suspect.connection_ended && now - suspect.ended_at >= kMinPartSilence;
+    if (!suspect.parts_counted && !suspect.parts.empty() && silent &&
+        !HasLeftAsPlanned(suspect)) {
+      suspect.parts_counted = true;
+      crashes.push_back(suspect);
+    }
+  }
+  return crashes;
+}
+
 int CrashSuspects::CountTargets(std::uint64_t digest) const {
   std::vector<const Target*> targets;
   for (const CrashSuspect& suspect : suspects_) {
--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -18,6 +18,10 @@
   /// The target ended the connection. Otherwise the attempt was given up, and
   /// the target may still run the request.
   bool connection_ended = false;
+  /// Parts of the prompt that other requests may share.
+  std::vector<std::uint64_t> parts = {};
+  /// The crash has been held against the parts.
+  bool parts_counted = false;
 };
 
 /// Decides which attempts without a complete response ended in a crash of the
@@ -38,6 +42,9 @@
   /// Removes and returns the suspects whose target is now known to have
   /// crashed. Discards those whose target has left as planned.
   std::vector<CrashSuspect> TakeCrashes(Instant now);
+  /// Returns the suspects whose target has been silent long enough to hold the
+  /// crash against the parts, each of them once.
+  std::vector<CrashSuspect> TakePartCrashes(Instant now);
   /// Returns the number of targets that ended the connection while they ran the
   /// request.
   int CountTargets(std::uint64_t digest) const;
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -10,6 +10,8 @@
 constexpr int kMaxCrashes = 3;
 // Time for which the crashes of a request are remembered after the last one.
 constexpr Micros kRetention = std::chrono::minutes(10);
+// Crashes remembered of one request or part.
+constexpr std::size_t kMaxCrashesOfOne = 32;
 // Tracked requests, at most.
 constexpr std::size_t kMaxRequests = 2048;
 // Shortest time from the crash of a target to the first request that its
@@ -19,8 +21,12 @@
 constexpr std::size_t kMaxReports = 64;
 // Blocked requests in one report to other instances.
 constexpr std::size_t kMaxBlockedReports = 64;
+// Blocked and unblocked requests in one report to other instances.
+constexpr std::size_t kMaxReplies = 128;
 // Crashes in one report to the store, so that it fits into a row.
 constexpr std::size_t kMaxStoredCrashes = 256;
+// Time for which the leader tells members what is not blocked any more.
+constexpr Micros kLiftTime = 10s;
 // Requests whose answer waits to be reported.
 constexpr std::size_t kMaxUnreportedAnswers = 256;
 
@@ -51,8 +57,19 @@
   return reported_crashes > static_cast<int>(crashes.size());
 }
 
+bool CrashTracker::Request::IsPart() const {
+  return !crashes.empty() && crashes.front().request != 0;
+}
+
 int CrashTracker::Request::Count() const {
-  return std::max(static_cast<int>(crashes.size()), reported_crashes);
+  if (!IsPart()) {
+    return std::max(static_cast<int>(crashes.size()), reported_crashes);
+  }
+  std::vector<PartCrash> of_part;
+  for (const Crash& crash : crashes) {
+    of_part.push_back({crash.target, crash.request, crash.at});
+  }
+  return std::max(CountPartCrashes(of_part), reported_crashes);
 }
 
 void CrashTracker::OnAttemptFailed(CrashSuspect suspect) {
@@ -80,7 +97,76 @@
   }
 }
 
+void CrashTracker::OnAnswerComplete(const CrashCauses& causes, Instant now) {
+  OnRequestAnswered(causes.request);
+  for (const std::uint64_t part : causes.parts) {
+    trusted_parts_.OnAnswer(part, now);
+    if (requests_.contains(part)) {
+      OnRequestAnswered(part);
+      Forget(part, now);
+    }
+  }
+}
+
+bool CrashTracker::TrustsParts(const CrashCauses& causes, Instant now) const {
+  return std::ranges::all_of(causes.parts, [&](std::uint64_t part) {
+    return trusted_parts_.Contains(part, now);
+  });
+}
+
+// Holds the crash against the parts of the request's prompt. A trusted part is
+// not the cause, as long as it is trusted.
+void CrashTracker::AddPartCrashes(const CrashSuspect& suspect, Instant now) {
+  const std::uint64_t target = IncarnationDigest(*suspect.target);
+  for (const std::uint64_t part : suspect.parts) {
+    trusted_parts_.OnCrash(part, target);
+    if (!trusted_parts_.Contains(part, now)) {
+      AddCrash(Remember(part, now),
+               {target, suspect.ended_at, false, suspect.digest}, now);
+    }
+  }
+}
+
+// Removes a request or part that is known to be sound.
+void CrashTracker::Forget(std::uint64_t digest, Instant now) {
+  revision_ += requests_.erase(digest);
+  std::erase(convicted_parts_, digest);
+  std::erase_if(lifts_, [&](const Lift& lift) {
+    return lift.digest == digest || now - lift.at > kLiftTime;
+  });
+  lifts_.push_back({digest, now});
+}
+
+// Decides anew which parts explain the crashes, since a later crash may show
+// that an earlier decision was wrong.
+void CrashTracker::ConvictParts(Instant now) {
+  std::vector<PartSuspicion> suspicions;
+  for (const auto& [digest, request] : requests_) {
+    if (request.IsPart() && now - request.last_crash_at <= kRetention) {
+      PartSuspicion& suspicion = suspicions.emplace_back();
+      suspicion.part = digest;
+      for (const Crash& crash : request.crashes) {
+        suspicion.crashes.push_back({crash.target, crash.request, crash.at});
+      }
+    }
+  }
+  const std::vector<std::uint64_t> before = std::move(convicted_parts_);
+  convicted_parts_ = ConvictedParts(std::move(suspicions));
+  for (const std::uint64_t part : before) {
+    if (std::ranges::find(convicted_parts_, part) == convicted_parts_.end()) {
+      lifts_.push_back({part, now});
+    }
+  }
+}
+
 std::vector<CrashSuspect> CrashTracker::CountCrashes(Instant now) {
+  const std::vector<CrashSuspect> under_parts = suspects_.TakePartCrashes(now);
+  for (const CrashSuspect& suspect : under_parts) {
+    AddPartCrashes(suspect, now);
+  }
+  if (!under_parts.empty()) {
+    ConvictParts(now);
+  }
   std::vector<CrashSuspect> found = suspects_.TakeCrashes(now);
   for (const CrashSuspect& suspect : found) {
     Request& request = Remember(suspect.digest, now);
@@ -100,8 +186,11 @@
 
 // Adds a crash unless it is known.
 void CrashTracker::AddCrash(Request& request, Crash crash, Instant now) {
-  if (std::ranges::find(request.crashes, crash.target, &Crash::target) ==
-      request.crashes.end()) {
+  const bool known =
+      std::ranges::any_of(request.crashes, [&](const Crash& other) {
+        return other.target == crash.target && other.request == crash.request;
+      });
+  if (!known && request.crashes.size() < kMaxCrashesOfOne) {
     request.crashes.push_back(crash);
     request.last_crash_at = now;
     ++revision_;
@@ -110,14 +199,23 @@
 
 void CrashTracker::AddReports(std::span<const CrashReport> reports,
                               Instant now) {
+  bool has_parts = false;
   for (const CrashReport& report : reports) {
     if (IsAnswer(report)) {
-      revision_ += requests_.erase(report.digest);
+      if (requests_.contains(report.digest)) {
+        Forget(report.digest, now);
+      }
+      continue;
+    }
+    if (trusted_parts_.Contains(report.digest, now)) {
+      ContradictReport(report.digest);
       continue;
     }
     Request& request = Remember(report.digest, now);
     if (report.target != 0) {
-      AddCrash(request, {report.target, now, true}, now);
+      has_parts |= report.request != 0;
+      AddCrash(request, {report.target, now - report.age, true, report.request},
+               now);
     } else if (report.crashes > request.reported_crashes) {
       request.reported_crashes = report.crashes;
       request.sum_reported = true;
@@ -125,6 +223,18 @@
       ++revision_;
     }
   }
+  if (has_parts) {
+    ConvictParts(now);
+  }
+}
+
+// Tells the reporter that requests with the part are answered here.
+void CrashTracker::ContradictReport(std::uint64_t part) {
+  if (unreported_answers_.size() < kMaxUnreportedAnswers &&
+      std::ranges::find(unreported_answers_, part) ==
+          unreported_answers_.end()) {
+    unreported_answers_.push_back(part);
+  }
 }
 
 CrashTracker::Request& CrashTracker::Remember(std::uint64_t digest,
@@ -164,6 +274,26 @@
   return Crashes(digest, now) >= kMaxCrashes;
 }
 
+bool CrashTracker::IsPartBlocked(std::uint64_t part, Instant now) const {
+  if (std::ranges::find(convicted_parts_, part) != convicted_parts_.end()) {
+    return true;
+  }
+  const auto found = requests_.find(part);
+  return found != requests_.end() &&
+         found->second.reported_crashes >= kMaxCrashes &&
+         now - found->second.last_crash_at <= kRetention;
+}
+
+std::uint64_t CrashTracker::BlockedCause(const CrashCauses& causes,
+                                         Instant now) const {
+  if (IsBlocked(causes.request, now)) {
+    return causes.request;
+  }
+  const auto part = std::ranges::find_if(
+      causes.parts, [&](std::uint64_t id) { return IsPartBlocked(id, now); });
+  return part == causes.parts.end() ? 0 : *part;
+}
+
 std::vector<const CrashTracker::Entry*> CrashTracker::MostCrashesFirst(
     Instant now) const {
   std::vector<const Entry*> entries;
@@ -182,6 +312,13 @@
   return entries;
 }
 
+CrashReport CrashTracker::Report(std::uint64_t digest,
+                                 const Crash& crash,
+                                 Instant now) {
+  return {digest, crash.target, 1, crash.request,
+          std::max(Micros(0), Micros(now - crash.at))};
+}
+
 std::vector<CrashReport> CrashTracker::Unreported(Instant now) const {
   std::vector<CrashReport> reports;
   for (const std::uint64_t digest : unreported_answers_) {
@@ -197,7 +334,7 @@
     }
     for (const Crash& crash : request.crashes) {
       if (!crash.reported && reports.size() < kMaxReports) {
-        reports.push_back({entry->first, crash.target, 1});
+        reports.push_back(Report(entry->first, crash, now));
       }
     }
   }
@@ -217,7 +354,8 @@
     Request& request = found->second;
     request.sum_reported = request.sum_reported || report.target == 0;
     for (Crash& crash : request.crashes) {
-      crash.reported = crash.reported || crash.target == report.target;
+      crash.reported = crash.reported || (crash.target == report.target &&
+                                          crash.request == report.request);
     }
   }
 }
@@ -235,10 +373,18 @@
   std::vector<CrashReport> reports;
   for (const Entry* entry : MostCrashesFirst(now)) {
     const int crashes = entry->second.Count();
-    if (crashes >= kMaxCrashes && reports.size() < kMaxBlockedReports) {
+    const bool blocked = entry->second.IsPart()
+                             ? IsPartBlocked(entry->first, now)
+                             : crashes >= kMaxCrashes;
+    if (blocked && reports.size() < kMaxBlockedReports) {
       reports.push_back({entry->first, 0, crashes});
     }
   }
+  for (const Lift& lift : lifts_) {
+    if (now - lift.at <= kLiftTime && reports.size() < kMaxReplies) {
+      reports.push_back({lift.digest, 0, 0});
+    }
+  }
   return reports;
 }
 
@@ -250,7 +396,7 @@
       reports.push_back({entry->first, 0, request.reported_crashes});
     }
     for (const Crash& crash : request.crashes) {
-      reports.push_back({entry->first, crash.target, 1});
+      reports.push_back(Report(entry->first, crash, now));
     }
     if (reports.size() >= kMaxStoredCrashes) {
       reports.resize(kMaxStoredCrashes);
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -7,6 +7,8 @@
 #include <vector>
 
 #include "gateway/crash_suspects.h"
+#include "gateway/part_suspicion.h"
+#include "gateway/trusted_parts.h"
 
 namespace jackdaw::serving {
 
@@ -16,10 +18,19 @@
                             std::string_view caller,
                             std::string_view body);
 
-/// What one instance tells others of a request that may crash its targets.
-/// Reports may arrive in any order and repeatedly.
+/// What may have crashed the targets of a request: the request as a whole, or a
+/// part of its prompt that other requests share.
+struct CrashCauses {
+  /// Digest of the request; see RequestDigest.
+  std::uint64_t request = 0;
+  /// Ids of the prompt parts, without the last one, which is the request's own.
+  std::vector<std::uint64_t> parts;
+};
+
+/// What one instance tells others of a request, or of a prompt part, that may
+/// crash its targets. Reports may arrive in any order and repeatedly.
 struct CrashReport {
-  /// Digest of the request.
+  /// Digest of the request, or id of the part.
   std::uint64_t digest = 0;
   /// Digest of the target that crashed while it ran the request, or 0 if the
   /// report is about the request as a whole.
@@ -27,6 +38,10 @@
   /// Targets that crashed: 1 if `target` is set, else the number that the
   /// reporter knows of, or 0 if a target has answered the request.
   int crashes = 0;
+  /// For a crash under a part: digest of the request that held it, else 0.
+  std::uint64_t request = 0;
+  /// Time since the crash.
+  Micros age{};
 };
 
 /// Remembers which targets crashed while they ran a request, as seen by this
@@ -35,6 +50,9 @@
 ///
 /// A crash is identified by request and target, so that reports of the same
 /// crash, from several instances or from the store, count once.
+///
+/// A prompt part is held against the crashes in the same way, with more care,
+/// since it shares each crash with all that was in flight; see PartSuspicion.
 class CrashTracker {
  public:
   /// Records an attempt that ended without a complete response.
@@ -45,6 +63,9 @@
   void OnTargetAnswered(const Target& target, Instant now);
   /// Forgets the crashes of a request that a target has answered.
   void OnRequestAnswered(std::uint64_t digest);
+  /// Forgets the crashes of a request whose answer was complete, and trusts the
+  /// parts of its prompt from now on.
+  void OnAnswerComplete(const CrashCauses& causes, Instant now);
   /// Records the suspects that are found to have crashed by now.
   /// @returns those suspects, for the log
   std::vector<CrashSuspect> CountCrashes(Instant now);
@@ -53,6 +74,11 @@
 
   /// Returns whether the request must not be sent.
   bool IsBlocked(std::uint64_t digest, Instant now) const;
+  /// Returns the cause for which the request must not be sent, or 0.
+  std::uint64_t BlockedCause(const CrashCauses& causes, Instant now) const;
+  /// Returns whether requests with all of these parts have been answered, so
+  /// that none of them is the cause of a crash.
+  bool TrustsParts(const CrashCauses& causes, Instant now) const;
   /// Returns the number of targets that crashed while they ran the request.
   int Crashes(std::uint64_t digest, Instant now) const;
 
@@ -76,7 +102,10 @@
     std::uint64_t target = 0;
     Instant at{};
     bool reported = false;
+    /// Of a part: the request that held it.
+    std::uint64_t request = 0;
   };
+  // A request or a part.
   struct Request {
     std::vector<Crash> crashes;
     /// Largest number of crashes that another instance reported as a whole.
@@ -87,12 +116,26 @@
 
     /// Another instance has reported more crashes than are known one by one.
     bool HasSum() const;
+    bool IsPart() const;
     int Count() const;
   };
+  // A request or part that is not blocked any more.
+  struct Lift {
+    std::uint64_t digest = 0;
+    Instant at{};
+  };
   using Entry = std::pair<const std::uint64_t, Request>;
 
   Request& Remember(std::uint64_t digest, Instant now);
   void AddCrash(Request& request, Crash crash, Instant now);
+  void AddPartCrashes(const CrashSuspect& suspect, Instant now);
+  void Forget(std::uint64_t digest, Instant now);
+  void ConvictParts(Instant now);
+  void ContradictReport(std::uint64_t part);
+  bool IsPartBlocked(std::uint64_t part, Instant now) const;
+  static CrashReport Report(std::uint64_t digest,
+                            const Crash& crash,
+                            Instant now);
   void MakeRoom(Instant now);
   std::vector<const Entry*> MostCrashesFirst(Instant now) const;
 
@@ -100,6 +143,11 @@
   /// Requests whose crashes were forgotten and of which the leader was not told
   /// yet.
   std::vector<std::uint64_t> unreported_answers_;
+  /// Parts that explain the crashes known here.
+  std::vector<std::uint64_t> convicted_parts_;
+  /// What was unblocked lately, for the answers of the leader.
+  std::vector<Lift> lifts_;
+  TrustedParts trusted_parts_;
   CrashSuspects suspects_;
   std::uint64_t revision_ = 0;
 };
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -66,7 +66,7 @@
   bool ResolveRoute();
   void Admit();
   void OnUnitsReceived(double required_units);
-  void RejectCrashing();
+  void RejectCrashing(std::uint64_t cause);
   void ChooseService();
 
   // Sending.
@@ -125,7 +125,7 @@
   const Route* route_ = nullptr;
   const Workspace* workspace_ = nullptr;
   const Service* service_ = nullptr;
-  std::uint64_t digest_ = 0;
+  CrashCauses causes_;
   double charged_units_ = 0;
   int priority_ = 5;
   Instant deadline_{};
--- a/src/gateway/exchange_admit.cc
+++ b/src/gateway/exchange_admit.cc
@@ -55,9 +55,13 @@
   // A workspace's keys may change while its callers repeat a request.
   const std::string_view caller =
       workspace_ == nullptr ? call_.key : workspace_->name;
-  digest_ = RequestDigest(call_.target, caller, request_.body());
-  if (deps_.crashes.IsBlocked(digest_, deps_.clock.Now())) {
-    RejectCrashing();
+  causes_.request = RequestDigest(call_.target, caller, request_.body());
+  for (const PromptPart& part : call_.SharedParts()) {
+    causes_.parts.push_back(part.id);
+  }
+  if (const auto cause =
+          deps_.crashes.BlockedCause(causes_, deps_.clock.Now())) {
+    RejectCrashing(cause);
     return;
   }
   ChooseService();
@@ -92,14 +96,15 @@
 }
 
 // Ends a request that crashes each target that runs it.
-void Exchange::RejectCrashing() {
+void Exchange::RejectCrashing(std::uint64_t cause) {
   constexpr std::string_view kKind = "request_crashes_targets";
   constexpr std::string_view kRemedy =
       "change the request; targets ended while they ran it";
   const Instant now = deps_.clock.Now();
-  trace_.Add(now, "crashing",
-             "digest=" + std::to_string(digest_) + " targets=" +
-                 std::to_string(deps_.crashes.Crashes(digest_, now)));
+  trace_.Add(
+      now, "crashing",
+      (cause == causes_.request ? "digest=" : "part=") + std::to_string(cause) +
+          " targets=" + std::to_string(deps_.crashes.Crashes(cause, now)));
   if (head_sent_) {
     AbortResponse(kKind);
   } else if (may_have_run_) {
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -190,7 +190,7 @@
   const bool stale = connection_reused_ && !first_byte_recorded_;
   Log(LogLevel::kInfo, "attempt_broken",
       {{"id", call_.id},
-       {"digest", std::to_string(digest_)},
+       {"digest", std::to_string(causes_.request)},
        {"target", target_->entry.id},
        {"born", std::to_string(target_->entry.born_ms)},
        {"connection", connection_reused_ ? "kept" : "new"},
@@ -350,7 +350,7 @@
     // Other responses do not show that the target ran the request to its end.
     if (!parser_->need_eof() && !response_head_.not_executed && status < 500 &&
         status != 429) {
-      deps_.crashes.OnRequestAnswered(digest_);
+      deps_.crashes.OnAnswerComplete(causes_, deps_.clock.Now());
     }
     if (reusable) {
       deps_.connections.Release(*target_, std::move(connection_),
--- a/src/gateway/exchange_retry.cc
+++ b/src/gateway/exchange_retry.cc
@@ -65,7 +65,7 @@
     return false;
   }
   if (attempts_ >= route_->max_attempts || deadline_ - now < kMinTimeLeft ||
-      response_ended_ || deps_.crashes.IsBlocked(digest_, now)) {
+      response_ended_ || deps_.crashes.BlockedCause(causes_, now) != 0) {
     return false;
   }
   return deps_.retries.TryRetry(service_->name, now);
@@ -88,8 +88,8 @@
   const Instant now = deps_.clock.Now();
   const bool complete = parser_ && parser_->is_done() && !parser_->need_eof();
   if (sent_ && !complete) {
-    deps_.crashes.OnAttemptFailed(
-        {digest_, target_, sent_at_, now, connection_ended_});
+    deps_.crashes.OnAttemptFailed({causes_.request, target_, sent_at_, now,
+                                   connection_ended_, causes_.parts});
   }
   deps_.targets.OnEnded(*target_, outcome, first_byte_recorded_, sent_at_, now);
   if (connection_ != nullptr) {
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -191,9 +191,9 @@
     return;
   }
   // The request may have waited since it was admitted.
-  if (deps_.crashes.IsBlocked(digest_, now)) {
+  if (const auto cause = deps_.crashes.BlockedCause(causes_, now)) {
     EndAttempt(TargetOutcome::kAbandoned);
-    RejectCrashing();
+    RejectCrashing(cause);
     return;
   }
   platform::ForwardedHead head;
--- /dev/null
+++ b/src/gateway/trusted_parts.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <unordered_map>
+
+#include "core/time.h"
+
+namespace jackdaw::serving {
+
+/// Prompt parts with which targets have answered requests lately. A part that
+/// crashes each target is never answered, so these are sound. The trust ends
+/// after several crashes without an answer in between.
+class TrustedParts {
+ public:
+  void OnAnswer(std::uint64_t part, Instant now);
+  /// Holds a crash against a trusted part.
+  /// @param target digest of the crashed target
+  void OnCrash(std::uint64_t part, std::uint64_t target);
+  bool Contains(std::uint64_t part, Instant now) const;
+
+ private:
+  struct Trust {
+    Instant answered_at{};
+    int crashes = 0;
+    std::uint64_t last_crashed = 0;
+  };
+  using Generation = std::unordered_map<std::uint64_t, Trust>;
+
+  /// Recent answers. When it is full, it becomes the older generation.
+  Generation recent_;
+  Generation older_;
+};
+
+}  // namespace jackdaw::serving
--- a/src/serving/request_metadata.h
+++ b/src/serving/request_metadata.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,11 @@
   std::string ModelName() const {
     return adapter.empty() ? model : model + "/" + adapter;
   }
+  /// Returns the prompt parts that other requests may share: all but the last.
+  std::span<const PromptPart> SharedParts() const {
+    const std::span<const PromptPart> parts(prompt_parts);
+    return parts.first(parts.empty() ? 0 : parts.size() - 1);
+  }
   std::int64_t Tokens() const { return prompt_tokens + max_output_tokens; }
 };
 
