Delay the retry of a request with unproven parts after a crash

UnprovenPartDoesNotTakeTheNextTargetAlong had the request sent to the second target before and refused now.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -84,6 +84,7 @@
 
   // End of an attempt.
   bool TryTakeRetry(bool may_have_run);
+  void RetryAfterBreak();
   void Retry(std::string_view reason, bool may_have_run);
   void EndAttempt(TargetOutcome outcome);
   void ArmStallTimer();
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -206,7 +206,7 @@
     if (head_sent_) {
       ++deps_.counters.resumed;
     }
-    Retry("broken", true);
+    RetryAfterBreak();
     return;
   }
   may_have_run_ = true;
--- a/src/gateway/exchange_retry.cc
+++ b/src/gateway/exchange_retry.cc
@@ -12,6 +12,8 @@
 // Time without bytes after which a repeatable request moves to another target.
 constexpr Micros kStreamStallTime = 1300ms;
 constexpr Micros kPlainStallTime = 600ms;
+// Time after a crash in which the fleet learns what may have caused it.
+constexpr Micros kCrashAssessmentTime = 1s;
 // Highest cost of another target at which a stalled request is retried there.
 constexpr double kMaxMoveCostMs = 600;
 
@@ -71,6 +73,22 @@
   return deps_.retries.TryRetry(service_->name, now);
 }
 
+// Sends a request again after its target may have crashed. One whose parts are
+// not known to be sound waits until the crash has been assessed, so that it
+// does not take the next target along.
+void Exchange::RetryAfterBreak() {
+  const Instant now = deps_.clock.Now();
+  if (!connection_ended_ || deps_.crashes.TrustsParts(causes_, now)) {
+    Retry("broken", true);
+    return;
+  }
+  trace_.Add(now, "retry_delayed", "parts not known to be sound");
+  deps_.timers.Set(attempt_timer_, now + kCrashAssessmentTime, [this] {
+    const auto self = shared_from_this();
+    Retry("broken", true);
+  });
+}
+
 void Exchange::Retry(std::string_view reason, bool may_have_run) {
   trace_.Add(deps_.clock.Now(), "retry", std::string(reason));
   may_have_run_ = may_have_run_ || may_have_run;
