--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -6,8 +6,6 @@
 namespace jackdaw::serving {
 namespace {
 
-// Crashed targets after which a request is no longer sent.
-constexpr int kMaxCrashes = 3;
 // Time for which the crashes of a request are remembered after the last one.
 constexpr Micros kRetention = std::chrono::minutes(10);
 // Crashes remembered of one request or part.
@@ -17,18 +15,6 @@
 // Shortest time from the crash of a target to the first request that its
 // successor can crash on.
 constexpr Micros kMinRestartTime = 1s;
-// Crashes and answers in one report to the leader.
-constexpr std::size_t kMaxReports = 64;
-// Blocked requests in one report to other instances.
-constexpr std::size_t kMaxBlockedReports = 64;
-// Blocked and unblocked requests in one report to other instances.
-constexpr std::size_t kMaxReplies = 128;
-// Crashes in one report to the store, so that it fits into a row.
-constexpr std::size_t kMaxStoredCrashes = 256;
-// Time for which the leader tells members what is not blocked any more.
-constexpr Micros kLiftTime = 10s;
-// Requests whose answer waits to be reported.
-constexpr std::size_t kMaxUnreportedAnswers = 256;
 
 constexpr std::uint64_t kDigestFactor = 0x9e3779b97f4a7c15ULL;
 
@@ -38,10 +24,6 @@
   return digest == 0 ? 1 : digest;
 }
 
-bool IsAnswer(const CrashReport& report) {
-  return report.target == 0 && report.crashes == 0;
-}
-
 }  // namespace
 
 std::uint64_t RequestDigest(std::string_view request_target,
@@ -131,6 +113,10 @@
 void CrashTracker::Forget(std::uint64_t digest, Instant now) {
   revision_ += requests_.erase(digest);
   std::erase(convicted_parts_, digest);
+  AddLift(digest, now);
+}
+
+void CrashTracker::AddLift(std::uint64_t digest, Instant now) {
   std::erase_if(lifts_, [&](const Lift& lift) {
     return lift.digest == digest || now - lift.at > kLiftTime;
   });
@@ -154,7 +140,7 @@
   convicted_parts_ = ConvictedParts(std::move(suspicions));
   for (const std::uint64_t part : before) {
     if (std::ranges::find(convicted_parts_, part) == convicted_parts_.end()) {
-      lifts_.push_back({part, now});
+      AddLift(part, now);
     }
   }
 }
@@ -197,46 +183,6 @@
   }
 }
 
-void CrashTracker::AddReports(std::span<const CrashReport> reports,
-                              Instant now) {
-  bool has_parts = false;
-  for (const CrashReport& report : reports) {
-    if (IsAnswer(report)) {
-      if (requests_.contains(report.digest)) {
-        Forget(report.digest, now);
-      }
-      continue;
-    }
-    if (trusted_parts_.Contains(report.digest, now)) {
-      ContradictReport(report.digest);
-      continue;
-    }
-    Request& request = Remember(report.digest, now);
-    if (report.target != 0) {
-      has_parts |= report.request != 0;
-      AddCrash(request, {report.target, now - report.age, true, report.request},
-               now);
-    } else if (report.crashes > request.reported_crashes) {
-      request.reported_crashes = report.crashes;
-      request.sum_reported = true;
-      request.last_crash_at = now;
-      ++revision_;
-    }
-  }
-  if (has_parts) {
-    ConvictParts(now);
-  }
-}
-
-// Tells the reporter that requests with the part are answered here.
-void CrashTracker::ContradictReport(std::uint64_t part) {
-  if (unreported_answers_.size() < kMaxUnreportedAnswers &&
-      std::ranges::find(unreported_answers_, part) ==
-          unreported_answers_.end()) {
-    unreported_answers_.push_back(part);
-  }
-}
-
 CrashTracker::Request& CrashTracker::Remember(std::uint64_t digest,
                                               Instant now) {
   if (requests_.size() >= kMaxRequests && !requests_.contains(digest)) {
@@ -312,98 +258,4 @@
   return entries;
 }
 
-CrashReport CrashTracker::Report(std::uint64_t digest,
-                                 const Crash& crash,
-                                 Instant now) {
-  return {digest, crash.target, 1, crash.request,
-          std::max(Micros(0), Micros(now - crash.at))};
-}
-
-std::vector<CrashReport> CrashTracker::Unreported(Instant now) const {
-  std::vector<CrashReport> reports;
-  for (const std::uint64_t digest : unreported_answers_) {
-    if (reports.size() < kMaxReports) {
-      reports.push_back({digest, 0, 0});
-    }
-  }
-  for (const Entry* entry : MostCrashesFirst(now)) {
-    const Request& request = entry->second;
-    if (request.HasSum() && !request.sum_reported &&
-        reports.size() < kMaxReports) {
-      reports.push_back({entry->first, 0, request.reported_crashes});
-    }
-    for (const Crash& crash : request.crashes) {
-      if (!crash.reported && reports.size() < kMaxReports) {
-        reports.push_back(Report(entry->first, crash, now));
-      }
-    }
-  }
-  return reports;
-}
-
-void CrashTracker::OnReported(std::span<const CrashReport> reports) {
-  for (const CrashReport& report : reports) {
-    if (IsAnswer(report)) {
-      std::erase(unreported_answers_, report.digest);
-      continue;
-    }
-    const auto found = requests_.find(report.digest);
-    if (found == requests_.end()) {
-      continue;
-    }
-    Request& request = found->second;
-    request.sum_reported = request.sum_reported || report.target == 0;
-    for (Crash& crash : request.crashes) {
-      crash.reported = crash.reported || (crash.target == report.target &&
-                                          crash.request == report.request);
-    }
-  }
-}
-
-void CrashTracker::ReportAgain() {
-  for (auto& [digest, request] : requests_) {
-    request.sum_reported = false;
-    for (Crash& crash : request.crashes) {
-      crash.reported = false;
-    }
-  }
-}
-
-std::vector<CrashReport> CrashTracker::BlockedRequests(Instant now) const {
-  std::vector<CrashReport> reports;
-  for (const Entry* entry : MostCrashesFirst(now)) {
-    const int crashes = entry->second.Count();
-    const bool blocked = entry->second.IsPart()
-                             ? IsPartBlocked(entry->first, now)
-                             : crashes >= kMaxCrashes;
-    if (blocked && reports.size() < kMaxBlockedReports) {
-      reports.push_back({entry->first, 0, crashes});
-    }
-  }
-  for (const Lift& lift : lifts_) {
-    if (now - lift.at <= kLiftTime && reports.size() < kMaxReplies) {
-      reports.push_back({lift.digest, 0, 0});
-    }
-  }
-  return reports;
-}
-
-std::vector<CrashReport> CrashTracker::AllCrashes(Instant now) const {
-  std::vector<CrashReport> reports;
-  for (const Entry* entry : MostCrashesFirst(now)) {
-    const Request& request = entry->second;
-    if (request.HasSum()) {
-      reports.push_back({entry->first, 0, request.reported_crashes});
-    }
-    for (const Crash& crash : request.crashes) {
-      reports.push_back(Report(entry->first, crash, now));
-    }
-    if (reports.size() >= kMaxStoredCrashes) {
-      reports.resize(kMaxStoredCrashes);
-      break;
-    }
-  }
-  return reports;
-}
-
 }  // namespace jackdaw::serving
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -98,6 +98,13 @@
   std::size_t tracked_requests() const { return requests_.size(); }
 
  private:
+  /// Crashed targets after which a request is no longer sent.
+  static constexpr int kMaxCrashes = 3;
+  /// Time for which the leader tells members what is not blocked any more.
+  static constexpr Micros kLiftTime = std::chrono::seconds(10);
+  /// Requests and parts whose answer waits to be reported.
+  static constexpr std::size_t kMaxUnreportedAnswers = 256;
+
   struct Crash {
     std::uint64_t target = 0;
     Instant at{};
@@ -130,6 +137,7 @@
   void AddCrash(Request& request, Crash crash, Instant now);
   void AddPartCrashes(const CrashSuspect& suspect, Instant now);
   void Forget(std::uint64_t digest, Instant now);
+  void AddLift(std::uint64_t digest, Instant now);
   void ConvictParts(Instant now);
   void ContradictReport(std::uint64_t part);
   bool IsPartBlocked(std::uint64_t part, Instant now) const;
--- /dev/null
+++ b/src/gateway/crash_tracker_reports.cc
@@ -0,0 +1,158 @@
+// What instances tell each other of crashes.
+#include <algorithm>
+
+#include "gateway/crash_tracker.h"
+
+namespace jackdaw::serving {
+namespace {
+
+// Crashes and answers in one report to the leader.
+constexpr std::size_t kMaxReports = 64;
+// Blocked requests in one report to other instances.
+constexpr std::size_t kMaxBlockedReports = 64;
+// Blocked and unblocked requests in one report to other instances.
+constexpr std::size_t kMaxReplies = 128;
+// Crashes in one report to the store, so that it fits into a row.
+constexpr std::size_t kMaxStoredCrashes = 256;
+
+bool IsAnswer(const CrashReport& report) {
+  return report.target == 0 && report.crashes == 0;
+}
+
+}  // namespace
+
+void CrashTracker::AddReports(std::span<const CrashReport> reports,
+                              Instant now) {
+  bool has_parts = false;
+  for (const CrashReport& report : reports) {
+    if (IsAnswer(report)) {
+      if (requests_.contains(report.digest)) {
+        Forget(report.digest, now);
+      }
+      continue;
+    }
+    if (trusted_parts_.Contains(report.digest, now)) {
+      ContradictReport(report.digest);
+      continue;
+    }
+    Request& request = Remember(report.digest, now);
+    if (report.target != 0) {
+      has_parts |= report.request != 0;
+      AddCrash(request, {report.target, now - report.age, true, report.request},
+               now);
+    } else if (report.crashes > request.reported_crashes) {
+      request.reported_crashes = report.crashes;
+      request.sum_reported = true;
+      request.last_crash_at = now;
+      ++revision_;
+    }
+  }
+  if (has_parts) {
+    ConvictParts(now);
+  }
+}
+
+// Tells the reporter that requests with the part are answered here.
+void CrashTracker::ContradictReport(std::uint64_t part) {
+  if (unreported_answers_.size() < kMaxUnreportedAnswers &&
+      std::ranges::find(unreported_answers_, part) ==
+          unreported_answers_.end()) {
+    unreported_answers_.push_back(part);
+  }
+}
+
+CrashReport CrashTracker::Report(std::uint64_t digest,
+                                 const Crash& crash,
+                                 Instant now) {
+  return {digest, crash.target, 1, crash.request,
+          std::max(Micros(0), Micros(now - crash.at))};
+}
+
+std::vector<CrashReport> CrashTracker::Unreported(Instant now) const {
+  std::vector<CrashReport> reports;
+  for (const std::uint64_t digest : unreported_answers_) {
+    if (reports.size() < kMaxReports) {
+      reports.push_back({digest, 0, 0});
+    }
+  }
+  for (const Entry* entry : MostCrashesFirst(now)) {
+    const Request& request = entry->second;
+    if (request.HasSum() && !request.sum_reported &&
+        reports.size() < kMaxReports) {
+      reports.push_back({entry->first, 0, request.reported_crashes});
+    }
+    for (const Crash& crash : request.crashes) {
+      if (!crash.reported && reports.size() < kMaxReports) {
+        reports.push_back(Report(entry->first, crash, now));
+      }
+    }
+  }
+  return reports;
+}
+
+void CrashTracker::OnReported(std::span<const CrashReport> reports) {
+  for (const CrashReport& report : reports) {
+    if (IsAnswer(report)) {
+      std::erase(unreported_answers_, report.digest);
+      continue;
+    }
+    const auto found = requests_.find(report.digest);
+    if (found == requests_.end()) {
+      continue;
+    }
+    Request& request = found->second;
+    request.sum_reported = request.sum_reported || report.target == 0;
+    for (Crash& crash : request.crashes) {
+      crash.reported = crash.reported || (crash.target == report.target &&
+                                          crash.request == report.request);
+    }
+  }
+}
+
+void CrashTracker::ReportAgain() {
+  for (auto& [digest, request] : requests_) {
+    request.sum_reported = false;
+    for (Crash& crash : request.crashes) {
+      crash.reported = false;
+    }
+  }
+}
+
+std::vector<CrashReport> CrashTracker::BlockedRequests(Instant now) const {
+  std::vector<CrashReport> reports;
+  for (const Entry* entry : MostCrashesFirst(now)) {
+    const int crashes = entry->second.Count();
+    const bool blocked = entry->second.IsPart()
+                             ? IsPartBlocked(entry->first, now)
+                             : crashes >= kMaxCrashes;
+    if (blocked && reports.size() < kMaxBlockedReports) {
+      reports.push_back({entry->first, 0, crashes});
+    }
+  }
+  for (const Lift& lift : lifts_) {
+    if (now - lift.at <= kLiftTime && reports.size() < kMaxReplies) {
+      reports.push_back({lift.digest, 0, 0});
+    }
+  }
+  return reports;
+}
+
+std::vector<CrashReport> CrashTracker::AllCrashes(Instant now) const {
+  std::vector<CrashReport> reports;
+  for (const Entry* entry : MostCrashesFirst(now)) {
+    const Request& request = entry->second;
+    if (request.HasSum()) {
+      reports.push_back({entry->first, 0, request.reported_crashes});
+    }
+    for (const Crash& crash : request.crashes) {
+      reports.push_back(Report(entry->first, crash, now));
+    }
+    if (reports.size() >= kMaxStoredCrashes) {
+      reports.resize(kMaxStoredCrashes);
+      break;
+    }
+  }
+  return reports;
+}
+
+}  // namespace jackdaw::serving
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -1,7 +1,5 @@
-// Response to a request: reading it from the target and forwarding it.
+// Response to a request: reading it from the target.
 #include <algorithm>
-#include <array>
-#include <cstdio>
 
 #include "core/log.h"
 #include "gateway/exchange.h"
@@ -23,11 +21,6 @@
 constexpr std::size_t kMaxPartialEvent = 256UL * 1024;
 // Informational responses before the final one, at most.
 constexpr int kMaxInformational = 8;
-// Bytes buffered for a slow caller before reading from the target is paused.
-constexpr std::size_t kMaxPendingBytes = 64UL * 1024;
-// Version of HTTP from which on callers read chunks.
-constexpr unsigned kHttp11 = 11;
-constexpr std::string_view kChunkedField = "Transfer-Encoding: chunked\r\n";
 
 bool IsEventStream(const http::response_header<>& head) {
   const auto type = head[http::field::content_type];
@@ -217,43 +210,6 @@
   Reject({502, "target_broke_off", "the request may have run", std::nullopt});
 }
 
-std::string Exchange::ResponseHeadText(std::string_view framing) const {
-  const auto& head = parser_->get();
-  std::string text = "HTTP/1.1 " + std::to_string(head.result_int()) + " ";
-  text += std::string_view(head.reason().data(), head.reason().size());
-  text += "\r\n";
-  text += platform::EncodeAnswerFields(head);
-  text += framing;
-  if (closing_ && body_end_ != BodyEnd::kConnection) {
-    text += "Connection: close\r\n";
-  }
-  text += "\r\n";
-  return text;
-}
-
-void Exchange::AppendBody(std::string_view bytes) {
-  if (bytes.empty()) {
-    return;
-  }
-  if (body_end_ != BodyEnd::kLastChunk) {
-    pending_output_ += bytes;
-    return;
-  }
-  std::array<char, 20> size{};
-  const int length =
-      std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
-  pending_output_.append(size.data(), static_cast<std::size_t>(length));
-  pending_output_ += bytes;
-  pending_output_ += "\r\n";
-}
-
-void Exchange::EndBody() {
-  if (body_end_ == BodyEnd::kLastChunk) {
-    pending_output_ += "0\r\n\r\n";
-  }
-  response_ended_ = true;
-}
-
 // Returns whether a stream that ended now would end inside an event, or before
 // its first one.
 bool Exchange::EndsInsideEvent() const {
@@ -262,133 +218,4 @@
          (events_.partial_bytes() > 0 || !event_received_);
 }
 
-// Queues the head of a response. A target that leaves the end of its answer to
-// the connection may have failed when the connection closes, so the caller is
-// not told more than that either.
-void Exchange::BeginResponse(BodyEnd body_end, std::string_view framing) {
-  const bool knows_chunks = request_.version() >= kHttp11;
-  body_end_ = body_end;
-  if (parser_->need_eof() ||
-      (body_end == BodyEnd::kLastChunk && !knows_chunks)) {
-    body_end_ = BodyEnd::kConnection;
-    framing = "Connection: close\r\n";
-    caller_->EndWithConnection();
-  }
-  head_sent_ = true;
-  first_forwarded_at_ = deps_.clock.Now();
-  pending_output_ += ResponseHeadText(framing);
-}
-
-// Forwards the complete events, and after the last one the remaining bytes.
-void Exchange::ForwardEvents(bool last) {
-  std::string complete_events;
-  event_received_ |= events_.TakeCompleteEvents(complete_events) > 0;
-  if (last && head_sent_ && parser_->need_eof() &&
-      body_end_ != BodyEnd::kConnection) {
-    AppendBody(complete_events);
-    Flush();
-    AbortResponse("end of the continued stream unknown");
-    return;
-  }
-  if (last) {
-    complete_events += events_.TakeRemainder();
-  }
-  if (!head_sent_ && (!complete_events.empty() || last)) {
-    BeginResponse(BodyEnd::kLastChunk, kChunkedField);
-  }
-  AppendBody(complete_events);
-  if (last) {
-    EndBody();
-  }
-  Flush();
-}
-
-// Forwards a large response as it arrives.
-void Exchange::ForwardBytes(bool last) {
-  auto& body = parser_->get().body();
-  if (!head_sent_) {
-    const auto length = parser_->content_length();
-    if (length) {
-      BeginResponse(BodyEnd::kLength,
-                    "Content-Length: " + std::to_string(*length) + "\r\n");
-    } else {
-      BeginResponse(BodyEnd::kLastChunk, kChunkedField);
-    }
-  }
-  AppendBody(body);
-  body.clear();
-  if (last) {
-    EndBody();
-  }
-  Flush();
-}
-
-// Forwards a response that was read completely.
-void Exchange::SendBufferedResponse() {
-  const auto& head = parser_->get();
-  const auto length = request_.method() == http::verb::head
-                          ? std::string(head[http::field::content_length])
-                          : std::to_string(head.body().size());
-  const bool bodiless =
-      head.result_int() == 204 || head.result_int() == 304 || length.empty();
-  BeginResponse(BodyEnd::kLength, bodiless
-                                      ? std::string()
-                                      : "Content-Length: " + length + "\r\n");
-  pending_output_ += head.body();
-  EndBody();
-  Flush();
-}
-
-// Writes the pending bytes. Ends the attempt once the response is complete, and
-// ends the exchange after the last byte. Pauses reading from the target while a
-// slow caller leaves too many bytes pending.
-void Exchange::Flush() {
-  if (response_ended_ && !done_ && target_ != nullptr) {
-    const int status = static_cast<int>(parser_->get().result_int());
-    const bool reusable = parser_->get().keep_alive() && !parser_->need_eof() &&
-                          !connection_->sending();
-    // Other responses do not show that the target ran the request to its end.
-    if (!parser_->need_eof() && !response_head_.not_executed && status < 500 &&
-        status != 429) {
-      deps_.crashes.OnAnswerComplete(causes_, deps_.clock.Now());
-    }
-    if (reusable) {
-      deps_.connections.Release(*target_, std::move(connection_),
-                                response_head_.keep_alive_seconds);
-      connection_.reset();
-    }
-    EndAttempt(status >= 500 ? TargetOutcome::kFailed
-                             : TargetOutcome::kAnswered);
-    deps_.timers.Clear(deadline_timer_);
-    ++deps_.counters.answered;
-    RecordEnd("answered", status, "");
-  }
-  if (!caller_writing_ && !pending_output_.empty()) {
-    caller_writing_ = true;
-    std::string bytes;
-    bytes.swap(pending_output_);
-    caller_->Write(std::move(bytes));
-  }
-  if (response_ended_ && pending_output_.empty() && !done_) {
-    done_ = true;
-    caller_->EndResponse(!closing_);
-    return;
-  }
-  if (pending_output_.size() > kMaxPendingBytes && connection_ != nullptr &&
-      !reading_paused_) {
-    reading_paused_ = true;
-    connection_->PauseReading();
-  }
-}
-
-void Exchange::OnWriteComplete() {
-  const auto self = shared_from_this();
-  caller_writing_ = false;
-  if (reading_paused_ && connection_ != nullptr) {
-    reading_paused_ = false;
-    connection_->ResumeReading();
-  }
-  Flush();
-}
-
 }  // namespace jackdaw::serving
