Let the fleet's crashes, not each instance's, end the trust in a prompt part

A part that was sound once may turn deadly.

Crashes under trusted parts are reported now; the leader counts them against its trust and names the sum, and a member contradicts only a sum below eight or with an answer younger than the last crash.

--- a/src/fleet/member.cc
+++ b/src/fleet/member.cc
@@ -78,7 +78,7 @@
     if (report.request != 0) {
       crash["request"] = std::to_string(report.request);
     }
-    if (report.target != 0) {
+    if (report.age > Micros(0)) {
       crash["age_ms"] = report.age / 1ms;
     }
     crashes.push_back(std::move(crash));
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -96,16 +96,14 @@
   });
 }
 
-// Holds the crash against the parts of the request's prompt. A trusted part is
-// not the cause, as long as it is trusted.
+// Holds the crash against the parts of the request's prompt, also against those
+// that are trusted here: the leader may know of crashes elsewhere.
 void CrashTracker::AddPartCrashes(const CrashSuspect& suspect, Instant now) {
   const std::uint64_t target = IncarnationDigest(*suspect.target);
   for (const std::uint64_t part : suspect.parts) {
     trusted_parts_.OnCrash(part, target);
-    if (!trusted_parts_.Contains(part, now)) {
-      AddCrash(Remember(part, now),
-               {target, suspect.ended_at, false, suspect.digest}, now);
-    }
+    AddCrash(Remember(part, now),
+             {target, suspect.ended_at, false, suspect.digest}, now);
   }
 }
 
@@ -128,7 +126,8 @@
 void CrashTracker::ConvictParts(Instant now) {
   std::vector<PartSuspicion> suspicions;
   for (const auto& [digest, request] : requests_) {
-    if (request.IsPart() && now - request.last_crash_at <= kRetention) {
+    if (request.IsPart() && now - request.last_crash_at <= kRetention &&
+        !trusted_parts_.Contains(digest, now)) {
       PartSuspicion& suspicion = suspicions.emplace_back();
       suspicion.part = digest;
       for (const Crash& crash : request.crashes) {
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -139,7 +139,9 @@
   void Forget(std::uint64_t digest, Instant now);
   void AddLift(std::uint64_t digest, Instant now);
   void ConvictParts(Instant now);
-  void ContradictReport(std::uint64_t part);
+  void OnAnswerReport(std::uint64_t digest, Instant now);
+  bool IsContradicted(const CrashReport& report, Instant now) const;
+  void Contradict(const CrashReport& report, Instant now);
   bool IsPartBlocked(std::uint64_t part, Instant now) const;
   static CrashReport Report(std::uint64_t digest,
                             const Crash& crash,
--- a/src/gateway/crash_tracker_reports.cc
+++ b/src/gateway/crash_tracker_reports.cc
@@ -26,13 +26,11 @@
   bool has_parts = false;
   for (const CrashReport& report : reports) {
     if (IsAnswer(report)) {
-      if (requests_.contains(report.digest)) {
-        Forget(report.digest, now);
-      }
+      OnAnswerReport(report.digest, now);
       continue;
     }
-    if (trusted_parts_.Contains(report.digest, now)) {
-      ContradictReport(report.digest);
+    if (IsContradicted(report, now)) {
+      Contradict(report, now);
       continue;
     }
     Request& request = Remember(report.digest, now);
@@ -52,12 +50,37 @@
   }
 }
 
-// Tells the reporter that requests with the part are answered here.
-void CrashTracker::ContradictReport(std::uint64_t part) {
-  if (unreported_answers_.size() < kMaxUnreportedAnswers &&
-      std::ranges::find(unreported_answers_, part) ==
-          unreported_answers_.end()) {
-    unreported_answers_.push_back(part);
+// A request or part that has been answered elsewhere.
+void CrashTracker::OnAnswerReport(std::uint64_t digest, Instant now) {
+  const auto found = requests_.find(digest);
+  if (found == requests_.end()) {
+    return;
+  }
+  if (found->second.IsPart()) {
+    trusted_parts_.OnAnswer(digest, now);
+  }
+  Forget(digest, now);
+}
+
+// Returns whether answers to requests with a part speak against a report on it.
+// The crashes of the fleet count, not only those of this instance, so that a
+// part that was sound once is not trusted for longer than elsewhere.
+bool CrashTracker::IsContradicted(const CrashReport& report,
+                                  Instant now) const {
+  return trusted_parts_.AnsweredSince(report.digest, now - report.age) ||
+         (trusted_parts_.Contains(report.digest, now) &&
+          report.crashes < TrustedParts::kMaxCrashes);
+}
+
+// Lets the reporter know that requests with the part are answered.
+void CrashTracker::Contradict(const CrashReport& report, Instant now) {
+  if (report.target != 0) {
+    trusted_parts_.OnCrash(report.digest, report.target);
+    AddLift(report.digest, now);
+  } else if (unreported_answers_.size() < kMaxUnreportedAnswers &&
+             std::ranges::find(unreported_answers_, report.digest) ==
+                 unreported_answers_.end()) {
+    unreported_answers_.push_back(report.digest);
   }
 }
 
@@ -126,11 +149,14 @@
                              ? IsPartBlocked(entry->first, now)
                              : crashes >= kMaxCrashes;
     if (blocked && reports.size() < kMaxBlockedReports) {
-      reports.push_back({entry->first, 0, crashes});
+      reports.push_back({entry->first, 0,
+                         crashes + trusted_parts_.Crashes(entry->first), 0,
+                         now - entry->second.last_crash_at});
     }
   }
   for (const Lift& lift : lifts_) {
-    if (now - lift.at <= kLiftTime && reports.size() < kMaxReplies) {
+    if (now - lift.at <= kLiftTime && !IsPartBlocked(lift.digest, now) &&
+        reports.size() < kMaxReplies) {
       reports.push_back({lift.digest, 0, 0});
     }
   }
--- a/src/gateway/tests/crash_tracker_parts_test.cc
+++ b/src/gateway/tests/crash_tracker_parts_test.cc
@@ -80,6 +80,9 @@
     CrashOnPart(members[i]);
     ExchangeReports(members[i], leader);
   }
+  for (CrashTracker& member : members) {
+    ExchangeReports(member, leader);
+  }
   for (CrashTracker& member : members) {
     ExchangeReports(member, leader);
     BOOST_TEST(IsBlocked(member, {kDeadly}));
@@ -119,6 +122,28 @@
   BOOST_TEST(crashes < 20);
 }
 
+BOOST_FIXTURE_TEST_CASE(FormerTrustOfManyInstancesDoesNotFreeADeadlyPart,
+                        PartsFixture) {
+  CrashTracker leader;
+  std::array<CrashTracker, 12> members;
+  leader.OnAnswerComplete(NextRequest({kDeadly}), now_);
+  for (CrashTracker& member : members) {
+    member.OnAnswerComplete(NextRequest({kDeadly}), now_);
+  }
+  int crashes = 0;
+  for (std::size_t i = 0; i < 60; ++i) {
+    CrashTracker& member = members[i % members.size()];
+    if (!IsBlocked(member, {kDeadly})) {
+      Crash(member, NextRequest({kDeadly}));
+      ++crashes;
+    }
+    for (CrashTracker& other : members) {
+      ExchangeReports(other, leader);
+    }
+  }
+  BOOST_TEST(crashes < 30);
+}
+
 BOOST_FIXTURE_TEST_CASE(NewLeaderLearnsThePartFromTheStore, PartsFixture) {
   CrashTracker leader;
   for (int i = 0; i < 3; ++i) {
--- a/src/gateway/trusted_parts.cc
+++ b/src/gateway/trusted_parts.cc
@@ -5,8 +5,6 @@
 
 // Time for which an answer proves a part sound.
 constexpr Micros kTrustTime = std::chrono::minutes(5);
-// Crashes without an answer that end the trust.
-constexpr int kMaxCrashes = 8;
 // Parts of one generation.
 constexpr std::size_t kMaxParts = 4096;
 
@@ -30,15 +28,30 @@
   }
 }
 
-bool TrustedParts::Contains(std::uint64_t part, Instant now) const {
+const TrustedParts::Trust* TrustedParts::Find(std::uint64_t part) const {
   for (const Generation* generation : {&recent_, &older_}) {
     const auto found = generation->find(part);
     if (found != generation->end()) {
-      return now - found->second.answered_at <= kTrustTime &&
-             found->second.crashes < kMaxCrashes;
+      return &found->second;
     }
   }
-  return false;
+  return nullptr;
+}
+
+bool TrustedParts::Contains(std::uint64_t part, Instant now) const {
+  const Trust* trust = Find(part);
+  return trust != nullptr && now - trust->answered_at <= kTrustTime &&
+         trust->crashes < kMaxCrashes;
+}
+
+bool TrustedParts::AnsweredSince(std::uint64_t part, Instant since) const {
+  const Trust* trust = Find(part);
+  return trust != nullptr && trust->answered_at > since;
+}
+
+int TrustedParts::Crashes(std::uint64_t part) const {
+  const Trust* trust = Find(part);
+  return trust == nullptr ? 0 : trust->crashes;
 }
 
 }  // namespace jackdaw::serving
--- a/src/gateway/trusted_parts.h
+++ b/src/gateway/trusted_parts.h
@@ -12,11 +12,17 @@
 /// after several crashes without an answer in between.
 class TrustedParts {
  public:
+  /// Crashes without an answer that end the trust.
+  static constexpr int kMaxCrashes = 8;
+
   void OnAnswer(std::uint64_t part, Instant now);
   /// Holds a crash against a trusted part.
   /// @param target digest of the crashed target
   void OnCrash(std::uint64_t part, std::uint64_t target);
   bool Contains(std::uint64_t part, Instant now) const;
+  bool AnsweredSince(std::uint64_t part, Instant since) const;
+  /// Returns the crashes since the last answer, 0 for an unknown part.
+  int Crashes(std::uint64_t part) const;
 
  private:
   struct Trust {
@@ -24,6 +30,8 @@
     int crashes = 0;
     std::uint64_t last_crashed = 0;
   };
+  const Trust* Find(std::uint64_t part) const;
+
   using Generation = std::unordered_map<std::uint64_t, Trust>;
 
   /// Recent answers. When it is full, it becomes the older generation.
