--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -98,6 +98,7 @@
   boost::asio::awaitable<void> RunHeartbeat();
   boost::asio::awaitable<bool> SendHeartbeat();
   void CountCrashes();
+  void LogBlocked();
   boost::asio::awaitable<void> SyncWithStore(bool try_leader);
   void OnHeartbeatFailed();
   bool HasUnreportedCrash() const;
@@ -169,6 +170,8 @@
   /// revision of the tracker that this instance wrote last.
   std::int64_t crashes_row_version_ = 0;
   std::uint64_t crashes_written_ = 0;
+  /// Requests and parts that were blocked at the last heartbeat, sorted.
+  std::vector<std::uint64_t> blocked_;
   /// Leader and term to which crashes are reported.
   std::string reported_to_;
   /// Epoch of the share table that is applied; -1 after the share was dropped.
--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -94,6 +94,7 @@
   if (!followed) {
     co_await SyncWithStore(!knows_leader);
   }
+  LogBlocked();
   DropShareIfDisconnected();
   for (const std::string& id : target_feed_.Expire(clock_.Now())) {
     TargetFeed::Changes changes;
@@ -114,6 +115,32 @@
   }
 }
 
+// Logs which requests and prompt parts are blocked since the last heartbeat,
+// and which are not any more.
+void FleetAgent::LogBlocked() {
+  const Instant now = clock_.Now();
+  std::vector<std::uint64_t> blocked;
+  for (const CrashReport& report : crashes_.BlockedRequests(now)) {
+    if (report.crashes > 0) {
+      blocked.push_back(report.digest);
+    }
+  }
+  std::ranges::sort(blocked);
+  const auto log_new = [&](std::string_view event, const auto& from,
+                           const auto& other) {
+    for (const std::uint64_t digest : from) {
+      if (!std::ranges::binary_search(other, digest)) {
+        Log(LogLevel::kWarn, event,
+            {{"digest_or_part", std::to_string(digest)},
+             {"targets", std::to_string(crashes_.Crashes(digest, now))}});
+      }
+    }
+  };
+  log_new("crash_blocked", blocked, blocked_);
+  log_new("crash_freed", blocked_, blocked);
+  blocked_ = std::move(blocked);
+}
+
 // Sends a heartbeat to the leader and applies the reply.
 // @returns whether the leader's data are recent, so that the store need not be
 // read
