--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -110,7 +110,7 @@
 // Removes a request or part that is known to be sound.
 void CrashTracker::Forget(std::uint64_t digest, Instant now) {
   revision_ += requests_.erase(digest);
-  std::erase(convicted_parts_, digest);
+  std::erase(crashing_parts_, digest);
   AddLift(digest, now);
 }
 
@@ -123,7 +123,7 @@
 
 // Decides anew which parts explain the crashes, since a later crash may show
 // that an earlier decision was wrong.
-void CrashTracker::ConvictParts(Instant now) {
+void CrashTracker::UpdateCrashingParts(Instant now) {
   std::vector<PartSuspicion> suspicions;
   for (const auto& [digest, request] : requests_) {
     if (request.IsPart() && now - request.last_crash_at <= kRetention &&
@@ -135,10 +135,10 @@
       }
     }
   }
-  const std::vector<std::uint64_t> before = std::move(convicted_parts_);
-  convicted_parts_ = ConvictedParts(std::move(suspicions));
+  const std::vector<std::uint64_t> before = std::move(crashing_parts_);
+  crashing_parts_ = FindCrashingParts(std::move(suspicions));
   for (const std::uint64_t part : before) {
-    if (std::ranges::find(convicted_parts_, part) == convicted_parts_.end()) {
+    if (std::ranges::find(crashing_parts_, part) == crashing_parts_.end()) {
       AddLift(part, now);
     }
   }
@@ -150,7 +150,7 @@
     AddPartCrashes(suspect, now);
   }
   if (!under_parts.empty()) {
-    ConvictParts(now);
+    UpdateCrashingParts(now);
   }
   std::vector<CrashSuspect> found = suspects_.TakeCrashes(now);
   for (const CrashSuspect& suspect : found) {
@@ -220,7 +220,7 @@
 }
 
 bool CrashTracker::IsPartBlocked(std::uint64_t part, Instant now) const {
-  if (std::ranges::find(convicted_parts_, part) != convicted_parts_.end()) {
+  if (std::ranges::find(crashing_parts_, part) != crashing_parts_.end()) {
     return true;
   }
   const auto found = requests_.find(part);
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -138,7 +138,7 @@
   void AddPartCrashes(const CrashSuspect& suspect, Instant now);
   void Forget(std::uint64_t digest, Instant now);
   void AddLift(std::uint64_t digest, Instant now);
-  void ConvictParts(Instant now);
+  void UpdateCrashingParts(Instant now);
   void OnAnswerReport(std::uint64_t digest, Instant now);
   bool IsContradicted(const CrashReport& report, Instant now) const;
   void Contradict(const CrashReport& report, Instant now);
@@ -154,7 +154,7 @@
   /// yet.
   std::vector<std::uint64_t> unreported_answers_;
   /// Parts that explain the crashes known here.
-  std::vector<std::uint64_t> convicted_parts_;
+  std::vector<std::uint64_t> crashing_parts_;
   /// What was unblocked lately, for the answers of the leader.
   std::vector<Lift> lifts_;
   TrustedParts trusted_parts_;
--- a/src/gateway/crash_tracker_reports.cc
+++ b/src/gateway/crash_tracker_reports.cc
@@ -46,7 +46,7 @@
     }
   }
   if (has_parts) {
-    ConvictParts(now);
+    UpdateCrashingParts(now);
   }
 }
 
--- a/src/gateway/part_suspicion.cc
+++ b/src/gateway/part_suspicion.cc
@@ -55,14 +55,14 @@
                               : count;
 }
 
-std::vector<std::uint64_t> ConvictedParts(
+std::vector<std::uint64_t> FindCrashingParts(
     std::vector<PartSuspicion> suspicions) {
-  std::vector<std::uint64_t> convicted;
+  std::vector<std::uint64_t> blocked;
   for (;;) {
     const auto worst = std::ranges::max_element(suspicions, {}, Weight);
     if (worst == suspicions.end() ||
         CountPartCrashes(worst->crashes) < kMinCrashes) {
-      return convicted;
+      return blocked;
     }
     const PartWeight worst_weight = Weight(*worst);
     const std::vector<PartCrash> explained = worst->crashes;
@@ -75,7 +75,7 @@
       suspicion.crashes.erase(unexplained.begin(), unexplained.end());
       // The crashes cannot tell this part from the worst one.
       if (weight == worst_weight && suspicion.crashes.empty()) {
-        convicted.push_back(suspicion.part);
+        blocked.push_back(suspicion.part);
       }
     }
   }
--- a/src/gateway/part_suspicion.h
+++ b/src/gateway/part_suspicion.h
@@ -31,7 +31,7 @@
 /// explains the crashes. The part with the most crashes comes first; its
 /// crashes then say nothing against the other parts, but for those that were in
 /// the very same crashes.
-std::vector<std::uint64_t> ConvictedParts(
+std::vector<std::uint64_t> FindCrashingParts(
     std::vector<PartSuspicion> suspicions);
 
 }  // namespace jackdaw::serving
--- a/src/gateway/tests/crash_tracker_parts_test.cc
+++ b/src/gateway/tests/crash_tracker_parts_test.cc
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr Instant kStart{Micros(1'700'000'000'000'000)};
-constexpr std::uint64_t kDeadly = 0xdead;
+constexpr std::uint64_t kCrashing = 0xdead;
 constexpr std::uint64_t kShared = 0xa1;
 
 /// Lets new targets crash, a second apart, under requests of which no two are
@@ -32,7 +32,7 @@
     tracker.CountCrashes(now_);
   }
   void CrashOnPart(CrashTracker& tracker) {
-    Crash(tracker, NextRequest({kShared, kDeadly}));
+    Crash(tracker, NextRequest({kShared, kCrashing}));
   }
   bool IsBlocked(const CrashTracker& tracker,
                  std::vector<std::uint64_t> parts) {
@@ -56,9 +56,9 @@
   tracker.OnAnswerComplete(NextRequest({kShared}), now_);
   CrashOnPart(tracker);
   CrashOnPart(tracker);
-  BOOST_TEST(!IsBlocked(tracker, {kShared, kDeadly}));
+  BOOST_TEST(!IsBlocked(tracker, {kShared, kCrashing}));
   CrashOnPart(tracker);
-  BOOST_TEST(IsBlocked(tracker, {kDeadly}));
+  BOOST_TEST(IsBlocked(tracker, {kCrashing}));
   BOOST_TEST(!IsBlocked(tracker, {kShared}));
 }
 
@@ -68,7 +68,7 @@
     CrashOnPart(tracker);
     tracker.OnAnswerComplete(NextRequest({kShared}), now_);
   }
-  BOOST_TEST(IsBlocked(tracker, {kDeadly}));
+  BOOST_TEST(IsBlocked(tracker, {kCrashing}));
   BOOST_TEST(!IsBlocked(tracker, {kShared}));
 }
 
@@ -85,7 +85,7 @@
   }
   for (CrashTracker& member : members) {
     ExchangeReports(member, leader);
-    BOOST_TEST(IsBlocked(member, {kDeadly}));
+    BOOST_TEST(IsBlocked(member, {kCrashing}));
     BOOST_TEST(!IsBlocked(member, {kShared}));
     BOOST_TEST(member.Unreported(now_).empty());
   }
@@ -110,31 +110,31 @@
   BOOST_TEST(!IsBlocked(leader, {kShared}));
 }
 
-BOOST_FIXTURE_TEST_CASE(SoundPartThatTurnsDeadlyIsBlockedInTheEnd,
+BOOST_FIXTURE_TEST_CASE(SoundPartThatBeginsToCrashTargetsIsBlocked,
                         PartsFixture) {
   CrashTracker tracker;
-  tracker.OnAnswerComplete(NextRequest({kDeadly}), now_);
+  tracker.OnAnswerComplete(NextRequest({kCrashing}), now_);
   int crashes = 0;
-  while (crashes < 20 && !IsBlocked(tracker, {kDeadly})) {
-    Crash(tracker, NextRequest({kDeadly}));
+  while (crashes < 20 && !IsBlocked(tracker, {kCrashing})) {
+    Crash(tracker, NextRequest({kCrashing}));
     ++crashes;
   }
   BOOST_TEST(crashes < 20);
 }
 
-BOOST_FIXTURE_TEST_CASE(FormerTrustOfManyInstancesDoesNotFreeADeadlyPart,
+BOOST_FIXTURE_TEST_CASE(FormerTrustOfManyInstancesDoesNotFreeACrashingPart,
                         PartsFixture) {
   CrashTracker leader;
   std::array<CrashTracker, 12> members;
-  leader.OnAnswerComplete(NextRequest({kDeadly}), now_);
+  leader.OnAnswerComplete(NextRequest({kCrashing}), now_);
   for (CrashTracker& member : members) {
-    member.OnAnswerComplete(NextRequest({kDeadly}), now_);
+    member.OnAnswerComplete(NextRequest({kCrashing}), now_);
   }
   int crashes = 0;
   for (std::size_t i = 0; i < 60; ++i) {
     CrashTracker& member = members[i % members.size()];
-    if (!IsBlocked(member, {kDeadly})) {
-      Crash(member, NextRequest({kDeadly}));
+    if (!IsBlocked(member, {kCrashing})) {
+      Crash(member, NextRequest({kCrashing}));
       ++crashes;
     }
     for (CrashTracker& other : members) {
@@ -151,7 +151,7 @@
   }
   CrashTracker from_store;
   from_store.AddReports(leader.AllCrashes(now_), now_);
-  BOOST_TEST(IsBlocked(from_store, {kDeadly}));
+  BOOST_TEST(IsBlocked(from_store, {kCrashing}));
 }
 
 }  // namespace
--- a/src/gateway/tests/part_suspicion_test.cc
+++ b/src/gateway/tests/part_suspicion_test.cc
@@ -6,59 +6,62 @@
 namespace {
 
 constexpr Instant kStart{Micros(1'700'000'000'000'000)};
-constexpr std::uint64_t kDeadly = 1;
+constexpr std::uint64_t kCrashing = 1;
 constexpr std::uint64_t kSound = 2;
 
 PartCrash Crash(std::uint64_t target, std::uint64_t request, Micros at) {
   return {target, request, kStart + at};
 }
 
-BOOST_AUTO_TEST_CASE(ThreeCrashesUnderDifferentRequestsConvictThePart) {
+BOOST_AUTO_TEST_CASE(ThreeCrashesUnderDifferentRequestsBlockThePart) {
   const std::vector<PartCrash> two = {Crash(1, 11, 0s), Crash(2, 12, 1s)};
   std::vector<PartCrash> three = two;
   three.push_back(Crash(3, 13, 2s));
-  BOOST_TEST(ConvictedParts({{kDeadly, two}}).empty());
-  BOOST_TEST(ConvictedParts({{kDeadly, three}}).size() == 1U);
+  BOOST_TEST(FindCrashingParts({{kCrashing, two}}).empty());
+  BOOST_TEST(FindCrashingParts({{kCrashing, three}}).size() == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(RepeatsOfOneRequestDoNotConvictItsPart) {
-  BOOST_TEST(ConvictedParts({{kSound,
-                              {Crash(1, 11, 0s), Crash(2, 11, 1s),
-                               Crash(3, 11, 2s), Crash(4, 11, 3s)}}})
+BOOST_AUTO_TEST_CASE(RepeatsOfOneRequestDoNotBlockItsPart) {
+  BOOST_TEST(FindCrashingParts({{kSound,
+                                 {Crash(1, 11, 0s), Crash(2, 11, 1s),
+                                  Crash(3, 11, 2s), Crash(4, 11, 3s)}}})
                  .empty());
 }
 
-BOOST_AUTO_TEST_CASE(PowerLossOfManyTargetsConvictsNoPart) {
+BOOST_AUTO_TEST_CASE(PowerLossOfManyTargetsBlocksNoPart) {
   std::vector<PartCrash> crashes;
   for (std::uint64_t i = 1; i <= 10; ++i) {
     crashes.push_back(Crash(i, 10 + i, i * 1ms));
   }
-  BOOST_TEST(ConvictedParts({{kSound, crashes}}).empty());
+  BOOST_TEST(FindCrashingParts({{kSound, crashes}}).empty());
 }
 
-BOOST_AUTO_TEST_CASE(PartThatTravelledWithTheDeadlyOneIsNotConvicted) {
+BOOST_AUTO_TEST_CASE(PartThatTravelledWithTheCrashingOneIsNotBlocked) {
   const std::vector<PartCrash> sound = {Crash(1, 21, 0s), Crash(2, 22, 1s),
                                         Crash(3, 23, 2s)};
-  const std::vector<PartCrash> deadly = {Crash(1, 11, 0s), Crash(2, 12, 1s),
-                                         Crash(3, 13, 2s), Crash(4, 14, 3s)};
-  const auto convicted = ConvictedParts({{kSound, sound}, {kDeadly, deadly}});
-  BOOST_TEST_REQUIRE(convicted.size() == 1U);
-  BOOST_TEST(convicted[0] == kDeadly);
+  const std::vector<PartCrash> crashing = {Crash(1, 11, 0s), Crash(2, 12, 1s),
+                                           Crash(3, 13, 2s), Crash(4, 14, 3s)};
+  const auto blocked =
+      FindCrashingParts({{kSound, sound}, {kCrashing, crashing}});
+  BOOST_TEST_REQUIRE(blocked.size() == 1U);
+  BOOST_TEST(blocked[0] == kCrashing);
 }
 
 BOOST_AUTO_TEST_CASE(PartsInTheSameCrashesAreNotToldApartByChance) {
   const std::vector<PartCrash> crashes = {Crash(1, 11, 0s), Crash(2, 12, 1s),
                                           Crash(3, 13, 2s)};
-  BOOST_TEST(ConvictedParts({{kSound, crashes}, {kDeadly, crashes}}).size() ==
-             2U);
+  BOOST_TEST(
+      FindCrashingParts({{kSound, crashes}, {kCrashing, crashes}}).size() ==
+      2U);
 }
 
-BOOST_AUTO_TEST_CASE(TwoDeadlyPartsAreBothConvicted) {
+BOOST_AUTO_TEST_CASE(TwoCrashingPartsAreBothBlocked) {
   const std::vector<PartCrash> one = {Crash(1, 11, 0s), Crash(2, 12, 2s),
                                       Crash(3, 13, 4s)};
   const std::vector<PartCrash> other = {Crash(4, 14, 1s), Crash(5, 15, 3s),
                                         Crash(6, 16, 5s)};
-  BOOST_TEST(ConvictedParts({{kDeadly, one}, {kSound, other}}).size() == 2U);
+  BOOST_TEST(FindCrashingParts({{kCrashing, one}, {kSound, other}}).size() ==
+             2U);
 }
 
 }  // namespace
