--- a/src/gateway/part_suspicion.cc
+++ b/src/gateway/part_suspicion.cc
@@ -1,7 +1,6 @@
 #include "gateway/part_suspicion.h"
 
 #include <algorithm>
-#include <compare>
 
 namespace jackdaw::serving {
 namespace {
@@ -10,6 +9,10 @@
 constexpr int kMinCrashes = 3;
 // Crashes that count while all of them ran the same request.
 constexpr int kMaxCrashesOfOneRequest = 2;
+// A part that was in more than this share of another one's crashes, kSimilar
+// out of kSimilarOf, is not told apart from it: an instance may miss a crash.
+constexpr int kSimilar = 3;
+constexpr int kSimilarOf = 4;
 // Targets that crash within this time have a common cause.
 constexpr Micros kSameMoment = 50ms;
 
@@ -24,17 +27,6 @@
          crashes.end();
 }
 
-// How much speaks against a part.
-struct PartWeight {
-  int counted = 0;
-  std::size_t all = 0;
-  auto operator<=>(const PartWeight&) const = default;
-};
-
-PartWeight Weight(const PartSuspicion& suspicion) {
-  return {CountPartCrashes(suspicion.crashes), suspicion.crashes.size()};
-}
-
 }  // namespace
 
 int CountPartCrashes(std::span<const PartCrash> crashes) {
@@ -57,24 +49,23 @@
 
 std::vector<std::uint64_t> FindCrashingParts(
     std::vector<PartSuspicion> suspicions) {
+  const auto count = [](const PartSuspicion& suspicion) {
+    return CountPartCrashes(suspicion.crashes);
+  };
   std::vector<std::uint64_t> blocked;
   for (;;) {
-    const auto worst = std::ranges::max_element(suspicions, {}, Weight);
-    if (worst == suspicions.end() ||
-        CountPartCrashes(worst->crashes) < kMinCrashes) {
+    const auto worst = std::ranges::max_element(suspicions, {}, count);
+    if (worst == suspicions.end() || count(*worst) < kMinCrashes) {
       return blocked;
     }
-    const PartWeight worst_weight = Weight(*worst);
+    const int most = count(*worst);
     const std::vector<PartCrash> explained = worst->crashes;
     for (PartSuspicion& suspicion : suspicions) {
-      const PartWeight weight = Weight(suspicion);
-      const auto unexplained = std::ranges::remove_if(
-          suspicion.crashes, [&](const PartCrash& crash) {
-            return HasTarget(explained, crash.target);
-          });
-      suspicion.crashes.erase(unexplained.begin(), unexplained.end());
-      // The crashes cannot tell this part from the worst one.
-      if (weight == worst_weight && suspicion.crashes.empty()) {
+      const bool similar = count(suspicion) * kSimilarOf > most * kSimilar;
+      std::erase_if(suspicion.crashes, [&](const PartCrash& crash) {
+        return HasTarget(explained, crash.target);
+      });
+      if (similar && suspicion.crashes.empty()) {
         blocked.push_back(suspicion.part);
       }
     }
--- a/src/gateway/part_suspicion.h
+++ b/src/gateway/part_suspicion.h
@@ -30,7 +30,7 @@
 /// Returns the parts to block: the smallest set, found step by step, that
 /// explains the crashes. The part with the most crashes comes first; its
 /// crashes then say nothing against the other parts, but for those that were in
-/// the very same crashes.
+/// nearly all of them.
 std::vector<std::uint64_t> FindCrashingParts(
     std::vector<PartSuspicion> suspicions);
 
--- a/src/gateway/tests/part_suspicion_test.cc
+++ b/src/gateway/tests/part_suspicion_test.cc
@@ -55,6 +55,17 @@
       2U);
 }
 
+BOOST_AUTO_TEST_CASE(CrashingPartThatMissesOneCrashIsStillBlocked) {
+  std::vector<PartCrash> crashing;
+  for (std::uint64_t i = 1; i <= 5; ++i) {
+    crashing.push_back(Crash(i, 10 + i, i * 1s));
+  }
+  std::vector<PartCrash> sound = crashing;
+  sound.push_back(Crash(6, 16, 6s));
+  BOOST_TEST(
+      FindCrashingParts({{kSound, sound}, {kCrashing, crashing}}).size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(TwoCrashingPartsAreBothBlocked) {
   const std::vector<PartCrash> one = {Crash(1, 11, 0s), Crash(2, 12, 2s),
                                       Crash(3, 13, 4s)};
