Block a part alone only when the crashes tell it apart from others

Parts that crashes do not tell apart form a group now, and only requests with two of them are blocked: sound ones pass, and answers or a further crash tell the parts apart. Only an answer younger than a crash speaks against it; earlier trust decides about the delayed retry alone.

--- a/src/fleet/member.cc
+++ b/src/fleet/member.cc
@@ -78,6 +78,9 @@
     if (report.request != 0) {
       crash["request"] = std::to_string(report.request);
     }
+    if (report.group != 0) {
+      crash["group"] = std::to_string(report.group);
+    }
     if (report.age > Micros(0)) {
       crash["age_ms"] = report.age / 1ms;
     }
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -86,6 +86,7 @@
     if (requests_.contains(part)) {
       OnRequestAnswered(part);
       Forget(part, now);
+      UpdateCrashingParts(now);
     }
   }
 }
@@ -110,7 +111,9 @@
 // Removes a request or part that is known to be sound.
 void CrashTracker::Forget(std::uint64_t digest, Instant now) {
   revision_ += requests_.erase(digest);
-  std::erase(crashing_parts_, digest);
+  std::erase_if(crashing_parts_, [&](const CrashingPart& crashing) {
+    return crashing.part == digest;
+  });
   AddLift(digest, now);
 }
 
@@ -126,8 +129,7 @@
 void CrashTracker::UpdateCrashingParts(Instant now) {
   std::vector<PartSuspicion> suspicions;
   for (const auto& [digest, request] : requests_) {
-    if (request.IsPart() && now - request.last_crash_at <= kRetention &&
-        !trusted_parts_.Contains(digest, now)) {
+    if (request.IsPart() && now - request.last_crash_at <= kRetention) {
       PartSuspicion& suspicion = suspicions.emplace_back();
       suspicion.part = digest;
       for (const Crash& crash : request.crashes) {
@@ -135,11 +137,12 @@
       }
     }
   }
-  const std::vector<std::uint64_t> before = std::move(crashing_parts_);
+  const std::vector<CrashingPart> before = std::move(crashing_parts_);
   crashing_parts_ = FindCrashingParts(std::move(suspicions));
-  for (const std::uint64_t part : before) {
-    if (std::ranges::find(crashing_parts_, part) == crashing_parts_.end()) {
-      AddLift(part, now);
+  for (const CrashingPart& crashing : before) {
+    if (std::ranges::find(crashing_parts_, crashing.part,
+                          &CrashingPart::part) == crashing_parts_.end()) {
+      AddLift(crashing.part, now);
     }
   }
 }
@@ -219,14 +222,33 @@
   return Crashes(digest, now) >= kMaxCrashes;
 }
 
-bool CrashTracker::IsPartBlocked(std::uint64_t part, Instant now) const {
-  if (std::ranges::find(crashing_parts_, part) != crashing_parts_.end()) {
-    return true;
+// Returns the part with its group if requests with it are to be blocked.
+std::optional<CrashingPart> CrashTracker::FindBlocked(std::uint64_t part,
+                                                      Instant now) const {
+  const auto own =
+      std::ranges::find(crashing_parts_, part, &CrashingPart::part);
+  if (own != crashing_parts_.end()) {
+    return *own;
   }
   const auto found = requests_.find(part);
-  return found != requests_.end() &&
-         found->second.reported_crashes >= kMaxCrashes &&
-         now - found->second.last_crash_at <= kRetention;
+  if (found != requests_.end() &&
+      found->second.reported_crashes >= kMaxCrashes &&
+      now - found->second.last_crash_at <= kRetention) {
+    return CrashingPart{part, found->second.reported_group};
+  }
+  return std::nullopt;
+}
+
+// Returns whether the other parts of the group have been proven sound.
+bool CrashTracker::IsAloneInGroup(const CrashingPart& crashing) const {
+  const bool has_own_other =
+      std::ranges::any_of(crashing_parts_, [&](const CrashingPart& other) {
+        return other.group == crashing.group && other.part != crashing.part;
+      });
+  return !has_own_other && std::ranges::none_of(requests_, [&](const auto& e) {
+    return e.second.reported_group == crashing.group &&
+           e.first != crashing.part;
+  });
 }
 
 std::uint64_t CrashTracker::BlockedCause(const CrashCauses& causes,
@@ -234,9 +256,19 @@
   if (IsBlocked(causes.request, now)) {
     return causes.request;
   }
-  const auto part = std::ranges::find_if(
-      causes.parts, [&](std::uint64_t id) { return IsPartBlocked(id, now); });
-  return part == causes.parts.end() ? 0 : *part;
+  std::vector<std::uint64_t> groups;
+  for (const std::uint64_t part : causes.parts) {
+    const auto blocked = FindBlocked(part, now);
+    if (!blocked) {
+      continue;
+    }
+    if (blocked->group == 0 || IsAloneInGroup(*blocked) ||
+        std::ranges::find(groups, blocked->group) != groups.end()) {
+      return part;
+    }
+    groups.push_back(blocked->group);
+  }
+  return 0;
 }
 
 std::vector<const CrashTracker::Entry*> CrashTracker::MostCrashesFirst(
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <unordered_map>
@@ -42,6 +43,8 @@
   std::uint64_t request = 0;
   /// Time since the crash.
   Micros age{};
+  /// For a blocked part: its group; see CrashingPart.
+  std::uint64_t group = 0;
 };
 
 /// Remembers which targets crashed while they ran a request, as seen by this
@@ -117,6 +120,8 @@
     std::vector<Crash> crashes;
     /// Largest number of crashes that another instance reported as a whole.
     int reported_crashes = 0;
+    /// Group of a part that another instance reported as blocked.
+    std::uint64_t reported_group = 0;
     /// The leader has been told of `reported_crashes`.
     bool sum_reported = false;
     Instant last_crash_at{};
@@ -142,7 +147,10 @@
   void OnAnswerReport(std::uint64_t digest, Instant now);
   bool IsContradicted(const CrashReport& report, Instant now) const;
   void Contradict(const CrashReport& report, Instant now);
-  bool IsPartBlocked(std::uint64_t part, Instant now) const;
+  std::optional<CrashingPart> FindBlocked(std::uint64_t part,
+                                          Instant now) const;
+  bool IsAloneInGroup(const CrashingPart& crashing) const;
+  std::uint64_t GroupOf(std::uint64_t part, Instant now) const;
   static CrashReport Report(std::uint64_t digest,
                             const Crash& crash,
                             Instant now);
@@ -154,7 +162,7 @@
   /// yet.
   std::vector<std::uint64_t> unreported_answers_;
   /// Parts that explain the crashes known here.
-  std::vector<std::uint64_t> crashing_parts_;
+  std::vector<CrashingPart> crashing_parts_;
   /// What was unblocked lately, for the answers of the leader.
   std::vector<Lift> lifts_;
   TrustedParts trusted_parts_;
--- a/src/gateway/crash_tracker_reports.cc
+++ b/src/gateway/crash_tracker_reports.cc
@@ -38,7 +38,10 @@
       has_parts |= report.request != 0;
       AddCrash(request, {report.target, now - report.age, true, report.request},
                now);
-    } else if (report.crashes > request.reported_crashes) {
+      continue;
+    }
+    request.reported_group = report.group;
+    if (report.crashes > request.reported_crashes) {
       request.reported_crashes = report.crashes;
       request.sum_reported = true;
       request.last_crash_at = now;
@@ -60,22 +63,20 @@
     trusted_parts_.OnAnswer(digest, now);
   }
   Forget(digest, now);
+  UpdateCrashingParts(now);
 }
 
-// Returns whether answers to requests with a part speak against a report on it.
-// The crashes of the fleet count, not only those of this instance, so that a
-// part that was sound once is not trusted for longer than elsewhere.
+// Returns whether an answer to a request with the part is younger than the
+// reported crash. An older one proves nothing: a part that was sound may have
+// begun to crash targets.
 bool CrashTracker::IsContradicted(const CrashReport& report,
                                   Instant now) const {
-  return trusted_parts_.AnsweredSince(report.digest, now - report.age) ||
-         (trusted_parts_.Contains(report.digest, now) &&
-          report.crashes < TrustedParts::kMaxCrashes);
+  return trusted_parts_.AnsweredSince(report.digest, now - report.age);
 }
 
 // Lets the reporter know that requests with the part are answered.
 void CrashTracker::Contradict(const CrashReport& report, Instant now) {
   if (report.target != 0) {
-    trusted_parts_.OnCrash(report.digest, report.target);
     AddLift(report.digest, now);
   } else if (unreported_answers_.size() < kMaxUnreportedAnswers &&
              std::ranges::find(unreported_answers_, report.digest) ==
@@ -84,6 +85,11 @@
   }
 }
 
+std::uint64_t CrashTracker::GroupOf(std::uint64_t part, Instant now) const {
+  const auto blocked = FindBlocked(part, now);
+  return blocked ? blocked->group : 0;
+}
+
 CrashReport CrashTracker::Report(std::uint64_t digest,
                                  const Crash& crash,
                                  Instant now) {
@@ -102,7 +108,8 @@
     const Request& request = entry->second;
     if (request.HasSum() && !request.sum_reported &&
         reports.size() < kMaxReports) {
-      reports.push_back({entry->first, 0, request.reported_crashes});
+      reports.push_back({entry->first, 0, request.reported_crashes, 0,
+                         now - request.last_crash_at, request.reported_group});
     }
     for (const Crash& crash : request.crashes) {
       if (!crash.reported && reports.size() < kMaxReports) {
@@ -146,16 +153,16 @@
   for (const Entry* entry : MostCrashesFirst(now)) {
     const int crashes = entry->second.Count();
     const bool blocked = entry->second.IsPart()
-                             ? IsPartBlocked(entry->first, now)
+                             ? FindBlocked(entry->first, now).has_value()
                              : crashes >= kMaxCrashes;
     if (blocked && reports.size() < kMaxBlockedReports) {
-      reports.push_back({entry->first, 0,
-                         crashes + trusted_parts_.Crashes(entry->first), 0,
-                         now - entry->second.last_crash_at});
+      reports.push_back({entry->first, 0, crashes, 0,
+                         now - entry->second.last_crash_at,
+                         GroupOf(entry->first, now)});
     }
   }
   for (const Lift& lift : lifts_) {
-    if (now - lift.at <= kLiftTime && !IsPartBlocked(lift.digest, now) &&
+    if (now - lift.at <= kLiftTime && !FindBlocked(lift.digest, now) &&
         reports.size() < kMaxReplies) {
       reports.push_back({lift.digest, 0, 0});
     }
@@ -168,7 +175,8 @@
   for (const Entry* entry : MostCrashesFirst(now)) {
     const Request& request = entry->second;
     if (request.HasSum()) {
-      reports.push_back({entry->first, 0, request.reported_crashes});
+      reports.push_back({entry->first, 0, request.reported_crashes, 0,
+                         now - request.last_crash_at, request.reported_group});
     }
     for (const Crash& crash : request.crashes) {
       reports.push_back(Report(entry->first, crash, now));
--- a/src/gateway/part_suspicion.cc
+++ b/src/gateway/part_suspicion.cc
@@ -47,26 +47,33 @@
                               : count;
 }
 
-std::vector<std::uint64_t> FindCrashingParts(
+std::vector<CrashingPart> FindCrashingParts(
     std::vector<PartSuspicion> suspicions) {
   const auto count = [](const PartSuspicion& suspicion) {
     return CountPartCrashes(suspicion.crashes);
   };
-  std::vector<std::uint64_t> blocked;
+  std::vector<CrashingPart> found;
   for (;;) {
     const auto worst = std::ranges::max_element(suspicions, {}, count);
     if (worst == suspicions.end() || count(*worst) < kMinCrashes) {
-      return blocked;
+      return found;
     }
     const int most = count(*worst);
     const std::vector<PartCrash> explained = worst->crashes;
+    const std::size_t first = found.size();
     for (PartSuspicion& suspicion : suspicions) {
       const bool similar = count(suspicion) * kSimilarOf > most * kSimilar;
       std::erase_if(suspicion.crashes, [&](const PartCrash& crash) {
         return HasTarget(explained, crash.target);
       });
       if (similar && suspicion.crashes.empty()) {
-        blocked.push_back(suspicion.part);
+        found.push_back({suspicion.part, 0});
+      }
+    }
+    if (found.size() > first + 1) {
+      const std::uint64_t group = found[first].part;
+      for (std::size_t i = first; i < found.size(); ++i) {
+        found[i].group = group;
       }
     }
   }
--- a/src/gateway/part_suspicion.h
+++ b/src/gateway/part_suspicion.h
@@ -27,11 +27,20 @@
 /// one request alone counts for at most kMaxCrashesOfOneRequest.
 int CountPartCrashes(std::span<const PartCrash> crashes);
 
-/// Returns the parts to block: the smallest set, found step by step, that
-/// explains the crashes. The part with the most crashes comes first; its
-/// crashes then say nothing against the other parts, but for those that were in
-/// nearly all of them.
-std::vector<std::uint64_t> FindCrashingParts(
+/// A part to block.
+struct CrashingPart {
+  std::uint64_t part = 0;
+  /// Id of a group of parts of which the crashes do not tell which one causes
+  /// them, or 0. Only requests with two or more parts of a group are blocked: a
+  /// request with one of them is sound, or its crash tells them apart.
+  std::uint64_t group = 0;
+};
+
+/// Returns the smallest set of parts, found step by step, that explains the
+/// crashes. The part with the most crashes comes first, in a group with those
+/// that were in nearly all of them; these crashes then say nothing against
+/// other parts.
+std::vector<CrashingPart> FindCrashingParts(
     std::vector<PartSuspicion> suspicions);
 
 }  // namespace jackdaw::serving
--- a/src/gateway/trusted_parts.cc
+++ b/src/gateway/trusted_parts.cc
@@ -5,6 +5,8 @@
 
 // Time for which an answer proves a part sound.
 constexpr Micros kTrustTime = std::chrono::minutes(5);
+// Crashes without an answer that end the trust.
+constexpr int kMaxCrashes = 8;
 // Parts of one generation.
 constexpr std::size_t kMaxParts = 4096;
 
@@ -49,9 +51,4 @@
   return trust != nullptr && trust->answered_at > since;
 }
 
-int TrustedParts::Crashes(std::uint64_t part) const {
-  const Trust* trust = Find(part);
-  return trust == nullptr ? 0 : trust->crashes;
-}
-
 }  // namespace jackdaw::serving
--- a/src/gateway/trusted_parts.h
+++ b/src/gateway/trusted_parts.h
@@ -12,17 +12,12 @@
 /// after several crashes without an answer in between.
 class TrustedParts {
  public:
-  /// Crashes without an answer that end the trust.
-  static constexpr int kMaxCrashes = 8;
-
   void OnAnswer(std::uint64_t part, Instant now);
   /// Holds a crash against a trusted part.
   /// @param target digest of the crashed target
   void OnCrash(std::uint64_t part, std::uint64_t target);
   bool Contains(std::uint64_t part, Instant now) const;
   bool AnsweredSince(std::uint64_t part, Instant since) const;
-  /// Returns the crashes since the last answer, 0 for an unknown part.
-  int Crashes(std::uint64_t part) const;
 
  private:
   struct Trust {
