Let a request with one of two parts that crashes do not tell apart pass alone

A group of parts was told apart only as a whole: with the crashing part in one request of five or two, a sound part that joined the group later let requests with the crashing one pass alone, and one with more crashes excused it.

Each blocked part names the one that came with it in a request. Only while that one is blocked too may a request with one of them pass, and a part with five crashes is not excused by another one's.

--- a/src/fleet/member.cc
+++ b/src/fleet/member.cc
@@ -78,8 +78,8 @@
     if (report.request != 0) {
       crash["request"] = std::to_string(report.request);
     }
-    if (report.group != 0) {
-      crash["group"] = std::to_string(report.group);
+    if (report.partner != 0) {
+      crash["partner"] = std::to_string(report.partner);
     }
     if (report.age > Micros(0)) {
       crash["age_ms"] = report.age / 1ms;
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -138,7 +138,7 @@
     }
   }
   const std::vector<CrashingPart> before = std::move(crashing_parts_);
-  crashing_parts_ = FindCrashingParts(std::move(suspicions));
+  crashing_parts_ = FindCrashingParts(suspicions);
   for (const CrashingPart& crashing : before) {
     if (std::ranges::find(crashing_parts_, crashing.part,
                           &CrashingPart::part) == crashing_parts_.end()) {
@@ -234,21 +234,15 @@
   if (found != requests_.end() &&
       found->second.reported_crashes >= kMaxCrashes &&
       now - found->second.last_crash_at <= kRetention) {
-    return CrashingPart{part, found->second.reported_group};
+    return CrashingPart{part, found->second.reported_partner};
   }
   return std::nullopt;
 }
 
-// Returns whether the other parts of the group have been proven sound.
-bool CrashTracker::IsAloneInGroup(const CrashingPart& crashing) const {
-  const bool has_own_other =
-      std::ranges::any_of(crashing_parts_, [&](const CrashingPart& other) {
-        return other.group == crashing.group && other.part != crashing.part;
-      });
-  return !has_own_other && std::ranges::none_of(requests_, [&](const auto& e) {
-    return e.second.reported_group == crashing.group &&
-           e.first != crashing.part;
-  });
+// Returns whether no other part may be the cause of the part's crashes.
+bool CrashTracker::IsToldApart(const CrashingPart& crashing,
+                               Instant now) const {
+  return crashing.partner == 0 || !FindBlocked(crashing.partner, now);
 }
 
 std::uint64_t CrashTracker::BlockedCause(const CrashCauses& causes,
@@ -256,17 +250,13 @@
   if (IsBlocked(causes.request, now)) {
     return causes.request;
   }
-  std::vector<std::uint64_t> groups;
+  int blocked_parts = 0;
   for (const std::uint64_t part : causes.parts) {
     const auto blocked = FindBlocked(part, now);
-    if (!blocked) {
-      continue;
-    }
-    if (blocked->group == 0 || IsAloneInGroup(*blocked) ||
-        std::ranges::find(groups, blocked->group) != groups.end()) {
+    blocked_parts += blocked ? 1 : 0;
+    if (blocked && (blocked_parts > 1 || IsToldApart(*blocked, now))) {
       return part;
     }
-    groups.push_back(blocked->group);
   }
   return 0;
 }
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -43,8 +43,8 @@
   std::uint64_t request = 0;
   /// Time since the crash.
   Micros age{};
-  /// For a blocked part: its group; see CrashingPart.
-  std::uint64_t group = 0;
+  /// For a blocked part: its partner; see CrashingPart.
+  std::uint64_t partner = 0;
 };
 
 /// Remembers which targets crashed while they ran a request, as seen by this
@@ -92,7 +92,8 @@
   void OnReported(std::span<const CrashReport> reports);
   /// Marks everything as not reported, for a new leader.
   void ReportAgain();
-  /// Returns the blocked requests as reports for other instances.
+  /// Returns the blocked requests and parts, and those that were unblocked
+  /// lately, as reports for other instances.
   std::vector<CrashReport> BlockedRequests(Instant now) const;
   /// Returns all known crashes, most crashes first, up to a bound.
   std::vector<CrashReport> AllCrashes(Instant now) const;
@@ -120,8 +121,8 @@
     std::vector<Crash> crashes;
     /// Largest number of crashes that another instance reported as a whole.
     int reported_crashes = 0;
-    /// Group of a part that another instance reported as blocked.
-    std::uint64_t reported_group = 0;
+    /// Partner of a part that another instance reported as blocked.
+    std::uint64_t reported_partner = 0;
     /// The leader has been told of `reported_crashes`.
     bool sum_reported = false;
     Instant last_crash_at{};
@@ -149,8 +150,8 @@
   void Contradict(const CrashReport& report, Instant now);
   std::optional<CrashingPart> FindBlocked(std::uint64_t part,
                                           Instant now) const;
-  bool IsAloneInGroup(const CrashingPart& crashing) const;
-  std::uint64_t GroupOf(std::uint64_t part, Instant now) const;
+  bool IsToldApart(const CrashingPart& crashing, Instant now) const;
+  std::uint64_t PartnerOf(std::uint64_t part, Instant now) const;
   static CrashReport Report(std::uint64_t digest,
                             const Crash& crash,
                             Instant now);
--- a/src/gateway/crash_tracker_reports.cc
+++ b/src/gateway/crash_tracker_reports.cc
@@ -40,7 +40,7 @@
                now);
       continue;
     }
-    request.reported_group = report.group;
+    request.reported_partner = report.partner;
     if (report.crashes > request.reported_crashes) {
       request.reported_crashes = report.crashes;
       request.sum_reported = true;
@@ -85,9 +85,9 @@
   }
 }
 
-std::uint64_t CrashTracker::GroupOf(std::uint64_t part, Instant now) const {
+std::uint64_t CrashTracker::PartnerOf(std::uint64_t part, Instant now) const {
   const auto blocked = FindBlocked(part, now);
-  return blocked ? blocked->group : 0;
+  return blocked ? blocked->partner : 0;
 }
 
 CrashReport CrashTracker::Report(std::uint64_t digest,
@@ -109,7 +109,8 @@
     if (request.HasSum() && !request.sum_reported &&
         reports.size() < kMaxReports) {
       reports.push_back({entry->first, 0, request.reported_crashes, 0,
-                         now - request.last_crash_at, request.reported_group});
+                         now - request.last_crash_at,
+                         request.reported_partner});
     }
     for (const Crash& crash : request.crashes) {
       if (!crash.reported && reports.size() < kMaxReports) {
@@ -158,7 +159,7 @@
     if (blocked && reports.size() < kMaxBlockedReports) {
       reports.push_back({entry->first, 0, crashes, 0,
                          now - entry->second.last_crash_at,
-                         GroupOf(entry->first, now)});
+                         PartnerOf(entry->first, now)});
     }
   }
   for (const Lift& lift : lifts_) {
@@ -176,7 +177,8 @@
     const Request& request = entry->second;
     if (request.HasSum()) {
       reports.push_back({entry->first, 0, request.reported_crashes, 0,
-                         now - request.last_crash_at, request.reported_group});
+                         now - request.last_crash_at,
+                         request.reported_partner});
     }
     for (const Crash& crash : request.crashes) {
       reports.push_back(Report(entry->first, crash, now));
--- a/src/gateway/part_suspicion.cc
+++ b/src/gateway/part_suspicion.cc
@@ -13,6 +13,8 @@
 // out of kSimilarOf, is not told apart from it: an instance may miss a crash.
 constexpr int kSimilar = 3;
 constexpr int kSimilarOf = 4;
+// A part with this many crashes is not excused by those of another one.
+constexpr int kCertainCrashes = 5;
 // Targets that crash within this time have a common cause.
 constexpr Micros kSameMoment = 50ms;
 
@@ -27,6 +29,31 @@
          crashes.end();
 }
 
+int Count(const PartSuspicion& suspicion) {
+  return CountPartCrashes(suspicion.crashes);
+}
+
+bool ShareRequest(const PartSuspicion& a, const PartSuspicion& b) {
+  return std::ranges::any_of(a.crashes, [&](const PartCrash& crash) {
+    return std::ranges::find(b.crashes, crash.request, &PartCrash::request) !=
+           b.crashes.end();
+  });
+}
+
+// Returns the part with the most crashes that came with this one in a request,
+// or 0.
+std::uint64_t Partner(const PartSuspicion& suspicion,
+                      std::span<const PartSuspicion* const> found) {
+  const PartSuspicion* partner = nullptr;
+  for (const PartSuspicion* other : found) {
+    if (other != &suspicion && ShareRequest(suspicion, *other) &&
+        (partner == nullptr || Count(*other) > Count(*partner))) {
+      partner = other;
+    }
+  }
+  return partner == nullptr ? 0 : partner->part;
+}
+
 }  // namespace
 
 int CountPartCrashes(std::span<const PartCrash> crashes) {
@@ -48,35 +75,33 @@
 }
 
 std::vector<CrashingPart> FindCrashingParts(
-    std::vector<PartSuspicion> suspicions) {
-  const auto count = [](const PartSuspicion& suspicion) {
-    return CountPartCrashes(suspicion.crashes);
-  };
-  std::vector<CrashingPart> found;
+    std::span<const PartSuspicion> suspicions) {
+  std::vector<PartSuspicion> unexplained(suspicions.begin(), suspicions.end());
+  std::vector<const PartSuspicion*> found;
   for (;;) {
-    const auto worst = std::ranges::max_element(suspicions, {}, count);
-    if (worst == suspicions.end() || count(*worst) < kMinCrashes) {
-      return found;
+    const auto worst = std::ranges::max_element(unexplained, {}, Count);
+    if (worst == unexplained.end() || Count(*worst) < kMinCrashes) {
+      break;
     }
-    const int most = count(*worst);
+    const int most = Count(*worst);
     const std::vector<PartCrash> explained = worst->crashes;
-    const std::size_t first = found.size();
-    for (PartSuspicion& suspicion : suspicions) {
-      const bool similar = count(suspicion) * kSimilarOf > most * kSimilar;
-      std::erase_if(suspicion.crashes, [&](const PartCrash& crash) {
+    for (std::size_t i = 0; i < unexplained.size(); ++i) {
+      const int count = Count(unexplained[i]);
+      const bool explains_too =
+          count * kSimilarOf > most * kSimilar || count >= kCertainCrashes;
+      std::erase_if(unexplained[i].crashes, [&](const PartCrash& crash) {
         return HasTarget(explained, crash.target);
       });
-      if (similar && suspicion.crashes.empty()) {
-        found.push_back({suspicion.part, 0});
-      }
-    }
-    if (found.size() > first + 1) {
-      const std::uint64_t group = found[first].part;
-      for (std::size_t i = first; i < found.size(); ++i) {
-        found[i].group = group;
+      if (explains_too && unexplained[i].crashes.empty()) {
+        found.push_back(&suspicions[i]);
       }
     }
   }
+  std::vector<CrashingPart> parts;
+  for (const PartSuspicion* suspicion : found) {
+    parts.push_back({suspicion->part, Partner(*suspicion, found)});
+  }
+  return parts;
 }
 
 }  // namespace jackdaw::serving
--- a/src/gateway/part_suspicion.h
+++ b/src/gateway/part_suspicion.h
@@ -30,17 +30,18 @@
 /// A part to block.
 struct CrashingPart {
   std::uint64_t part = 0;
-  /// Id of a group of parts of which the crashes do not tell which one causes
-  /// them, or 0. Only requests with two or more parts of a group are blocked: a
-  /// request with one of them is sound, or its crash tells them apart.
-  std::uint64_t group = 0;
+  /// Another part to block that came with it in a request, or 0. While both are
+  /// blocked, the crashes do not tell which of them causes them, so a request
+  /// with only one of them may pass: it is sound, or its crash tells them
+  /// apart.
+  std::uint64_t partner = 0;
 };
 
 /// Returns the smallest set of parts, found step by step, that explains the
-/// crashes. The part with the most crashes comes first, in a group with those
+/// crashes. The part with the most crashes comes first, together with those
 /// that were in nearly all of them; these crashes then say nothing against
-/// other parts.
+/// other parts, but for those with many crashes.
 std::vector<CrashingPart> FindCrashingParts(
-    std::vector<PartSuspicion> suspicions);
+    std::span<const PartSuspicion> suspicions);
 
 }  // namespace jackdaw::serving
