--- a/src/gateway/part_suspicion.cc
+++ b/src/gateway/part_suspicion.cc
@@ -98,6 +98,7 @@
     }
   }
   std::vector<CrashingPart> parts;
+  parts.reserve(found.size());
   for (const PartSuspicion* suspicion : found) {
     parts.push_back({suspicion->part, Partner(*suspicion, found)});
   }
