Read the partner of a blocked part in heartbeats and rows

Cause: reports of blocked parts name their partner since, but the decoder, which rejects members that nobody asked for, never asked for it. While two parts were blocked together, each reply of the leader was unreadable for all members: heartbeats failed, instances acted alone and no block, target or configuration was relayed. A row of crashes with a sum and a partner could not be read after a restart.

The decoder now reads the member.

--- a/src/fleet/member.cc
+++ b/src/fleet/member.cc
@@ -103,6 +103,8 @@
     report.crashes = static_cast<int>(crash.Integer("breaks", 0, kMaxCrashes));
     report.request =
         std::strtoull(crash.TextOr("request", "0").c_str(), nullptr, 10);
+    report.partner =
+        std::strtoull(crash.TextOr("partner", "0").c_str(), nullptr, 10);
     report.age =
         std::chrono::milliseconds(crash.IntegerOr("age_ms", 0, kMaxInteger, 0));
     BOOST_OUTCOME_TRY(crash.Finish());
--- a/src/fleet/tests/heartbeat_test.cc
+++ b/src/fleet/tests/heartbeat_test.cc
@@ -72,6 +72,17 @@
   BOOST_TEST(read.value().targets.rows[1].dropped);
 }
 
+BOOST_AUTO_TEST_CASE(BlockedPartWithAPartnerDoesNotMakeAReplyUnreadable) {
+  HeartbeatReply reply;
+  reply.crashes.push_back({7, 0, 3, 0, 5ms, 9});
+  const auto read = DecodeHeartbeatReply(EncodeHeartbeatReply(reply));
+  BOOST_TEST_REQUIRE(read.has_value());
+  BOOST_TEST(read.value().crashes.front().partner == 9U);
+  const auto stored = DecodeCrashRow(EncodeCrashRow(reply.crashes));
+  BOOST_TEST_REQUIRE(stored.has_value());
+  BOOST_TEST(stored.value().front().partner == 9U);
+}
+
 BOOST_AUTO_TEST_CASE(MalformedHeartbeatsAreRejected) {
   for (const char* text : {"", "{}", "[]", R"({"member":"{}"})", "\xff"}) {
     BOOST_TEST(!DecodeHeartbeat(text));
