Pass over unknown members in messages between instances

Callers would see, in a rolling change of releases, what the unread partner of a blocked part did: one member that an older instance does not know makes the whole heartbeat, view, lease or share table unreadable for it, so it acts alone. Cause: these documents were read with the strictness that is meant for a person's. MessagesOfALaterReleaseStayReadable failed before (reply unreadable).

--- a/src/core/object_reader.cc
+++ b/src/core/object_reader.cc
@@ -146,6 +146,10 @@
       }
     }
   }
+  return FinishKnown();
+}
+
+Result<void> ObjectReader::FinishKnown() {
   if (error_) {
     return *error_;
   }
--- a/src/core/object_reader.h
+++ b/src/core/object_reader.h
@@ -13,7 +13,8 @@
 namespace jackdaw {
 
 /// Strict reader of one JSON object. Getters record the first error with the
-/// path in the document; `Finish` also reports members nobody asked for.
+/// path in the document; `Finish` also reports members nobody asked for, as a
+/// person's document may have a misspelt one.
 class ObjectReader {
  public:
   /// @param value the value to read, must outlive the reader
@@ -42,6 +43,9 @@
   void Fail(std::string_view key, std::string_view what);
   /// @returns success, or the first error as kInvalidSetting
   Result<void> Finish();
+  /// Like Finish, but allows members nobody asked for: the sender may be of a
+  /// later release.
+  Result<void> FinishKnown();
 
  private:
   const boost::json::value* Find(std::string_view key, bool required);
--- a/src/fleet/heartbeat.cc
+++ b/src/fleet/heartbeat.cc
@@ -36,10 +36,10 @@
     row.value = fields.TextOr("value", "");
     row.version = fields.Integer("version", 0, INT64_MAX);
     row.dropped = fields.FlagOr("dropped", false);
-    BOOST_OUTCOME_TRY(fields.Finish());
+    BOOST_OUTCOME_TRY(fields.FinishKnown());
     delta.rows.push_back(std::move(row));
   }
-  BOOST_OUTCOME_TRY(reader.Finish());
+  BOOST_OUTCOME_TRY(reader.FinishKnown());
   return delta;
 }
 
@@ -68,10 +68,10 @@
     member.failure_domain = fields.Text("failure_domain");
     member.state = static_cast<MemberState>(fields.Integer(
         "state", 0, static_cast<std::int64_t>(MemberState::kGone)));
-    BOOST_OUTCOME_TRY(fields.Finish());
+    BOOST_OUTCOME_TRY(fields.FinishKnown());
     view.members.push_back(std::move(member));
   }
-  BOOST_OUTCOME_TRY(reader.Finish());
+  BOOST_OUTCOME_TRY(reader.FinishKnown());
   return view;
 }
 
@@ -110,7 +110,7 @@
   heartbeat.view_id = reader.TextOr("view_id", "");
   heartbeat.config_after = reader.Integer("config_after", 0, INT64_MAX);
   heartbeat.targets_after = reader.Integer("targets_after", 0, INT64_MAX);
-  BOOST_OUTCOME_TRY(reader.Finish());
+  BOOST_OUTCOME_TRY(reader.FinishKnown());
   return heartbeat;
 }
 
@@ -146,7 +146,7 @@
   BOOST_OUTCOME_TRY(reply.config, ReadDelta(reader, "config"));
   BOOST_OUTCOME_TRY(reply.targets, ReadDelta(reader, "targets"));
   BOOST_OUTCOME_TRY(reply.crashes, ReadCrashes(reader));
-  BOOST_OUTCOME_TRY(reader.Finish());
+  BOOST_OUTCOME_TRY(reader.FinishKnown());
   return reply;
 }
 
--- a/src/fleet/leader_row.cc
+++ b/src/fleet/leader_row.cc
@@ -26,7 +26,7 @@
   lease.term = reader.Integer("term", 0, INT64_MAX);
   lease.renewals = reader.Integer("renewals", 0, INT64_MAX);
   lease.released = reader.FlagOr("released", false);
-  BOOST_OUTCOME_TRY(reader.Finish());
+  BOOST_OUTCOME_TRY(reader.FinishKnown());
   return lease;
 }
 
--- a/src/fleet/member.cc
+++ b/src/fleet/member.cc
@@ -61,7 +61,7 @@
   item.demand.requests = FromMilli(reader, "requests");
   item.demand.tokens = FromMilli(reader, "tokens");
   item.demand.unmet = FromMilli(reader, "unmet");
-  BOOST_OUTCOME_TRY(reader.Finish());
+  BOOST_OUTCOME_TRY(reader.FinishKnown());
   return item;
 }
 
@@ -107,7 +107,7 @@
         std::strtoull(crash.TextOr("partner", "0").c_str(), nullptr, 10);
     report.age =
         std::chrono::milliseconds(crash.IntegerOr("age_ms", 0, kMaxInteger, 0));
-    BOOST_OUTCOME_TRY(crash.Finish());
+    BOOST_OUTCOME_TRY(crash.FinishKnown());
     reports.push_back(report);
   }
   return reports;
@@ -121,7 +121,7 @@
   BOOST_OUTCOME_TRY(const json::value value, ParseJson(document));
   ObjectReader reader(value, "");
   BOOST_OUTCOME_TRY(auto reports, ReadCrashes(reader));
-  BOOST_OUTCOME_TRY(reader.Finish());
+  BOOST_OUTCOME_TRY(reader.FinishKnown());
   return reports;
 }
 
@@ -156,7 +156,7 @@
     member.demand.push_back(std::move(demand));
   }
   BOOST_OUTCOME_TRY(member.crashes, ReadCrashes(reader));
-  BOOST_OUTCOME_TRY(reader.Finish());
+  BOOST_OUTCOME_TRY(reader.FinishKnown());
   return member;
 }
 
--- a/src/fleet/share_plan.cc
+++ b/src/fleet/share_plan.cc
@@ -71,10 +71,10 @@
         static_cast<double>(fields.Integer("share", 0, kMaxUnits)) / kBillion;
     entry.bound =
         static_cast<double>(fields.Integer("bound", 0, kMaxUnits)) / kBillion;
-    BOOST_OUTCOME_TRY(fields.Finish());
+    BOOST_OUTCOME_TRY(fields.FinishKnown());
     table.entries.push_back(std::move(entry));
   }
-  BOOST_OUTCOME_TRY(reader.Finish());
+  BOOST_OUTCOME_TRY(reader.FinishKnown());
   return table;
 }
 
--- a/src/fleet/tests/heartbeat_test.cc
+++ b/src/fleet/tests/heartbeat_test.cc
@@ -83,6 +83,19 @@
   BOOST_TEST(stored.value().front().partner == 9U);
 }
 
+BOOST_AUTO_TEST_CASE(MessagesOfALaterReleaseStayReadable) {
+  HeartbeatReply reply;
+  reply.crashes.push_back({7, 0, 3});
+  std::string text = EncodeHeartbeatReply(reply);
+  const std::size_t crash = text.find("\"digest\"");
+  BOOST_TEST_REQUIRE(crash != std::string::npos);
+  text.insert(crash, R"("later":1,)");
+  text.insert(1, R"("later":{},)");
+  const auto read = DecodeHeartbeatReply(text);
+  BOOST_TEST_REQUIRE(read.has_value());
+  BOOST_TEST(read.value().crashes.front().crashes == 3);
+}
+
 BOOST_AUTO_TEST_CASE(MalformedHeartbeatsAreRejected) {
   for (const char* text : {"", "{}", "[]", R"({"member":"{}"})", "\xff"}) {
     BOOST_TEST(!DecodeHeartbeat(text));
