Follow the store when it comes back from an older copy

The class: a version is trusted to grow for ever.

A lease of an earlier epoch is nobody's: it is acquired again with a term above all earlier ones, those that the store has lost included, and orders wait for the last ones of its holder; the share table continues likewise above every epoch that members may have confirmed. Targets that the copy lacks get the time to register again.

Calls of DeltaSince in older checks name the epoch, their values are the same.

--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -62,16 +62,8 @@
           store_,
           clock,
           std::string(platform::kTargetTable),
-          {[this](const auto& rows) {
-             target_replica_.OnSnapshot(rows, clock_.Now());
-             OnTargetChanges(
-                 target_feed_.OnSnapshot(DecodeTargets(rows), clock_.Now()));
-           },
-           [this](const auto& rows) {
-             target_replica_.OnChanges(rows, clock_.Now());
-             OnTargetChanges(
-                 target_feed_.OnChanges(DecodeTargets(rows), clock_.Now()));
-           },
+          {[this](const auto& rows) { OnTargetRows(rows, true); },
+           [this](const auto& rows) { OnTargetRows(rows, false); },
            [this] { target_feed_.OnStoreReconnected(clock_.Now()); }}),
       leadership_(settings.name,
                   ToText(settings.peer),
--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -114,6 +114,7 @@
   boost::asio::awaitable<void> ReadFleetTable();
   boost::asio::awaitable<bool> WriteFleetTable(bool with_member);
   void OnFleetRows(const platform::RowSet& rows);
+  void OnStoreRestored(std::int64_t epoch);
   void OnLeaseAcquired(const std::string& last_holder);
   void ApplyShares();
   void DropShareIfDisconnected();
@@ -123,6 +124,7 @@
   // Configuration and targets.
   void OnConfigRows(const platform::RowSet& rows);
   void LogQuotas(const ServingConfig& config) const;
+  void OnTargetRows(const platform::RowSet& rows, bool whole);
   void OnTargetChanges(const TargetFeed::Changes& changes);
   std::vector<TargetRow> DecodeTargets(const platform::RowSet& rows) const;
 
@@ -158,6 +160,8 @@
   ConfigPtr config_;
   MemberState state_ = MemberState::kStarting;
   std::int64_t heartbeat_number_ = 0;
+  /// Epoch of the store that the fleet table was read from; see TableVersion.
+  std::int64_t store_epoch_ = 0;
   /// Number of views made; part of the id of a view.
   std::int64_t view_sequence_ = 0;
   /// Version of the view's row that was read or written last.
--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -213,19 +213,17 @@
   read_config_ = reply.config.read_store;
   read_targets_ = reply.targets.read_store;
   platform::RowSet rows;
-  rows.version = reply.config.version;
+  rows.version = reply.config.version.number;
   rows.rows = reply.config.rows;
   for (platform::StoredRow& row : rows.rows) {
     row.at.table = platform::kConfigTable;
   }
   config_replica_.OnDelta(reply.config, now);
   OnConfigRows(rows);
-  rows.version = reply.targets.version;
+  rows.epoch = reply.targets.version.epoch;
+  rows.version = reply.targets.version.number;
   rows.rows = reply.targets.rows;
-  target_replica_.OnDelta(reply.targets, now);
-  const auto targets = DecodeTargets(rows);
-  OnTargetChanges(reply.targets.whole ? target_feed_.OnSnapshot(targets, now)
-                                      : target_feed_.OnChanges(targets, now));
+  OnTargetRows(rows, reply.targets.whole);
   crashes_.AddReports(reply.crashes, now);
 }
 
--- a/src/fleet/fleet_agent_rows.cc
+++ b/src/fleet/fleet_agent_rows.cc
@@ -72,6 +72,27 @@
   return targets;
 }
 
+// Applies rows of the targets to the replica and to the registry.
+// @param whole the rows are a snapshot of the table
+void FleetAgent::OnTargetRows(const platform::RowSet& rows, bool whole) {
+  const Instant now = clock_.Now();
+  const std::int64_t known_epoch = target_replica_.version().epoch;
+  if (rows.epoch < known_epoch) {
+    return;
+  }
+  if (rows.epoch > known_epoch) {
+    target_feed_.OnStoreRestored(now);
+  }
+  const auto targets = DecodeTargets(rows);
+  if (whole) {
+    target_replica_.OnSnapshot(rows, now);
+    OnTargetChanges(target_feed_.OnSnapshot(targets, now));
+  } else {
+    target_replica_.OnChanges(rows, now);
+    OnTargetChanges(target_feed_.OnChanges(targets, now));
+  }
+}
+
 void FleetAgent::OnTargetChanges(const TargetFeed::Changes& changes) {
   for (const TargetRegistration& entry : changes.updated) {
     if (!registry_.Update(entry)) {
--- a/src/fleet/fleet_agent_store.cc
+++ b/src/fleet/fleet_agent_store.cc
@@ -44,7 +44,28 @@
   fleet_known_ = true;
 }
 
+// Rows of an earlier epoch must not hide those of the new one, and what the
+// store has lost is written again.
+void FleetAgent::OnStoreRestored(std::int64_t epoch) {
+  Log(LogLevel::kInfo, "store_epoch",
+      {{"epoch", std::to_string(epoch)},
+       {"epoch_before", std::to_string(store_epoch_)}});
+  store_epoch_ = epoch;
+  member_versions_.clear();
+  view_row_version_ = 0;
+  view_written_.clear();
+  shares_row_version_ = 0;
+  crashes_row_version_ = 0;
+  crashes_written_ = 0;
+}
+
 void FleetAgent::OnFleetRows(const platform::RowSet& rows) {
+  if (rows.epoch < store_epoch_) {
+    return;
+  }
+  if (rows.epoch > store_epoch_) {
+    OnStoreRestored(rows.epoch);
+  }
   const Instant now = clock_.Now();
   bool lease_seen = false;
   for (const platform::StoredRow& row : rows.rows) {
@@ -66,7 +87,7 @@
       auto lease = DecodeLeaderLease(row.value);
       if (lease) {
         lease.value().row_version = row.version;
-        leadership_.OnLeaseRow(&lease.value(), boot_clock_.Now());
+        leadership_.OnLeaseRow(&lease.value(), boot_clock_.Now(), rows.epoch);
         lease_seen = true;
       }
     } else if (row.at.key == kViewKey && !leadership_.HoldsLease() &&
@@ -88,14 +109,16 @@
       }
     } else if (row.at.key == kSharesKey && row.version > shares_row_version_) {
       auto shares = DecodeShares(row.value);
+      if (shares) {
+        shares_row_version_ = row.version;
+      }
       if (shares && shares.value().epoch >= shares_.epoch) {
         shares_ = std::move(shares.value());
-        shares_row_version_ = row.version;
       }
     }
   }
   if (!lease_seen) {
-    leadership_.OnLeaseRow(nullptr, boot_clock_.Now());
+    leadership_.OnLeaseRow(nullptr, boot_clock_.Now(), rows.epoch);
   }
   ApplyShares();
   RefreshView();
@@ -209,6 +232,8 @@
     members_.RemoveSilent(clock_.Now() - kMemberRetention);
     RefreshView();
     planned = PlanShares(shares_, members_, clock_.Now());
+    // Members may have confirmed a later table that the store has lost.
+    planned.epoch = std::max(planned.epoch, FirstNumberOfEpoch(store_epoch_));
     if (planned.epoch != shares_.epoch) {
       if (step == LeaseStep::kNone) {
         write.conditions.push_back(
@@ -243,7 +268,9 @@
   }
   const Result<platform::RowCommit> commit =
       co_await store_.Commit(std::move(write), clock_.Now() + kStoreTimeout);
-  if (!commit || !commit.value().applied) {
+  const bool applied =
+      commit && commit.value().applied && commit.value().epoch == store_epoch_;
+  if (!applied) {
     // Another instance may have written; its rows are read before the next try.
     fleet_read_at_ = Instant{};
     co_return false;
--- a/src/fleet/heartbeat.cc
+++ b/src/fleet/heartbeat.cc
@@ -19,7 +19,8 @@
   }
   return {{"whole", delta.whole},
           {"read_store", delta.read_store},
-          {"version", delta.version},
+          {"epoch", delta.version.epoch},
+          {"version", delta.version.number},
           {"rows", std::move(rows)}};
 }
 
@@ -28,7 +29,8 @@
   RowDelta delta;
   delta.whole = reader.FlagOr("whole", false);
   delta.read_store = reader.FlagOr("read_store", false);
-  delta.version = reader.Integer("version", 0, INT64_MAX);
+  delta.version.epoch = reader.IntegerOr("epoch", 0, INT64_MAX, 0);
+  delta.version.number = reader.Integer("version", 0, INT64_MAX);
   for (const auto& item : reader.ItemsOr("rows")) {
     ObjectReader fields(item, "/rows");
     platform::StoredRow row;
@@ -98,8 +100,10 @@
   return json::serialize(
       json::value{{"member", EncodeMember(heartbeat.member)},
                   {"view_id", heartbeat.view_id},
-                  {"config_after", heartbeat.config_after},
-                  {"targets_after", heartbeat.targets_after}});
+                  {"config_epoch", heartbeat.config_after.epoch},
+                  {"config_after", heartbeat.config_after.number},
+                  {"targets_epoch", heartbeat.targets_after.epoch},
+                  {"targets_after", heartbeat.targets_after.number}});
 }
 
 Result<HeartbeatRequest> DecodeHeartbeat(std::string_view document) {
@@ -108,8 +112,13 @@
   HeartbeatRequest heartbeat;
   BOOST_OUTCOME_TRY(heartbeat.member, DecodeMember(reader.Text("member")));
   heartbeat.view_id = reader.TextOr("view_id", "");
-  heartbeat.config_after = reader.Integer("config_after", 0, INT64_MAX);
-  heartbeat.targets_after = reader.Integer("targets_after", 0, INT64_MAX);
+  heartbeat.config_after.epoch =
+      reader.IntegerOr("config_epoch", 0, INT64_MAX, 0);
+  heartbeat.config_after.number = reader.Integer("config_after", 0, INT64_MAX);
+  heartbeat.targets_after.epoch =
+      reader.IntegerOr("targets_epoch", 0, INT64_MAX, 0);
+  heartbeat.targets_after.number =
+      reader.Integer("targets_after", 0, INT64_MAX);
   BOOST_OUTCOME_TRY(reader.FinishKnown());
   return heartbeat;
 }
--- a/src/fleet/heartbeat.h
+++ b/src/fleet/heartbeat.h
@@ -20,9 +20,9 @@
   /// Id of the fleet view that the sender has; empty if it has none.
   std::string view_id;
   /// Version up to which the sender knows the table of configurations.
-  std::int64_t config_after = 0;
+  TableVersion config_after;
   /// Version up to which the sender knows the table of targets.
-  std::int64_t targets_after = 0;
+  TableVersion targets_after;
 };
 
 /// The leader's answer to a heartbeat: everything that has changed since the
--- a/src/fleet/leader_row.cc
+++ b/src/fleet/leader_row.cc
@@ -13,6 +13,7 @@
                          {"boot", lease.boot_id},
                          {"term", lease.term},
                          {"renewals", lease.renewals},
+                         {"store_epoch", lease.store_epoch},
                          {"released", lease.released}});
 }
 
@@ -25,6 +26,7 @@
   lease.boot_id = reader.Text("boot");
   lease.term = reader.Integer("term", 0, INT64_MAX);
   lease.renewals = reader.Integer("renewals", 0, INT64_MAX);
+  lease.store_epoch = reader.IntegerOr("store_epoch", 0, INT64_MAX, 0);
   lease.released = reader.FlagOr("released", false);
   BOOST_OUTCOME_TRY(reader.FinishKnown());
   return lease;
--- a/src/fleet/leadership.cc
+++ b/src/fleet/leadership.cc
@@ -1,5 +1,9 @@
 #include "fleet/leadership.h"
 
+#include <algorithm>
+
+#include "fleet/table_version.h"
+
 namespace jackdaw::serving {
 namespace {
 
@@ -21,17 +25,26 @@
       lease_time_(lease_time) {}
 
 bool Leadership::IsOwn(const LeaderLease& lease) const {
-  return lease.holder == self_ && lease.boot_id == boot_id_ && !lease.released;
+  return lease.holder == self_ && lease.boot_id == boot_id_ &&
+         !lease.released && lease.store_epoch == store_epoch_;
 }
 
-void Leadership::OnLeaseRow(const LeaderLease* lease, Instant now) {
+void Leadership::OnLeaseRow(const LeaderLease* lease,
+                            Instant now,
+                            std::int64_t store_epoch) {
+  if (store_epoch < store_epoch_) {
+    return;
+  }
+  const bool restored = store_epoch > store_epoch_;
+  store_restored_ = store_restored_ || (restored && lease_known_);
+  store_epoch_ = store_epoch;
   if (lease == nullptr) {
     lease_known_ = true;
     lease_ = {};
     seen_at_ = now;
     return;
   }
-  if (lease_known_ && lease->row_version <= lease_.row_version) {
+  if (lease_known_ && !restored && lease->row_version <= lease_.row_version) {
     return;
   }
   lease_known_ = true;
@@ -55,11 +68,12 @@
 
 LeaderLease Leadership::Proposal(LeaseStep step) const {
   LeaderLease next = lease_;
+  next.store_epoch = store_epoch_;
   if (step == LeaseStep::kAcquire) {
     next.holder = self_;
     next.address = address_;
     next.boot_id = boot_id_;
-    next.term = lease_.term + 1;
+    next.term = std::max(lease_.term + 1, FirstNumberOfEpoch(store_epoch_));
     next.renewals = 0;
     next.released = false;
   } else {
@@ -68,18 +82,28 @@
   return next;
 }
 
+// Returns whether the last orders before an acquisition may be another
+// instance's: the holder's, or one's whose lease the store has lost.
+bool Leadership::MayHaveLastOrdersOfOther() const {
+  const bool outdated =
+      !lease_.holder.empty() && lease_.store_epoch < store_epoch_;
+  return store_restored_ || outdated ||
+         (!lease_.holder.empty() && lease_.holder != self_);
+}
+
 void Leadership::OnApplied(const LeaderLease& lease, Instant sent_at) {
   const bool acquired = lease.term != lease_.term;
-  const bool from_other =
-      acquired && !lease_.holder.empty() && lease_.holder != self_;
+  const bool from_other = acquired && MayHaveLastOrdersOfOther();
   if (acquired) {
     // The previous holder may have sent orders until half a lease time after
     // its last renewal; if it released the lease, it has sent none since. One
     // more lease time lets orders that are in flight arrive.
-    const Micros order_period = lease_.released ? Micros(0) : lease_time_ / 2;
+    const bool released = lease_.released && !store_restored_;
+    const Micros order_period = released ? Micros(0) : lease_time_ / 2;
     orders_from_ =
         from_other ? seen_at_ + order_period + lease_time_ + kWriteDelayMargin
                    : sent_at;
+    store_restored_ = false;
   }
   lease_ = lease;
   seen_at_ = sent_at;
--- a/src/fleet/leadership.h
+++ b/src/fleet/leadership.h
@@ -22,6 +22,9 @@
   std::int64_t renewals = 0;
   /// The holder has released the lease.
   bool released = false;
+  /// Epoch of the store in which the row was written; see TableVersion. A lease
+  /// of an earlier epoch belongs to nobody: the store may have lost later ones.
+  std::int64_t store_epoch = 0;
   /// Version of the row; the next write of the lease is conditional on it.
   std::int64_t row_version = 0;
 };
@@ -46,7 +49,10 @@
 
   /// Applies the lease row that was read.
   /// @param lease null if there is no row
-  void OnLeaseRow(const LeaderLease* lease, Instant now);
+  /// @param store_epoch epoch of the store that was read
+  void OnLeaseRow(const LeaderLease* lease,
+                  Instant now,
+                  std::int64_t store_epoch = 0);
   /// Returns whether to acquire or to renew the lease now. It is kNone until
   /// the row has been read for the first time.
   LeaseStep NextStep(Instant now) const;
@@ -66,6 +72,7 @@
 
  private:
   bool IsOwn(const LeaderLease& lease) const;
+  bool MayHaveLastOrdersOfOther() const;
 
   std::string self_;
   std::string address_;
@@ -73,6 +80,9 @@
   Micros lease_time_;
   bool lease_known_ = false;
   LeaderLease lease_;
+  std::int64_t store_epoch_ = 0;
+  /// The store came back from an older copy since the last own acquisition.
+  bool store_restored_ = false;
   /// Start of the lease as this instance measures it: the time at which a new
   /// version of the row was read, or was sent by this instance.
   Instant seen_at_{};
--- a/src/fleet/store_watch.cc
+++ b/src/fleet/store_watch.cc
@@ -56,6 +56,10 @@
   }
 }
 
+bool StoreWatch::IsOfLaterEpoch(const platform::RowSet& set) const {
+  return set.epoch > version_.epoch;
+}
+
 boost::asio::awaitable<bool> StoreWatch::ReadSnapshot() {
   platform::RowSet all;
   std::string from;
@@ -68,7 +72,11 @@
       co_return false;
     }
     if (from.empty()) {
+      all.epoch = read.value().epoch;
       all.version = read.value().version;
+    } else if (read.value().epoch != all.epoch) {
+      Log(LogLevel::kInfo, "snapshot_torn", {{"table", table_}});
+      co_return false;
     }
     for (const auto& row : read.value().rows) {
       all.rows.push_back(row);
@@ -81,29 +89,41 @@
   }
   OnSuccess();
   // The replica that answered may lag behind what was already seen.
-  if (all.version < version_) {
+  const TableVersion version{all.epoch, all.version};
+  if (version < version_) {
     co_return false;
   }
-  version_ = all.version;
+  if (IsOfLaterEpoch(all)) {
+    Log(LogLevel::kWarn, "table_epoch",
+        {{"table", table_},
+         {"epoch", std::to_string(all.epoch)},
+         {"version", std::to_string(all.version)},
+         {"version_before", std::to_string(version_.number)}});
+  }
+  version_ = version;
   sink_.on_snapshot(all);
   co_return true;
 }
 
 boost::asio::awaitable<bool> StoreWatch::ReadChanges() {
-  const Result<platform::RowChanges> changes = co_await store_.Watch(
-      table_, version_, kWatchWait, clock_.Now() + kWatchWait + kWatchMargin);
+  const Result<platform::RowChanges> changes =
+      co_await store_.Watch(table_, version_.number, kWatchWait,
+                            clock_.Now() + kWatchWait + kWatchMargin);
   if (!changes) {
     OnFailure(changes.error());
     co_return false;
   }
   OnSuccess();
-  if (changes.value().history_gone) {
+  if (changes.value().history_gone || IsOfLaterEpoch(changes.value().set)) {
     Log(LogLevel::kInfo, "store_history_gone", {{"table", table_}});
     has_snapshot_ = false;
     co_return true;
   }
   const platform::RowSet& set = changes.value().set;
-  version_ = std::max(version_, set.version);
+  if (set.epoch < version_.epoch) {
+    co_return false;
+  }
+  version_.number = std::max(version_.number, set.version);
   sink_.on_changes(set);
   if (!set.rows.empty()) {
     co_await Pause(kBatchDelay);
@@ -111,7 +131,7 @@
   co_return true;
 }
 
-void StoreWatch::ResumeFrom(std::int64_t version) {
+void StoreWatch::ResumeFrom(const TableVersion& version) {
   if (version > version_) {
     version_ = version;
     has_snapshot_ = true;
--- a/src/fleet/store_watch.h
+++ b/src/fleet/store_watch.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "core/clock.h"
+#include "fleet/table_version.h"
 #include "platform/store_client.h"
 
 namespace jackdaw::serving {
@@ -19,7 +20,8 @@
 inline constexpr Micros kWatchMargin = 700ms;
 
 /// Watches one table of the store: reads a snapshot, then the changes. If the
-/// store no longer has the history of changes, a new snapshot is read.
+/// store no longer has the history of changes, or came back from an older copy,
+/// a new snapshot is read.
 class StoreWatch {
  public:
   /// Callbacks for the rows, called on the event loop.
@@ -44,7 +46,7 @@
   void SetActive(bool active);
   /// The caller knows the table up to `version` from another source; the watch
   /// continues with later changes and skips the snapshot.
-  void ResumeFrom(std::int64_t version);
+  void ResumeFrom(const TableVersion& version);
   /// Whether the last call to the store failed.
   bool lost() const { return lost_; }
 
@@ -57,6 +59,7 @@
   boost::asio::awaitable<void> Pause(Micros span);
   void OnFailure(const Error& error);
   void OnSuccess();
+  bool IsOfLaterEpoch(const platform::RowSet& set) const;
 
   boost::asio::steady_timer wake_;
   platform::StoreClient& store_;
@@ -66,7 +69,7 @@
   bool active_ = false;
   bool has_snapshot_ = false;
   bool lost_ = false;
-  std::int64_t version_ = 0;
+  TableVersion version_;
   int failures_ = 0;
 };
 
--- a/src/fleet/table_replica.cc
+++ b/src/fleet/table_replica.cc
@@ -33,9 +33,14 @@
 // A row that is missing from the snapshot was deleted at an unknown version up
 // to the snapshot's, so its tombstone gets the version of the snapshot.
 void TableReplica::OnSnapshot(const platform::RowSet& set, Instant now) {
-  if (set.version < version_) {
+  const TableVersion version{set.epoch, set.version};
+  if (version < version_) {
     return;
   }
+  if (version.epoch > version_.epoch) {
+    rows_.clear();
+    version_ = {version.epoch, 0};
+  }
   std::set<std::string> present;
   for (const platform::StoredRow& row : set.rows) {
     present.insert(row.at.key);
@@ -49,24 +54,28 @@
       cached.at = now;
     }
   }
-  if (version_ == 0) {
+  if (version_.number == 0) {
     tombstones_from_ = set.version;
   }
-  version_ = std::max(version_, set.version);
+  version_ = version;
   PruneTombstones(now);
 }
 
 void TableReplica::OnChanges(const platform::RowSet& set, Instant now) {
+  if (set.epoch != version_.epoch) {
+    return;
+  }
   for (const platform::StoredRow& row : set.rows) {
     Apply(row, now);
   }
-  version_ = std::max(version_, set.version);
+  version_.number = std::max(version_.number, set.version);
   PruneTombstones(now);
 }
 
 void TableReplica::OnDelta(const RowDelta& delta, Instant now) {
   platform::RowSet set;
-  set.version = delta.version;
+  set.epoch = delta.version.epoch;
+  set.version = delta.version.number;
   set.rows = delta.rows;
   if (delta.whole) {
     OnSnapshot(set, now);
@@ -75,14 +84,15 @@
   }
 }
 
-RowDelta TableReplica::DeltaSince(std::int64_t after,
+RowDelta TableReplica::DeltaSince(const TableVersion& after,
                                   std::size_t max_bytes) const {
   RowDelta delta;
   delta.version = version_;
-  delta.whole = after < tombstones_from_;
+  delta.whole =
+      after.epoch != version_.epoch || after.number < tombstones_from_;
   std::size_t bytes = 0;
   for (const auto& [key, cached] : rows_) {
-    if (delta.whole ? !cached.row.dropped : cached.row.version > after) {
+    if (delta.whole ? !cached.row.dropped : cached.row.version > after.number) {
       delta.rows.push_back(cached.row);
       bytes += cached.row.value.size();
     }
--- a/src/fleet/table_replica.h
+++ b/src/fleet/table_replica.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/time.h"
+#include "fleet/table_version.h"
 #include "platform/store_types.h"
 
 namespace jackdaw::serving {
@@ -20,7 +21,7 @@
   /// the store.
   bool read_store = false;
   /// Version of the table that the receiver has after applying the rows.
-  std::int64_t version = 0;
+  TableVersion version;
   std::vector<platform::StoredRow> rows;
 };
 
@@ -28,9 +29,10 @@
 /// its followers from it. Deleted rows stay as tombstones for some time.
 class TableReplica {
  public:
-  /// Applies a snapshot; one that is older than the replica is ignored.
+  /// Applies a snapshot; one that is older than the replica is ignored. One of
+  /// a later epoch replaces all rows.
   void OnSnapshot(const platform::RowSet& set, Instant now);
-  /// Applies rows that changed.
+  /// Applies rows that changed; those of another epoch are ignored.
   void OnChanges(const platform::RowSet& set, Instant now);
   /// Applies a delta that the leader relayed.
   void OnDelta(const RowDelta& delta, Instant now);
@@ -38,8 +40,9 @@
   /// Returns what an instance lacks that knows the table up to version `after`.
   /// If the rows exceed `max_bytes` together, the delta has none and refers to
   /// the store, whose network link is faster than an instance's.
-  RowDelta DeltaSince(std::int64_t after, std::size_t max_bytes) const;
-  std::int64_t version() const { return version_; }
+  /// An instance that knows another epoch gets a snapshot.
+  RowDelta DeltaSince(const TableVersion& after, std::size_t max_bytes) const;
+  const TableVersion& version() const { return version_; }
 
  private:
   struct CachedRow {
@@ -51,7 +54,7 @@
   void PruneTombstones(Instant now);
 
   std::map<std::string, CachedRow> rows_;
-  std::int64_t version_ = 0;
+  TableVersion version_;
   /// Tombstones up to this version may have been removed; instances that know
   /// only an older version get a snapshot.
   std::int64_t tombstones_from_ = 0;
--- a/src/fleet/target_feed.cc
+++ b/src/fleet/target_feed.cc
@@ -12,6 +12,13 @@
 
 }  // namespace
 
+void TargetFeed::OnStoreRestored(Instant now) {
+  OnStoreReconnected(now);
+  for (auto& [id, version] : versions_) {
+    version = 0;
+  }
+}
+
 void TargetFeed::OnMissing(const std::string& id,
                            Instant now,
                            Changes& changes) {
--- a/src/fleet/target_feed.h
+++ b/src/fleet/target_feed.h
@@ -33,6 +33,9 @@
 
   /// The store answers again after an outage.
   void OnStoreReconnected(Instant now) { reconnected_at_ = now; }
+  /// The store came back from an older copy: its versions begin anew, and what
+  /// targets wrote since the copy is written again.
+  void OnStoreRestored(Instant now);
   /// Applies all rows of the table, as of one version.
   Changes OnSnapshot(const std::vector<TargetRow>& rows, Instant now);
   /// Applies rows that changed.
--- a/src/fleet/tests/heartbeat_test.cc
+++ b/src/fleet/tests/heartbeat_test.cc
@@ -57,7 +57,7 @@
                            MemberState::kReady}}};
   reply.shares = ShareTable{3, {{"a", 1, 1}}};
   reply.targets.whole = true;
-  reply.targets.version = 9;
+  reply.targets.version = {2, 9};
   reply.targets.rows = {RowOf("t", 8)};
   platform::StoredRow dropped = RowOf("u", 9);
   dropped.dropped = true;
@@ -68,6 +68,7 @@
   BOOST_TEST((read.value().view->members == reply.view->members));
   BOOST_TEST(read.value().shares->epoch == 3);
   BOOST_TEST(read.value().targets.whole);
+  BOOST_TEST(read.value().targets.version.epoch == 2);
   BOOST_REQUIRE(read.value().targets.rows.size() == 2);
   BOOST_TEST(read.value().targets.rows[1].dropped);
 }
@@ -109,19 +110,19 @@
   whole.version = 10;
   whole.rows = {RowOf("a", 3), RowOf("b", 9)};
   replica.OnSnapshot(whole, kStart);
-  BOOST_TEST(replica.DeltaSince(0, kRelayed).whole);
-  BOOST_TEST(replica.DeltaSince(0, kRelayed).rows.size() == 2);
-  BOOST_TEST(replica.DeltaSince(10, kRelayed).rows.empty());
+  BOOST_TEST(replica.DeltaSince({0, 0}, kRelayed).whole);
+  BOOST_TEST(replica.DeltaSince({0, 0}, kRelayed).rows.size() == 2);
+  BOOST_TEST(replica.DeltaSince({0, 10}, kRelayed).rows.empty());
   platform::RowSet changes;
   changes.version = 12;
   changes.rows = {RowOf("a", 11), RowOf("b", 12)};
   changes.rows[1].dropped = true;
   replica.OnChanges(changes, kStart);
-  const RowDelta delta = replica.DeltaSince(11, kRelayed);
+  const RowDelta delta = replica.DeltaSince({0, 11}, kRelayed);
   BOOST_TEST(!delta.whole);
   BOOST_REQUIRE(delta.rows.size() == 1);
   BOOST_TEST(delta.rows[0].dropped);
-  BOOST_TEST(delta.version == 12);
+  BOOST_TEST(delta.version.number == 12);
 }
 
 // A row that was deleted while the history was lost must be relayed as deleted,
@@ -136,14 +137,14 @@
   whole.version = 20;
   whole.rows = {RowOf("a", 3)};
   replica.OnSnapshot(whole, kStart + 1s);
-  const RowDelta delta = replica.DeltaSince(10, kRelayed);
+  const RowDelta delta = replica.DeltaSince({0, 10}, kRelayed);
   BOOST_REQUIRE(delta.rows.size() == 1);
   BOOST_TEST(delta.rows[0].at.key == "b");
   BOOST_TEST(delta.rows[0].dropped);
   whole.version = 30;
   replica.OnSnapshot(whole, kStart + 60s);
-  BOOST_TEST(replica.DeltaSince(10, kRelayed).whole);
-  BOOST_TEST(!replica.DeltaSince(20, kRelayed).whole);
+  BOOST_TEST(replica.DeltaSince({0, 10}, kRelayed).whole);
+  BOOST_TEST(!replica.DeltaSince({0, 20}, kRelayed).whole);
 }
 
 BOOST_AUTO_TEST_CASE(AnOlderSnapshotIsIgnored) {
@@ -155,7 +156,27 @@
   whole.version = 7;
   whole.rows = {RowOf("a", 3)};
   replica.OnSnapshot(whole, kStart);
-  BOOST_TEST(replica.DeltaSince(0, kRelayed).rows.size() == 2);
+  BOOST_TEST(replica.DeltaSince({0, 0}, kRelayed).rows.size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(ARestoredTableReplacesRowsOfHigherVersions) {
+  TableReplica replica;
+  platform::RowSet whole;
+  whole.version = 10;
+  whole.rows = {RowOf("a", 3), RowOf("b", 9)};
+  replica.OnSnapshot(whole, kStart);
+  whole.epoch = 1;
+  whole.version = 7;
+  whole.rows = {RowOf("a", 5)};
+  replica.OnSnapshot(whole, kStart);
+  const RowDelta delta = replica.DeltaSince({0, 10}, kRelayed);
+  BOOST_TEST(delta.whole);
+  BOOST_REQUIRE(delta.rows.size() == 1);
+  BOOST_TEST(delta.rows[0].version == 5);
+  whole.epoch = 0;
+  whole.version = 11;
+  replica.OnChanges(whole, kStart);
+  BOOST_TEST((replica.version() == TableVersion{1, 7}));
 }
 
 BOOST_AUTO_TEST_CASE(ADeltaAboveTheByteLimitRefersToTheStore) {
@@ -164,21 +185,21 @@
   set.version = 5;
   set.rows.push_back({{"op", "", "config"}, std::string(1000, 'x'), 5, false});
   replica.OnSnapshot(set, kStart);
-  BOOST_TEST(!replica.DeltaSince(0, kRelayed).read_store);
+  BOOST_TEST(!replica.DeltaSince({0, 0}, kRelayed).read_store);
   set.version = 7;
   set.rows.front().version = 7;
   set.rows.front().value = std::string(kRelayed + 1, 'x');
   replica.OnChanges(set, kStart);
   HeartbeatReply reply;
-  reply.config = replica.DeltaSince(5, kRelayed);
+  reply.config = replica.DeltaSince({0, 5}, kRelayed);
   const auto read = DecodeHeartbeatReply(EncodeHeartbeatReply(reply));
   BOOST_TEST_REQUIRE(read.has_value());
   BOOST_TEST(read.value().config.read_store);
   BOOST_TEST(read.value().config.rows.empty());
   // The receiver's version does not advance, and once it has read the store,
   // there is nothing more to read.
-  BOOST_TEST(read.value().config.version == 5);
-  BOOST_TEST(!replica.DeltaSince(7, kRelayed).read_store);
+  BOOST_TEST(read.value().config.version.number == 5);
+  BOOST_TEST(!replica.DeltaSince({0, 7}, kRelayed).read_store);
 }
 
 }  // namespace
--- a/src/fleet/tests/leadership_test.cc
+++ b/src/fleet/tests/leadership_test.cc
@@ -97,5 +97,24 @@
   BOOST_TEST(own.MaySendOrders(kStart + 1ms));
 }
 
+BOOST_AUTO_TEST_CASE(ALeaseFromBeforeARestoreIsNotHeldAndItsTermNotReused) {
+  Leadership own("a", "10.0.0.1:1", "boot", kLease);
+  own.OnLeaseRow(nullptr, kStart);
+  LeaderLease lease = own.Proposal(LeaseStep::kAcquire);
+  lease.row_version = 90;
+  own.OnApplied(lease, kStart);
+  lease.row_version = 50;
+  own.OnLeaseRow(&lease, kStart + 1s, 1);
+  BOOST_TEST(!own.HoldsLease());
+  BOOST_TEST(static_cast<int>(own.NextStep(kStart + 1s)) ==
+             static_cast<int>(LeaseStep::kAcquire));
+  const LeaderLease next = own.Proposal(LeaseStep::kAcquire);
+  BOOST_TEST(next.term > 1000);
+  own.OnApplied(next, kStart + 1s);
+  BOOST_TEST(own.HoldsLease());
+  // Another instance may have led in the seconds that the store has lost.
+  BOOST_TEST(!own.MaySendOrders(kStart + 1s + kLease));
+}
+
 }  // namespace
 }  // namespace jackdaw::serving
--- a/src/fleet/tests/target_feed_test.cc
+++ b/src/fleet/tests/target_feed_test.cc
@@ -53,5 +53,15 @@
   BOOST_TEST(feed.OnChanges({bad}, kStart + 5s).removed.empty());
 }
 
+BOOST_AUTO_TEST_CASE(ARestoredStoreHidesNoEntryAndRemovesNoneAtOnce) {
+  TargetFeed feed;
+  feed.OnSnapshot({RowOf("a", 5), RowOf("b", 9)}, kStart);
+  feed.OnStoreRestored(kStart + 9s);
+  const auto changes = feed.OnSnapshot({RowOf("a", 3)}, kStart + 9s);
+  BOOST_TEST(changes.updated.size() == 1);
+  BOOST_TEST(changes.removed.empty());
+  BOOST_TEST(feed.OnChanges({RowOf("b", 6)}, kStart + 10s).updated.size() == 1);
+}
+
 }  // namespace
 }  // namespace jackdaw::serving
