Keep the limit that a target names over all instances

Cause: no code read the header Server-Limit.

One instance, the leader while its lease surely lasts, lets requests through to a limited target: its own and those of instances that have no other candidate and ask it, one every 1/limit seconds, none saved up. So the bound does not grow with the number of instances. To all others a limited target is no candidate. Limits and their ends go to all with the heartbeats, the newest response wins.

--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -48,6 +48,7 @@
     own.demand.push_back({key, demand});
   }
   own.crashes = crashes_.Unreported(clock_.Now());
+  own.rate_limits = registry_.RateLimits(clock_.Now());
   return own;
 }
 
@@ -225,6 +226,7 @@
   rows.rows = reply.targets.rows;
   OnTargetRows(rows, reply.targets.whole);
   crashes_.AddReports(reply.crashes, now);
+  registry_.AddRateLimits(reply.rate_limits, now);
 }
 
 void FleetAgent::ConfigureWatch(StoreWatch& watch,
@@ -293,6 +295,7 @@
   const Instant now = clock_.Now();
   members_.OnHeartbeat(heartbeat.member, now);
   crashes_.AddReports(heartbeat.member.crashes, now);
+  registry_.AddRateLimits(heartbeat.member.rate_limits, now);
   RefreshView();
   HeartbeatReply reply;
   reply.fresh = IsFreshLeader();
@@ -309,6 +312,7 @@
   reply.targets =
       target_replica_.DeltaSince(heartbeat.targets_after, max_bytes);
   reply.crashes = crashes_.BlockedRequests(now);
+  reply.rate_limits = registry_.RateLimits(now);
   return reply;
 }
 
--- a/src/fleet/fleet_agent_store.cc
+++ b/src/fleet/fleet_agent_store.cc
@@ -201,6 +201,7 @@
     members_.AddExpected(holder, now);
   }
   order_dispatcher_.OnLeaseAcquired(now);
+  registry_.RestartRateLimits(now);
   RefreshView();
 }
 
@@ -266,6 +267,7 @@
   if (write.puts.empty()) {
     co_return true;
   }
+  const Instant write_sent_at = clock_.Now();
   const Result<platform::RowCommit> commit =
       co_await store_.Commit(std::move(write), clock_.Now() + kStoreTimeout);
   const bool applied =
@@ -276,6 +278,11 @@
     co_return false;
   }
   last_write_at_ = sent_at;
+  if (step != LeaseStep::kNone) {
+    // The same margin to the end of the lease as that of orders.
+    const Instant until = write_sent_at + settings_.lease_time / 2;
+    registry_.AllowLimitedSends(ending ? write_sent_at : until);
+  }
   if (writes_view) {
     view_written_ = view.id;
     view_row_version_ = commit.value().version;
--- a/src/fleet/heartbeat.cc
+++ b/src/fleet/heartbeat.cc
@@ -136,6 +136,9 @@
   if (!reply.crashes.empty()) {
     object["crashes"] = EncodeCrashes(reply.crashes);
   }
+  if (!reply.rate_limits.empty()) {
+    object["rate_limits"] = EncodeRateLimits(reply.rate_limits);
+  }
   return json::serialize(object);
 }
 
@@ -155,6 +158,7 @@
   BOOST_OUTCOME_TRY(reply.config, ReadDelta(reader, "config"));
   BOOST_OUTCOME_TRY(reply.targets, ReadDelta(reader, "targets"));
   BOOST_OUTCOME_TRY(reply.crashes, ReadCrashes(reader));
+  BOOST_OUTCOME_TRY(reply.rate_limits, ReadRateLimits(reader));
   BOOST_OUTCOME_TRY(reader.FinishKnown());
   return reply;
 }
--- a/src/fleet/heartbeat.h
+++ b/src/fleet/heartbeat.h
@@ -42,6 +42,8 @@
   RowDelta targets;
   /// Requests that crash their targets and are not to be sent.
   std::vector<CrashReport> crashes;
+  /// Limits that targets have named.
+  std::vector<RateLimitReport> rate_limits;
 };
 
 /// Returns the row value of the leader's view.
--- a/src/fleet/member.cc
+++ b/src/fleet/member.cc
@@ -1,5 +1,6 @@
 #include "fleet/member.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/json.hpp>
 
@@ -14,6 +15,8 @@
                                                          "draining", "gone"};
 // Rates are encoded in thousandths, as integers.
 constexpr double kMilli = 1000;
+// Limits above this, in requests a second, are no limits in practice.
+constexpr double kMaxRate = 1e6;
 // Largest integer that is accepted in a field of a member's row, if the field
 // has no limit of its own.
 constexpr std::int64_t kMaxInteger = 1'000'000'000'000;
@@ -113,6 +116,38 @@
   return reports;
 }
 
+json::array EncodeRateLimits(std::span<const RateLimitReport> reports) {
+  json::array limits;
+  for (const RateLimitReport& report : reports) {
+    json::object limit{{"target", std::to_string(report.target)},
+                       {"born_ms", report.born_ms},
+                       {"age_ms", std::max(Micros(0), report.age) / 1ms}};
+    if (report.per_second) {
+      limit["per_second"] = ToMilli(std::min(*report.per_second, kMaxRate));
+    }
+    limits.push_back(std::move(limit));
+  }
+  return limits;
+}
+
+Result<std::vector<RateLimitReport>> ReadRateLimits(ObjectReader& reader) {
+  std::vector<RateLimitReport> reports;
+  for (const auto& item : reader.ItemsOr("rate_limits")) {
+    ObjectReader limit(item, "/rate_limits");
+    RateLimitReport report;
+    report.target = std::strtoull(limit.Text("target").c_str(), nullptr, 10);
+    report.born_ms = limit.Integer("born_ms", 0, INT64_MAX);
+    report.age =
+        std::chrono::milliseconds(limit.Integer("age_ms", 0, kMaxInteger));
+    if (limit.Any("per_second") != nullptr) {
+      report.per_second = FromMilli(limit, "per_second");
+    }
+    BOOST_OUTCOME_TRY(limit.FinishKnown());
+    reports.push_back(report);
+  }
+  return reports;
+}
+
 std::string EncodeCrashRow(std::span<const CrashReport> reports) {
   return json::serialize(json::value{{"crashes", EncodeCrashes(reports)}});
 }
@@ -136,7 +171,8 @@
       {"state", kStateNames[static_cast<std::size_t>(member.state)]},
       {"shares_epoch", member.shares_epoch},
       {"demand", EncodeDemand(member)},
-      {"crashes", EncodeCrashes(member.crashes)}});
+      {"crashes", EncodeCrashes(member.crashes)},
+      {"rate_limits", EncodeRateLimits(member.rate_limits)}});
 }
 
 Result<Member> DecodeMember(std::string_view document) {
@@ -156,6 +192,7 @@
     member.demand.push_back(std::move(demand));
   }
   BOOST_OUTCOME_TRY(member.crashes, ReadCrashes(reader));
+  BOOST_OUTCOME_TRY(member.rate_limits, ReadRateLimits(reader));
   BOOST_OUTCOME_TRY(reader.FinishKnown());
   return member;
 }
--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -10,6 +10,7 @@
 #include "core/object_reader.h"
 #include "gateway/crash_tracker.h"
 #include "gateway/demand_meter.h"
+#include "gateway/rate_limit.h"
 #include "http/endpoint.h"
 
 namespace jackdaw::serving {
@@ -43,8 +44,16 @@
   std::vector<ModelDemand> demand;
   /// Crashes of targets that the leader has not been told yet.
   std::vector<CrashReport> crashes;
+  /// Limits that targets have named.
+  std::vector<RateLimitReport> rate_limits;
 };
 
+/// Encodes the limits of targets for heartbeats.
+boost::json::array EncodeRateLimits(std::span<const RateLimitReport> reports);
+/// Reads the field `rate_limits` of an object.
+/// @returns the reports, or the error of the first malformed one
+Result<std::vector<RateLimitReport>> ReadRateLimits(ObjectReader& reader);
+
 /// Encodes reports of crashed targets for rows and heartbeats.
 boost::json::array EncodeCrashes(std::span<const CrashReport> reports);
 /// Reads the field `crashes` of an object.
--- a/src/fleet/peer_api.cc
+++ b/src/fleet/peer_api.cc
@@ -227,6 +227,11 @@
     co_await exchange.Respond(std::move(answer));
     co_return;
   }
+  if (exchange.request().Path() == "/peer/send" && agent_.leads()) {
+    HttpResponse answer = AnswerSend(reader);
+    co_await exchange.Respond(std::move(answer));
+    co_return;
+  }
   if (exchange.request().Path() == "/peer/adapter" && agent_.leads()) {
     const std::string service = reader.Text("service");
     const std::string model = reader.Text("model");
--- a/src/fleet/peer_api.h
+++ b/src/fleet/peer_api.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "core/clock.h"
+#include "core/object_reader.h"
 #include "core/random.h"
 #include "fleet/dispatch_notifier.h"
 #include "fleet/fleet_agent.h"
@@ -16,9 +17,10 @@
 namespace jackdaw::serving {
 
 /// Sends and serves the requests between instances for units of a workspace's
-/// quota and for adapters, which the leader loads; a caller's request waits for
-/// both. Also serves the heartbeats and announces dispatched requests. Units
-/// that were borrowed are not given back.
+/// quota, for adapters, which the leader loads, and for leave to send to
+/// limited targets; a caller's request waits for them. Also serves the
+/// heartbeats and announces dispatched requests. Units that were borrowed are
+/// not given back.
 class PeerApi final : public FleetClient {
  public:
   PeerApi(boost::asio::io_context& context,
@@ -43,12 +45,17 @@
                    std::string model,
                    std::string adapter,
                    std::function<void(TargetPtr)> done) override;
+  void RequestSend(TargetPtr target,
+                   std::function<void(SendPermission)> done) override;
 
   /// Answers a request of another instance.
   boost::asio::awaitable<void> Serve(HttpExchange& exchange);
 
  private:
   boost::asio::awaitable<void> ServeHeartbeat(HttpExchange& exchange);
+  boost::asio::awaitable<SendPermission> RequestSend(TargetPtr target);
+  SendPermission DecideSend(Target& target);
+  HttpResponse AnswerSend(ObjectReader& reader);
   boost::asio::awaitable<double> RequestUnits(std::string workspace,
                                               double units);
   boost::asio::awaitable<TargetPtr> RequestAdapter(std::string service,
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -73,6 +73,9 @@
   void Dispatch();
   TargetPick PickTarget(std::span<const TargetPtr> excluded) const;
   void OnAdapterLoaded(const TargetPtr& target);
+  void AskToSend(const TargetPick& pick);
+  void OnSendPermission(const TargetPick& pick,
+                        const SendPermission& permission);
   void OnNoTarget(const TargetPick& pick);
   void RejectMissingModel(Instant now);
   void TraceChoice(const TargetPick& pick, Instant now);
@@ -159,6 +162,7 @@
   int attempts_ = 0;
   int target_choices_ = 0;
   int adapter_requests_ = 0;
+  int send_requests_ = 0;
   /// Pacing holds the request back in favor of more urgent ones.
   bool waiting_ = false;
   bool may_have_run_ = false;
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -11,6 +11,8 @@
 
 // Maximum of adapter loads requested per request.
 constexpr int kMaxAdapterRequests = 2;
+// Maximum of requests for leave to send to a limited target, per request.
+constexpr int kMaxSendRequests = 1;
 // Time to open a connection before another target is tried.
 constexpr Micros kConnectTimeout = 250ms;
 // Idle time up to which a connection is reused; the target may have closed an
@@ -20,6 +22,7 @@
 // Values of Retry-After.
 constexpr Micros kNoTargetRetryAfter = 500ms;
 constexpr Micros kNoAdapterRetryAfter = 300ms;
+constexpr Micros kLimitedRetryAfter = 100ms;
 
 }  // namespace
 
@@ -53,9 +56,40 @@
                             });
     return;
   }
+  if (pick.outcome == PickOutcome::kLimited &&
+      send_requests_ < kMaxSendRequests) {
+    AskToSend(pick);
+    return;
+  }
   OnNoTarget(pick);
 }
 
+// All targets that could serve the request have named a limit, which the leader
+// keeps.
+void Exchange::AskToSend(const TargetPick& pick) {
+  ++send_requests_;
+  trace_.Add(deps_.clock.Now(), "send_asked", pick.target->entry.id);
+  deps_.fleet.RequestSend(pick.target, [weak = weak_from_this(), pick](
+                                           const SendPermission& permission) {
+    if (const auto self = weak.lock(); self != nullptr && !self->done_) {
+      self->OnSendPermission(pick, permission);
+    }
+  });
+}
+
+void Exchange::OnSendPermission(const TargetPick& pick,
+                                const SendPermission& permission) {
+  const Instant now = deps_.clock.Now();
+  if (permission.granted && !pick.target->leaving) {
+    trace_.Add(now, "send_granted", pick.target->entry.id);
+    SendTo(pick.target, now);
+    return;
+  }
+  TargetPick refused = pick;
+  refused.retry_at = std::max(permission.retry_at, now);
+  OnNoTarget(refused);
+}
+
 TargetPick Exchange::PickTarget(std::span<const TargetPtr> excluded) const {
   TargetQuery query;
   query.service = service_->name;
@@ -94,6 +128,9 @@
   }
   if (pick.outcome == PickOutcome::kNoModel) {
     RejectMissingModel(now);
+  } else if (pick.outcome == PickOutcome::kLimited) {
+    Reject({503, "target_limited", "come back when the target takes more",
+            std::max(pick.retry_at, now + kLimitedRetryAfter)});
   } else if (pick.outcome == PickOutcome::kNoAdapter) {
     Reject({503, "adapter_not_held", "come back when it has been loaded",
             now + kNoAdapterRetryAfter});
--- a/src/gateway/fleet_client.h
+++ b/src/gateway/fleet_client.h
@@ -7,6 +7,13 @@
 
 namespace jackdaw::serving {
 
+/// Whether a request may be sent to a target that has named a limit.
+struct SendPermission {
+  bool granted = false;
+  /// Time at which the caller may come back if it is not.
+  Instant retry_at{};
+};
+
 /// Calls to the other instances on behalf of a request.
 class FleetClient {
  public:
@@ -31,6 +38,10 @@
                            std::string model,
                            std::string adapter,
                            std::function<void(TargetPtr)> done) = 0;
+  /// Asks the leader for one request to a target that has named a limit.
+  /// @param done called once
+  virtual void RequestSend(TargetPtr target,
+                           std::function<void(SendPermission)> done) = 0;
 };
 
 }  // namespace jackdaw::serving
--- a/src/gateway/target.h
+++ b/src/gateway/target.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "gateway/rate_limit.h"
 #include "serving/target_registration.h"
 
 namespace jackdaw::serving {
@@ -32,6 +33,7 @@
   Instant last_received_at{};
   /// Ratio of the measured to the nominal prefill time, as a moving average.
   double slowdown = 1;
+  RateLimit rate_limit;
   /// Load report, received with a response.
   bool has_load = false;
   int reported_waiting = 0;
--- a/src/gateway/target_registry.cc
+++ b/src/gateway/target_registry.cc
@@ -178,6 +178,7 @@
 
 TargetPick TargetRegistry::Pick(const TargetQuery& query, Instant now) const {
   TargetPick pick;
+  TargetPtr limited;
   const std::string adapter =
       query.call->adapter.empty() ? std::string() : query.call->ModelName();
   bool any = false;
@@ -198,6 +199,10 @@
     if (excluded || (!adapter.empty() && !target->adapters.contains(adapter))) {
       continue;
     }
+    if (!MaySend(*target, now)) {
+      limited = target;
+      continue;
+    }
     ++pick.candidates;
     const double cost = Cost(*target, query, now);
     if (pick.target == nullptr || cost < pick.cost_ms ||
@@ -212,6 +217,9 @@
     pick.outcome = PickOutcome::kNoTarget;
   } else if (!model_held) {
     pick.outcome = PickOutcome::kNoModel;
+  } else if (limited != nullptr) {
+    pick.outcome = PickOutcome::kLimited;
+    pick.target = limited;
   } else {
     pick.outcome =
         adapter.empty() ? PickOutcome::kNoTarget : PickOutcome::kNoAdapter;
@@ -235,6 +243,7 @@
   const std::int64_t tokens = UncachedTokens(target, call, now);
   ++target.in_flight;
   target.AddLoad(now);
+  target.rate_limit.OnSent(now);
   if (target.awaiting_first_byte++ == 0) {
     target.awaiting_since = now;
   }
@@ -276,6 +285,7 @@
                                  Instant now) {
   --target.awaiting_first_byte;
   target.last_received_at = now;
+  OnRateLimit(target, response, now);
   if (response.has_load) {
     target.has_load = true;
     target.reported_waiting = response.waiting;
--- a/src/gateway/target_registry.h
+++ b/src/gateway/target_registry.h
@@ -37,15 +37,22 @@
   kNoModel,
   /// Targets hold the model, but none is known to hold the adapter.
   kNoAdapter,
+  /// All that could serve the request have named a limit, and this instance may
+  /// not send to them without asking.
+  kLimited,
 };
 
 /// The chosen target, with the figures behind the choice.
 struct TargetPick {
   PickOutcome outcome = PickOutcome::kNoTarget;
+  /// The chosen target; for kLimited the one to ask for.
   TargetPtr target;
   /// Expected time to the first byte plus penalties, in milliseconds.
   double cost_ms = 0;
   int candidates = 0;
+  /// For kLimited, once it was asked for: time at which the caller may come
+  /// back.
+  Instant retry_at{};
 };
 
 /// How a request ended at a target.
@@ -117,6 +124,22 @@
   static Micros PrefillTime(const Target& target,
                             const RequestMetadata& call,
                             Instant now);
+  /// Lets this instance send to targets that have named a limit, as far as it
+  /// allows; see RateLimit.
+  /// @param until time at which the permission ends unless it is given again
+  void AllowLimitedSends(Instant until) { limited_sends_until_ = until; }
+  /// Whether this instance decides which requests a limited target gets.
+  bool DecidesLimitedSends(Instant now) const {
+    return now < limited_sends_until_;
+  }
+  /// Counts a request to a limited target that another instance asks for.
+  /// @returns false if the target must not get it now
+  bool TryTakeSend(Target& target, Instant now) const;
+  /// This instance begins to decide on requests to limited targets.
+  void RestartRateLimits(Instant now);
+  /// Returns what is known of the limits of targets.
+  std::vector<RateLimitReport> RateLimits(Instant now) const;
+  void AddRateLimits(std::span<const RateLimitReport> reports, Instant now);
   /// Records whether the target holds an adapter, named `model/adapter`.
   void SetAdapter(Target& target, std::string_view adapter, bool held);
 
@@ -128,6 +151,10 @@
   }
 
  private:
+  bool MaySend(const Target& target, Instant now) const;
+  static void OnRateLimit(Target& target,
+                          const ResponseMetadata& response,
+                          Instant now);
   /// Adds the prefill of a prompt to the target's queue.
   static void Enqueue(Target& target, std::int64_t tokens, Instant now);
   /// Returns the expected time to the first byte plus penalties, in
@@ -137,6 +164,7 @@
               Instant now) const;
 
   std::string failure_domain_;
+  Instant limited_sends_until_{};
   std::unordered_map<std::string, TargetPtr> targets_;
   std::unordered_map<std::uint64_t, TargetPtr> by_digest_;
 };
--- /dev/null
+++ b/src/gateway/target_registry_limits.cc
@@ -0,0 +1,81 @@
+// Limits that targets name in their responses.
+#include "core/log.h"
+#include "gateway/target_registry.h"
+
+namespace jackdaw::serving {
+namespace {
+
+void LogLimit(const Target& target, std::string_view from) {
+  const std::optional<double> limit = target.rate_limit.per_second();
+  Log(LogLevel::kInfo, "target_limit",
+      {{"id", target.entry.id},
+       {"per_second", limit ? std::to_string(*limit) : "none"},
+       {"from", std::string(from)}});
+}
+
+}  // namespace
+
+bool TargetRegistry::MaySend(const Target& target, Instant now) const {
+  return !target.rate_limit.limited() ||
+         (DecidesLimitedSends(now) && target.rate_limit.Admits(now));
+}
+
+bool TargetRegistry::TryTakeSend(Target& target, Instant now) const {
+  if (!MaySend(target, now)) {
+    return false;
+  }
+  target.rate_limit.OnSent(now);
+  return true;
+}
+
+void TargetRegistry::RestartRateLimits(Instant now) {
+  for (const auto& [id, target] : targets_) {
+    target->rate_limit.Restart(now);
+  }
+}
+
+// A limit that cannot be read says nothing about the former one.
+void TargetRegistry::OnRateLimit(Target& target,
+                                 const ResponseMetadata& response,
+                                 Instant now) {
+  if (response.rate_limit_unreadable) {
+    Log(LogLevel::kWarn, "target_limit_unreadable", {{"id", target.entry.id}});
+    return;
+  }
+  const std::optional<double> before = target.rate_limit.per_second();
+  target.rate_limit.OnResponse(response.rate_limit, now);
+  if (target.rate_limit.per_second() != before) {
+    LogLimit(target, "response");
+  }
+}
+
+std::vector<RateLimitReport> TargetRegistry::RateLimits(Instant now) const {
+  std::vector<RateLimitReport> reports;
+  for (const auto& [id, target] : targets_) {
+    const RateLimit& limit = target->rate_limit;
+    if (limit.ever_limited()) {
+      reports.push_back({TargetDigest(id), target->entry.born_ms,
+                         limit.per_second(), now - limit.learned_at()});
+    }
+  }
+  return reports;
+}
+
+void TargetRegistry::AddRateLimits(std::span<const RateLimitReport> reports,
+                                   Instant now) {
+  for (const RateLimitReport& report : reports) {
+    const auto found = by_digest_.find(report.target);
+    if (found == by_digest_.end() ||
+        found->second->entry.born_ms != report.born_ms) {
+      continue;
+    }
+    Target& target = *found->second;
+    const std::optional<double> before = target.rate_limit.per_second();
+    target.rate_limit.OnReport(report, now);
+    if (target.rate_limit.per_second() != before) {
+      LogLimit(target, "instance");
+    }
+  }
+}
+
+}  // namespace jackdaw::serving
--- a/src/serving/request_metadata.h
+++ b/src/serving/request_metadata.h
@@ -68,6 +68,11 @@
   int running = 0;
   int waiting = 0;
   int slots = 0;
+  /// Requests a second that the target takes from all instances together;
+  /// empty where it names no limit.
+  std::optional<double> rate_limit;
+  /// The target names a limit that cannot be read.
+  bool rate_limit_unreadable = false;
   /// Seconds for which the target keeps an idle connection; 0 where unknown.
   int keep_alive_seconds = 0;
 };
