Keep a request blocked when a run from before its crashes answers

Callers would see: a request that crashes targets is sent on although three have ended. Cause: any complete answer forgot all crashes of a request in the whole fleet, also that of a run that had begun before them, on a slow target or one of another release. Prompt parts already asked for a younger answer; whole requests did not. Now crashes, and suspects, that are younger than the answered attempt stay.

Evidence: AnswerOfARunFromBeforeTheCrashesDoesNotUnblock failed with the check taken out and passes with it. Checks of prompt parts pass the time of sending now, their values are the same.

--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -89,6 +89,13 @@
   return crashes;
 }
 
+bool CrashSuspects::HasSuspectSince(std::uint64_t digest, Instant since) const {
+  return std::ranges::any_of(suspects_, [&](const CrashSuspect& suspect) {
+    return suspect.digest == digest && suspect.connection_ended &&
+           suspect.ended_at > since;
+  });
+}
+
 int CrashSuspects::CountTargets(std::uint64_t digest) const {
   std::vector<const Target*> targets;
   for (const CrashSuspect& suspect : suspects_) {
--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -45,6 +45,9 @@
   /// Returns the suspects whose target has been silent long enough to hold the
   /// crash against the parts, each of them once.
   std::vector<CrashSuspect> TakePartCrashes(Instant now);
+  /// Returns whether a target ended the connection since a time while it ran
+  /// the request.
+  bool HasSuspectSince(std::uint64_t digest, Instant since) const;
   /// Returns the number of targets that ended the connection while they ran the
   /// request.
   int CountTargets(std::uint64_t digest) const;
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -79,8 +79,29 @@
   }
 }
 
-void CrashTracker::OnAnswerComplete(const CrashCauses& causes, Instant now) {
-  OnRequestAnswered(causes.request);
+// A run that began before a crash proves nothing against it: the target may be
+// of another release, or the request may crash only some.
+bool CrashTracker::HasCrashSince(std::uint64_t digest, Instant since) const {
+  if (suspects_.HasSuspectSince(digest, since)) {
+    return true;
+  }
+  const auto found = requests_.find(digest);
+  if (found == requests_.end()) {
+    return false;
+  }
+  const Request& request = found->second;
+  return (request.HasSum() && request.last_crash_at > since) ||
+         std::ranges::any_of(request.crashes, [&](const Crash& crash) {
+           return crash.at > since;
+         });
+}
+
+void CrashTracker::OnAnswerComplete(const CrashCauses& causes,
+                                    Instant sent_at,
+                                    Instant now) {
+  if (!HasCrashSince(causes.request, sent_at)) {
+    OnRequestAnswered(causes.request);
+  }
   for (const std::uint64_t part : causes.parts) {
     trusted_parts_.OnAnswer(part, now);
     if (requests_.contains(part)) {
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -68,7 +68,11 @@
   void OnRequestAnswered(std::uint64_t digest);
   /// Forgets the crashes of a request whose answer was complete, and trusts the
   /// parts of its prompt from now on.
-  void OnAnswerComplete(const CrashCauses& causes, Instant now);
+  /// @param sent_at time at which the answered attempt was sent; crashes since
+  /// then are not forgotten
+  void OnAnswerComplete(const CrashCauses& causes,
+                        Instant sent_at,
+                        Instant now);
   /// Records the suspects that are found to have crashed by now.
   /// @returns those suspects, for the log
   std::vector<CrashSuspect> CountCrashes(Instant now);
@@ -140,6 +144,7 @@
   using Entry = std::pair<const std::uint64_t, Request>;
 
   Request& Remember(std::uint64_t digest, Instant now);
+  bool HasCrashSince(std::uint64_t digest, Instant since) const;
   void AddCrash(Request& request, Crash crash, Instant now);
   void AddPartCrashes(const CrashSuspect& suspect, Instant now);
   void Forget(std::uint64_t digest, Instant now);
--- a/src/gateway/exchange_forward.cc
+++ b/src/gateway/exchange_forward.cc
@@ -143,7 +143,7 @@
     // Other responses do not show that the target ran the request to its end.
     if (!parser_->need_eof() && !response_head_.not_executed && status < 500 &&
         status != 429) {
-      deps_.crashes.OnAnswerComplete(causes_, deps_.clock.Now());
+      deps_.crashes.OnAnswerComplete(causes_, sent_at_, deps_.clock.Now());
     }
     if (reusable) {
       deps_.connections.Release(*target_, std::move(connection_),
--- a/src/gateway/tests/crash_tracker_parts_test.cc
+++ b/src/gateway/tests/crash_tracker_parts_test.cc
@@ -53,14 +53,14 @@
 
 BOOST_FIXTURE_TEST_CASE(ThirdCrashBlocksRequestsWithThePart, PartsFixture) {
   CrashTracker tracker;
-  tracker.OnAnswerComplete(NextRequest({kShared}), now_);
+  tracker.OnAnswerComplete(NextRequest({kShared}), now_, now_);
   CrashOnPart(tracker);
   CrashOnPart(tracker);
   BOOST_TEST(!IsBlocked(tracker, {kShared, kCrashing}));
   CrashOnPart(tracker);
   BOOST_TEST(IsBlocked(tracker, {kShared, kCrashing}));
   BOOST_TEST(!IsBlocked(tracker, {kShared}));
-  tracker.OnAnswerComplete(NextRequest({kShared}), now_);
+  tracker.OnAnswerComplete(NextRequest({kShared}), now_, now_);
   BOOST_TEST(IsBlocked(tracker, {kCrashing}));
 }
 
@@ -68,7 +68,7 @@
   CrashTracker tracker;
   for (int i = 0; i < 10; ++i) {
     CrashOnPart(tracker);
-    tracker.OnAnswerComplete(NextRequest({kShared}), now_);
+    tracker.OnAnswerComplete(NextRequest({kShared}), now_, now_);
   }
   BOOST_TEST(IsBlocked(tracker, {kCrashing}));
   BOOST_TEST(!IsBlocked(tracker, {kShared}));
@@ -78,7 +78,7 @@
   CrashTracker leader;
   std::array<CrashTracker, 4> members;
   for (std::size_t i = 0; i < 3; ++i) {
-    members[i].OnAnswerComplete(NextRequest({kShared}), now_);
+    members[i].OnAnswerComplete(NextRequest({kShared}), now_, now_);
     CrashOnPart(members[i]);
     ExchangeReports(members[i], leader);
   }
@@ -104,7 +104,7 @@
   ExchangeReports(members[0], leader);
   BOOST_TEST(IsBlocked(members[0], {kShared}));
   now_ += 1s;
-  members[1].OnAnswerComplete(NextRequest({kShared}), now_);
+  members[1].OnAnswerComplete(NextRequest({kShared}), now_, now_);
   ExchangeReports(members[1], leader);
   BOOST_TEST(!IsBlocked(members[1], {kShared}));
   ExchangeReports(members[1], leader);
@@ -116,7 +116,7 @@
 BOOST_FIXTURE_TEST_CASE(SoundPartThatBeginsToCrashTargetsIsBlocked,
                         PartsFixture) {
   CrashTracker tracker;
-  tracker.OnAnswerComplete(NextRequest({kCrashing}), now_);
+  tracker.OnAnswerComplete(NextRequest({kCrashing}), now_, now_);
   int crashes = 0;
   while (crashes < 20 && !IsBlocked(tracker, {kCrashing})) {
     Crash(tracker, NextRequest({kCrashing}));
@@ -129,9 +129,9 @@
                         PartsFixture) {
   CrashTracker leader;
   std::array<CrashTracker, 12> members;
-  leader.OnAnswerComplete(NextRequest({kCrashing}), now_);
+  leader.OnAnswerComplete(NextRequest({kCrashing}), now_, now_);
   for (CrashTracker& member : members) {
-    member.OnAnswerComplete(NextRequest({kCrashing}), now_);
+    member.OnAnswerComplete(NextRequest({kCrashing}), now_, now_);
   }
   int crashes = 0;
   for (std::size_t i = 0; i < 60; ++i) {
--- a/src/gateway/tests/crash_tracker_test.cc
+++ b/src/gateway/tests/crash_tracker_test.cc
@@ -144,5 +144,16 @@
   BOOST_TEST(!tracker.IsBlocked(digest, kStart));
 }
 
+BOOST_AUTO_TEST_CASE(AnswerOfARunFromBeforeTheCrashesDoesNotUnblock) {
+  CrashTracker tracker;
+  for (const char* id : {"t-1", "t-2", "t-3"}) {
+    Crash(tracker, 7, id);
+  }
+  tracker.OnAnswerComplete({7, {}}, kStart - 1s, kStart + 1s);
+  BOOST_TEST(tracker.IsBlocked(7, kStart + 1s));
+  tracker.OnAnswerComplete({7, {}}, kStart + 1s, kStart + 2s);
+  BOOST_TEST(!tracker.IsBlocked(7, kStart + 2s));
+}
+
 }  // namespace
 }  // namespace jackdaw::serving
