--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -129,6 +129,7 @@
   if (pick.outcome == PickOutcome::kNoModel) {
     RejectMissingModel(now);
   } else if (pick.outcome == PickOutcome::kLimited) {
+    ++deps_.counters.limited_refusals;
     Reject({503, "target_limited", "come back when the target takes more",
             std::max(pick.retry_at, now + kLimitedRetryAfter)});
   } else if (pick.outcome == PickOutcome::kNoAdapter) {
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -37,6 +37,10 @@
   std::uint64_t targets_usable = 0;
   std::uint64_t targets_leaving = 0;
   std::uint64_t targets_suspected = 0;
+  /// Targets that name a limit of requests a second.
+  std::uint64_t targets_limited = 0;
+  /// Requests that were refused because all their targets name one.
+  std::uint64_t limited_refusals = 0;
   /// Requests during which a target crashed, and those of them that are not
   /// sent any more.
   std::uint64_t crash_requests = 0;
--- a/src/gateway/target_registry.cc
+++ b/src/gateway/target_registry.cc
@@ -79,13 +79,6 @@
   return Decayed(target.failure_share, target.failure_share_updated_at, now);
 }
 
-bool SameModels(const TargetRegistration& a, const TargetRegistration& b) {
-  return std::equal(a.models.begin(), a.models.end(), b.models.begin(),
-                    b.models.end(), [](const HeldModel& x, const HeldModel& y) {
-                      return x.name == y.name && x.version == y.version;
-                    });
-}
-
 }  // namespace
 
 std::uint64_t TargetDigest(std::string_view id) {
@@ -101,48 +94,6 @@
 TargetRegistry::TargetRegistry(std::string failure_domain)
     : failure_domain_(std::move(failure_domain)) {}
 
-bool TargetRegistry::Update(const TargetRegistration& entry) {
-  TargetPtr& target = targets_[entry.id];
-  const bool restarted =
-      target != nullptr && target->entry.born_ms != entry.born_ms;
-  if (restarted && entry.born_ms < target->entry.born_ms) {
-    return false;
-  }
-  if (target == nullptr || restarted ||
-      target->entry.address != entry.address) {
-    if (target != nullptr) {
-      target->ended = true;
-    }
-    target = std::make_shared<Target>();
-    by_digest_[TargetDigest(entry.id)] = target;
-  }
-  const bool leaving = entry.state == TargetState::kDraining;
-  const bool changed = target->entry.id.empty() || target->leaving != leaving ||
-                       !SameModels(target->entry, entry);
-  target->leaving = leaving;
-  target->entry = entry;
-  for (const HeldModel& model : entry.models) {
-    for (const std::string& adapter : model.adapters) {
-      target->adapters.insert(model.name + "/" + adapter);
-    }
-  }
-  std::erase_if(target->adapters, [&](const std::string& name) {
-    return !target->HoldsModel(
-        std::string_view(name).substr(0, name.find('/')));
-  });
-  return changed;
-}
-
-void TargetRegistry::Remove(std::string_view id) {
-  const auto found = targets_.find(std::string(id));
-  if (found != targets_.end()) {
-    found->second->leaving = true;
-    found->second->ended = true;
-    by_digest_.erase(TargetDigest(id));
-    targets_.erase(found);
-  }
-}
-
 double TargetRegistry::Cost(const Target& target,
                             const TargetQuery& query,
                             Instant now) const {
@@ -346,19 +297,4 @@
   }
 }
 
-TargetPtr TargetRegistry::Find(std::string_view id) const {
-  const auto found = targets_.find(std::string(id));
-  return found == targets_.end() ? nullptr : found->second;
-}
-
-std::vector<TargetPtr> TargetRegistry::Usable(std::string_view service) const {
-  std::vector<TargetPtr> usable;
-  for (const auto& [id, target] : targets_) {
-    if (!target->leaving && target->entry.service == service) {
-      usable.push_back(target);
-    }
-  }
-  return usable;
-}
-
 }  // namespace jackdaw::serving
--- a/src/logread/request_explanation.cc
+++ b/src/logread/request_explanation.cc
@@ -30,6 +30,9 @@
     ReasonText{"adapter_not_held",
                "No target had the adapter loaded, and the leader could "
                "not get it loaded in time."},
+    ReasonText{"target_limited",
+               "Each target that could serve the request had named a limit of "
+               "requests a second, which was used up."},
     ReasonText{"no_target",
                "No target accepted the request: each one tried refused "
                "it or could not be reached."},
