--- a/src/fleet/store_watch.cc
+++ b/src/fleet/store_watch.cc
@@ -132,7 +132,7 @@
 }
 
 void StoreWatch::ResumeFrom(const TableVersion& version) {
-  if (version > version_) {
+  if (version_ < version) {
     version_ = version;
     has_snapshot_ = true;
   }
--- a/src/fleet/table_version.h
+++ b/src/fleet/table_version.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace jackdaw::serving {
 
@@ -13,7 +13,10 @@
   /// Number of the newest transaction in this epoch.
   std::int64_t number = 0;
 
-  auto operator<=>(const TableVersion&) const = default;
+  bool operator==(const TableVersion&) const = default;
+  bool operator<(const TableVersion& other) const {
+    return std::tie(epoch, number) < std::tie(other.epoch, other.number);
+  }
 };
 
 /// Returns the first number of a series of terms or epochs that continues in an
