--- a/src/fleet/peer_api_limits.cc
+++ b/src/fleet/peer_api_limits.cc
@@ -1,4 +1,5 @@
-// Requests for leave to send to targets that have named a limit.
+// Requests for permission to send to targets that have named a limit.
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/json.hpp>
 
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -11,7 +11,7 @@
 
 // Maximum of adapter loads requested per request.
 constexpr int kMaxAdapterRequests = 2;
-// Maximum of requests for leave to send to a limited target, per request.
+// Maximum of requests for permission to send to a limited target, per request.
 constexpr int kMaxSendRequests = 1;
 // Time to open a connection before another target is tried.
 constexpr Micros kConnectTimeout = 250ms;
--- a/src/gateway/fleet_client.h
+++ b/src/gateway/fleet_client.h
@@ -38,7 +38,8 @@
                            std::string model,
                            std::string adapter,
                            std::function<void(TargetPtr)> done) = 0;
-  /// Asks the leader for one request to a target that has named a limit.
+  /// Asks the leader for permission to send one request to a target that has
+  /// named a limit.
   /// @param done called once
   virtual void RequestSend(TargetPtr target,
                            std::function<void(SendPermission)> done) = 0;
