Hold no part of the input buffer while waiting for a caller's bytes

Cause: an asynchronous read lent a part of the flat buffer while the parser consumed from the same buffer. When that consumed all, the buffer's pointers went back to its front, the read wrote to the former place, and the next commit showed old bytes: the earlier request came to life again in place of the new one. Now the connection waits until the socket is readable and reads then, so no operation in progress refers to the buffer, whatever the parser does with it. An idle connection holds no buffer any more. RequestSentOnTheLastByteOfAnAnswerIsAnsweredOnce passed before as well (500 answers of 200 KB): the callback of a write is queued before the next read, so a caller who waits for each answer never met the fault.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -53,6 +53,7 @@
       clock_(clock) {
   boost::system::error_code ignored;
   socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
 }
 
 CallerConnection::~CallerConnection() {
@@ -67,7 +68,7 @@
 
 void CallerConnection::Start() {
   BeginRequest();
-  Read();
+  AwaitInput();
 }
 
 void CallerConnection::BeginRequest() {
@@ -86,32 +87,50 @@
               [this] { Close("idle"); });
 }
 
-void CallerConnection::Read() {
-  if (reading_ || closed_ || input_.size() > kMaxReadAhead) {
+void CallerConnection::AwaitInput() {
+  if (awaiting_input_ || closed_ || input_.size() > kMaxReadAhead) {
     return;
   }
-  reading_ = true;
-  socket_.async_read_some(
-      input_.prepare(kReadBytes),
-      [self = shared_from_this()](const auto& failure, std::size_t size) {
-        self->reading_ = false;
-        if (!self->closed_) {
-          self->OnRead(failure, size);
+  if (input_.size() == 0) {
+    input_.shrink_to_fit();  // An idle connection holds no buffer.
+  }
+  awaiting_input_ = true;
+  socket_.async_wait(
+      boost::asio::socket_base::wait_read,
+      [self = shared_from_this()](const boost::system::error_code& failure) {
+        self->awaiting_input_ = false;
+        if (self->closed_) {
+          return;
+        }
+        if (failure) {
+          self->Close(kCallerFailed);
+        } else {
+          self->OnReadable();
         }
       });
 }
 
-void CallerConnection::OnRead(const boost::system::error_code& failure,
-                              std::size_t size) {
-  if (failure) {
-    Close(failure == boost::asio::error::eof ? kCallerClosed : kCallerFailed);
+void CallerConnection::OnReadable() {
+  if (!ReadAvailable()) {
     return;
   }
-  input_.commit(size);
   if (task_ == nullptr && !response_ended_) {
     Parse();
   }
-  Read();
+  AwaitInput();
+}
+
+// Reads the bytes that have arrived. @returns false if the connection has ended
+bool CallerConnection::ReadAvailable() {
+  boost::system::error_code failure;
+  const std::size_t size =
+      socket_.read_some(input_.prepare(kReadBytes), failure);
+  input_.commit(size);
+  if (!failure || failure == boost::asio::error::would_block) {
+    return true;
+  }
+  Close(failure == boost::asio::error::eof ? kCallerClosed : kCallerFailed);
+  return false;
 }
 
 void CallerConnection::Parse() {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -52,6 +52,11 @@
 /// A caller's connection. It handles one request at a time and reads each one
 /// completely before it starts the request's task. If the caller closes the
 /// connection while a task runs, the task is notified at once.
+///
+/// While a task runs, the bytes that follow its request are read ahead. No
+/// operation in progress holds a part of the input buffer: the connection waits
+/// until the socket has bytes and only then reads what is there, so that the
+/// buffer may change in between.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
  public:
   CallerConnection(boost::asio::ip::tcp::socket socket,
@@ -93,8 +98,9 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   void BeginRequest();
-  void Read();
-  void OnRead(const boost::system::error_code& failure, std::size_t size);
+  void AwaitInput();
+  void OnReadable();
+  bool ReadAvailable();
   void Parse();
   void OnRequest();
   void Reject(int status, std::string_view kind);
@@ -113,7 +119,7 @@
   std::string output_;
   TimerQueue::Handle deadline_;
   Instant started_at_{};
-  bool reading_ = false;
+  bool awaiting_input_ = false;
   bool writing_ = false;
   bool closed_ = false;
   bool response_ended_ = false;
--- a/src/gateway/caller_connection_end.cc
+++ b/src/gateway/caller_connection_end.cc
@@ -79,7 +79,7 @@
   }
   BeginRequest();
   Parse();
-  Read();
+  AwaitInput();
 }
 
 void CallerConnection::Abort() {
