Write to callers in order and give reads and writes deadlines of their own

A caller whose body stopped coming after `100 Continue` was never refused: the callback of that write cleared the one deadline of the connection, which was the body's by then, so the request stayed without an answer for as long as the caller kept the connection. The bytes of a write in progress could also be replaced by the next ones, since both shared one buffer. Now bytes wait until the write before has ended, and the deadlines of reading and writing are separate. BodyThatStopsComingAfterContinueIsRefused failed before (no 408 within 20 s with an idle time of 0.1 s), and passes now.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -57,7 +57,8 @@
 }
 
 CallerConnection::~CallerConnection() {
-  timers_.Clear(deadline_);
+  timers_.Clear(read_deadline_);
+  timers_.Clear(write_deadline_);
 }
 
 std::string CallerConnection::peer() const {
@@ -83,7 +84,7 @@
 }
 
 void CallerConnection::SetIdleDeadline() {
-  timers_.Set(deadline_, clock_.Now() + handler_.limits().idle_time,
+  timers_.Set(read_deadline_, clock_.Now() + handler_.limits().idle_time,
               [this] { Close("idle"); });
 }
 
@@ -139,7 +140,7 @@
   }
   if (started_at_ == Instant{}) {
     started_at_ = clock_.Now();
-    timers_.Set(deadline_, started_at_ + handler_.limits().header_time,
+    timers_.Set(read_deadline_, started_at_ + handler_.limits().header_time,
                 [this] { Reject(408, "header_timeout"); });
   }
   boost::system::error_code failure;
@@ -168,18 +169,18 @@
     OnRequest();
     return;
   }
-  timers_.Set(deadline_, clock_.Now() + handler_.limits().idle_time,
+  timers_.Set(read_deadline_, clock_.Now() + handler_.limits().idle_time,
               [this] { Reject(408, "body_timeout"); });
   const bool expects_continue = boost::beast::iequals(
       parser_->get()[http::field::expect], "100-continue");
-  if (expects_continue && !continue_sent_ && !writing_) {
+  if (expects_continue && !continue_sent_) {
     continue_sent_ = true;
     Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
 }
 
 void CallerConnection::OnRequest() {
-  timers_.Clear(deadline_);
+  timers_.Clear(read_deadline_);
   CallerRequest request = parser_->release();
   keep_open_ = request.keep_alive();
   auto task =
@@ -194,6 +195,7 @@
       {{"caller", peer()},
        {"status", std::to_string(status)},
        {"reason", std::string(kind)}});
+  timers_.Clear(read_deadline_);
   keep_open_ = false;
   std::string response = "HTTP/1.1 " + std::to_string(status) + " ";
   response += ReasonPhrase(status);
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -66,8 +66,8 @@
   ~CallerConnection();
 
   void Start();
-  /// Starts to write bytes of a response. Only one write may be in progress;
-  /// OnWriteComplete reports its end.
+  /// Writes bytes of a response after all that were written before.
+  /// OnWriteComplete reports when there is nothing left to write.
   void Write(std::string bytes);
   /// Lets the end of the connection mark the end of the response. Until the
   /// response is complete, whatever closes the connection resets it, the end of
@@ -105,6 +105,8 @@
   void OnRequest();
   void Reject(int status, std::string_view kind);
   void SetIdleDeadline();
+  void WritePending();
+  void OnWritten(const boost::system::error_code& failure);
   void PrepareNextRequest();
   void SetResetOnClose(bool reset);
   void Close(std::string_view why);
@@ -116,8 +118,13 @@
   boost::beast::flat_buffer input_;
   std::optional<Parser> parser_;
   std::shared_ptr<CallerTask> task_;
+  /// Bytes of the write in progress.
   std::string output_;
-  TimerQueue::Handle deadline_;
+  /// Bytes to write after those.
+  std::string pending_output_;
+  /// Deadline of the connection's wait for bytes of the caller.
+  TimerQueue::Handle read_deadline_;
+  TimerQueue::Handle write_deadline_;
   Instant started_at_{};
   bool awaiting_input_ = false;
   bool writing_ = false;
--- a/src/gateway/caller_connection_end.cc
+++ b/src/gateway/caller_connection_end.cc
@@ -16,28 +16,47 @@
   if (closed_) {
     return;
   }
-  output_ = std::move(bytes);
+  if (pending_output_.empty()) {
+    pending_output_ = std::move(bytes);
+  } else {
+    pending_output_ += bytes;
+  }
+  WritePending();
+}
+
+void CallerConnection::WritePending() {
+  if (writing_) {
+    return;
+  }
+  output_.swap(pending_output_);
+  pending_output_.clear();
   writing_ = true;
-  timers_.Set(deadline_, clock_.Now() + kWriteTimeout,
+  timers_.Set(write_deadline_, clock_.Now() + kWriteTimeout,
               [this] { Close("caller reads too slowly"); });
   boost::asio::async_write(
       socket_, boost::asio::buffer(output_),
       [self = shared_from_this()](const auto& failure, std::size_t) {
-        self->writing_ = false;
-        if (self->closed_) {
-          return;
-        }
-        self->timers_.Clear(self->deadline_);
-        if (failure) {
-          self->Close(kCallerFailed);
-        } else if (self->response_ended_) {
-          self->PrepareNextRequest();
-        } else if (self->task_ != nullptr) {
-          self->task_->OnWriteComplete();
-        }
+        self->OnWritten(failure);
       });
 }
 
+void CallerConnection::OnWritten(const boost::system::error_code& failure) {
+  writing_ = false;
+  if (closed_) {
+    return;
+  }
+  timers_.Clear(write_deadline_);
+  if (failure) {
+    Close(kCallerFailed);
+  } else if (!pending_output_.empty()) {
+    WritePending();
+  } else if (response_ended_) {
+    PrepareNextRequest();
+  } else if (task_ != nullptr) {
+    task_->OnWriteComplete();
+  }
+}
+
 void CallerConnection::SetResetOnClose(bool reset) {
   boost::system::error_code failure;
   socket_.set_option(boost::asio::socket_base::linger(reset, 0), failure);
@@ -104,7 +123,8 @@
     return;
   }
   closed_ = true;
-  timers_.Clear(deadline_);
+  timers_.Clear(read_deadline_);
+  timers_.Clear(write_deadline_);
   if (response_ended_) {
     Log(LogLevel::kInfo, "response_not_delivered",
         {{"caller", peer()}, {"reason", std::string(why)}});
