Read a caller's connection once more before its idle deadline closes it

A request that lay in the socket when the idle deadline fired was closed away without an answer, and after a configuration that raises the idle time connections were still closed after the former one, while their callers relied on the new one. Cause: the timer closed without looking, at a deadline from the limits of then. Now the deadline is checked against the limits in force, and the socket is read before an idle connection is closed, by the shutdown too. Both tests failed before: RequestThatArrivedGoesBeforeTheIdleDeadline (closed, no answer) and IdleTimeOfAnOlderConfigurationClosesNoConnection (closed after the former 50 ms).

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -80,12 +80,31 @@
   parser_->body_limit(limits.body_bytes);
   continue_sent_ = false;
   started_at_ = Instant{};
+  idle_since_ = clock_.Now();
   SetIdleDeadline();
 }
 
 void CallerConnection::SetIdleDeadline() {
-  timers_.Set(read_deadline_, clock_.Now() + handler_.limits().idle_time,
-              [this] { Close("idle"); });
+  timers_.Set(read_deadline_, idle_since_ + handler_.limits().idle_time,
+              [this] { OnIdle(); });
+}
+
+// Closes the connection, unless the idle time has grown since the deadline was
+// set, or a request has arrived that has not been read yet.
+void CallerConnection::OnIdle() {
+  const auto self = shared_from_this();
+  if (clock_.Now() < idle_since_ + handler_.limits().idle_time) {
+    SetIdleDeadline();
+    return;
+  }
+  if (!ReadAvailable()) {
+    return;
+  }
+  if (has_read_ahead()) {
+    Parse();
+  } else {
+    Close("idle");
+  }
 }
 
 void CallerConnection::AwaitInput() {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -86,6 +86,8 @@
 
   /// Whether a request is in progress or its response not yet written.
   bool busy() const { return !closed_ && (task_ != nullptr || writing_); }
+  /// Whether bytes of the next request have been read.
+  bool has_read_ahead() const { return input_.size() > 0; }
   std::string peer() const;
 
  private:
@@ -105,6 +107,7 @@
   void OnRequest();
   void Reject(int status, std::string_view kind);
   void SetIdleDeadline();
+  void OnIdle();
   void WritePending();
   void OnWritten(const boost::system::error_code& failure);
   void PrepareNextRequest();
@@ -125,6 +128,7 @@
   /// Deadline of the connection's wait for bytes of the caller.
   TimerQueue::Handle read_deadline_;
   TimerQueue::Handle write_deadline_;
+  Instant idle_since_{};
   Instant started_at_{};
   bool awaiting_input_ = false;
   bool writing_ = false;
--- a/src/gateway/caller_connection_end.cc
+++ b/src/gateway/caller_connection_end.cc
@@ -113,7 +113,14 @@
 }
 
 void CallerConnection::CloseIfIdle() {
-  if (task_ == nullptr && !response_ended_ && started_at_ == Instant{}) {
+  const bool idle =
+      task_ == nullptr && !response_ended_ && started_at_ == Instant{};
+  if (!idle || !ReadAvailable()) {
+    return;
+  }
+  if (has_read_ahead()) {
+    Parse();
+  } else {
     Close("the instance ends");
   }
 }
