End a caller's connection without destroying what it still has to receive

A connection that was closed with bytes unread was reset, which can destroy the response on its way: a refusal of a body that still comes, or the last response with another request behind it. A request read ahead of a shutdown was dropped. Now a connection marks its end, then reads and drops what comes until the caller closes too, for at most 2 s and 4 MB. An instance that shuts down answers what it has read ahead before its `Connection: close`. RefusalOfALongBodyIsNotFollowedByAReset failed before (the caller's write broke), and RequestReadAheadIsAnsweredBeforeAShutdownCloses (the second request had no answer); both pass now. LastAnswerIsNotDestroyedByARequestBehindIt passed before here too.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -134,7 +134,9 @@
   if (!ReadAvailable()) {
     return;
   }
-  if (task_ == nullptr && !response_ended_) {
+  if (lingering_) {
+    DiscardInput();
+  } else if (task_ == nullptr && !response_ended_) {
     Parse();
   }
   AwaitInput();
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -84,8 +84,11 @@
   /// Closes the connection if no request is in progress.
   void CloseIfIdle();
 
-  /// Whether a request is in progress or its response not yet written.
-  bool busy() const { return !closed_ && (task_ != nullptr || writing_); }
+  /// Whether a request is in progress, or its response has not yet reached the
+  /// caller.
+  bool busy() const {
+    return !closed_ && (task_ != nullptr || writing_ || lingering_);
+  }
   /// Whether bytes of the next request have been read.
   bool has_read_ahead() const { return input_.size() > 0; }
   std::string peer() const;
@@ -112,6 +115,8 @@
   void OnWritten(const boost::system::error_code& failure);
   void PrepareNextRequest();
   void SetResetOnClose(bool reset);
+  void BeginLinger();
+  void DiscardInput();
   void Close(std::string_view why);
 
   boost::asio::ip::tcp::socket socket_;
@@ -130,9 +135,12 @@
   TimerQueue::Handle write_deadline_;
   Instant idle_since_{};
   Instant started_at_{};
+  std::size_t discarded_bytes_ = 0;
   bool awaiting_input_ = false;
   bool writing_ = false;
   bool closed_ = false;
+  /// The connection has sent its last response and waits for the caller's end.
+  bool lingering_ = false;
   bool response_ended_ = false;
   bool keep_open_ = true;
   bool ends_with_connection_ = false;
--- a/src/gateway/caller_connection_end.cc
+++ b/src/gateway/caller_connection_end.cc
@@ -9,6 +9,11 @@
 
 // Time for one write; a caller that reads too slowly is disconnected.
 constexpr Micros kWriteTimeout = 20s;
+// Time and bytes for which a connection is read after its last response. A
+// close with unread bytes resets the connection, and a reset may destroy the
+// response on its way.
+constexpr Micros kLingerTime = 2s;
+constexpr std::size_t kMaxDiscardedBytes = 4UL * 1024 * 1024;
 
 }  // namespace
 
@@ -93,7 +98,7 @@
       ends_with_connection_ = false;
       SetResetOnClose(false);
     }
-    Close("end of the responses");
+    BeginLinger();
     return;
   }
   BeginRequest();
@@ -101,6 +106,36 @@
   AwaitInput();
 }
 
+// Marks the end of the responses, then reads until the caller has closed the
+// connection too.
+void CallerConnection::BeginLinger() {
+  if (has_read_ahead()) {
+    Log(LogLevel::kInfo, "requests_not_read",
+        {{"caller", peer()},
+         {"bytes", std::to_string(input_.size())},
+         {"reason", "the connection ends with the response before"}});
+  }
+  lingering_ = true;
+  boost::system::error_code failure;
+  socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, failure);
+  if (failure) {
+    Close(kCallerClosed);
+    return;
+  }
+  timers_.Set(read_deadline_, clock_.Now() + kLingerTime,
+              [this] { Close("caller keeps the connection"); });
+  DiscardInput();
+  AwaitInput();
+}
+
+void CallerConnection::DiscardInput() {
+  discarded_bytes_ += input_.size();
+  input_.consume(input_.size());
+  if (discarded_bytes_ > kMaxDiscardedBytes) {
+    Close("caller goes on sending");
+  }
+}
+
 void CallerConnection::Abort() {
   task_.reset();
   Close("response broken off");
@@ -115,7 +150,7 @@
 void CallerConnection::CloseIfIdle() {
   const bool idle =
       task_ == nullptr && !response_ended_ && started_at_ == Instant{};
-  if (!idle || !ReadAvailable()) {
+  if (!idle || lingering_ || !ReadAvailable()) {
     return;
   }
   if (has_read_ahead()) {
@@ -138,7 +173,7 @@
   }
   boost::system::error_code ignored;
   // A shutdown would send the orderly end that a reset must not have.
-  if (!ends_with_connection_) {
+  if (!ends_with_connection_ && !lingering_) {
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
   }
   socket_.close(ignored);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -106,6 +106,7 @@
   void SendBufferedResponse();
   bool EndsInsideEvent() const;
   void BeginResponse(BodyEnd body_end, std::string_view framing);
+  void KeepConnectionForReadAhead();
   void AppendBody(std::string_view bytes);
   void EndBody();
   void Flush();
@@ -124,6 +125,8 @@
   /// The caller's connection is closed after the response, since the instance
   /// shuts down.
   bool closing_;
+  /// The shutdown ends the requests in progress.
+  bool ended_by_shutdown_ = false;
 
   RequestMetadata call_;
   const Route* route_ = nullptr;
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -21,6 +21,7 @@
   if (charged_units_ > 0 && (attempts_ == 0 || (not_run && !may_have_run_))) {
     deps_.quotas.Refund(workspace_->name, charged_units_, now);
   }
+  KeepConnectionForReadAhead();
   std::string body = R"({"kind":")";
   body += rejection.kind;
   body += R"(","remedy":")";
@@ -65,6 +66,7 @@
     return;
   }
   closing_ = true;
+  ended_by_shutdown_ = true;
   if (head_sent_) {
     AbortResponse("the instance ends");
   } else if (sent_ || may_have_run_) {
--- a/src/gateway/exchange_forward.cc
+++ b/src/gateway/exchange_forward.cc
@@ -55,6 +55,12 @@
   response_ended_ = true;
 }
 
+// Leaves the connection of an instance that shuts down open for a request that
+// was read behind this one. The response to the last one closes it.
+void Exchange::KeepConnectionForReadAhead() {
+  closing_ = closing_ && (ended_by_shutdown_ || !caller_->has_read_ahead());
+}
+
 // Queues the head of a response. A target that leaves the end of its answer to
 // the connection may have failed when the connection closes, so the caller is
 // not told more than that either.
@@ -67,6 +73,7 @@
     framing = "Connection: close\r\n";
     caller_->EndWithConnection();
   }
+  KeepConnectionForReadAhead();
   head_sent_ = true;
   first_forwarded_at_ = deps_.clock.Now();
   pending_output_ += ResponseHeadText(framing);
