Do not cut a stream because its sound target was silent for a second

A sound target may fall silent for a second or so and go on. After 1.3 s without bytes a stream that its caller had in part was moved to another target, and where that one refused it, the stream was cut: neither an answer nor a refusal, though the first target would have gone on. A safe request that was refused elsewhere got 502. Now a stream is moved after 2 s, and a target that was only silent is chosen again when no other is left, within the route's attempts. Callers leave a stream after 2 s of silence at the earliest, so the move still helps where a target stays silent. StreamIsNotCutByATargetThatIsSilentAndGoesOn failed before (cut after the first event), as did StreamRefusedElsewhereReturnsToItsSilentTarget and SafeRequestRefusedElsewhereReturnsToItsSilentTarget (502).

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -72,6 +72,8 @@
   // Sending.
   void Dispatch();
   TargetPick PickTarget(std::span<const TargetPtr> excluded) const;
+  std::vector<TargetPtr> AllTriedTargets() const;
+  TargetPick PickTarget() const;
   void OnAdapterLoaded(const TargetPtr& target);
   void AskToSend(const TargetPick& pick);
   void OnSendPermission(const TargetPick& pick,
@@ -162,6 +164,9 @@
   // All attempts.
   /// Targets that failed or rejected the request.
   std::vector<TargetPtr> excluded_targets_;
+  /// Targets that were silent for too long. They may be sound, so they are
+  /// chosen again if no other target is left.
+  std::vector<TargetPtr> silent_targets_;
   int attempts_ = 0;
   int target_choices_ = 0;
   int adapter_requests_ = 0;
--- a/src/gateway/exchange_retry.cc
+++ b/src/gateway/exchange_retry.cc
@@ -10,7 +10,9 @@
 // Maximum of targets chosen per request.
 constexpr int kMaxTargetChoices = 4;
 // Time without bytes after which a repeatable request moves to another target.
-constexpr Micros kStreamStallTime = 1300ms;
+// A sound target may be silent for a second or so. A stream that the caller has
+// in part is cut if no other target continues it, so it waits longer.
+constexpr Micros kStreamStallTime = 2s;
 constexpr Micros kPlainStallTime = 600ms;
 // Time after a crash in which the fleet learns what may have caused it.
 constexpr Micros kCrashAssessmentTime = 1s;
@@ -39,18 +41,17 @@
     ArmStallTimer();
     return;
   }
-  std::vector<TargetPtr> excluded = excluded_targets_;
-  excluded.push_back(target_);
-  const TargetPick pick = PickTarget(excluded);
+  silent_targets_.push_back(target_);
+  const TargetPick pick = PickTarget(AllTriedTargets());
   if (pick.outcome != PickOutcome::kChosen || pick.cost_ms > kMaxMoveCostMs ||
       reading_paused_ || !TryTakeRetry(true)) {
+    silent_targets_.pop_back();
     last_progress_at_ = now;
     ArmStallTimer();
     return;
   }
   trace_.Add(now, "stalled", target_->entry.id);
   may_have_run_ = true;
-  excluded_targets_.push_back(target_);
   EndAttempt(TargetOutcome::kFailed);
   events_.DropPartialEvent();
   ++deps_.counters.retries;
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -32,7 +32,7 @@
     OnDeadline();
     return;
   }
-  const TargetPick pick = PickTarget(excluded_targets_);
+  const TargetPick pick = PickTarget();
   if (pick.outcome == PickOutcome::kChosen) {
     if (!waiting_) {
       TraceChoice(pick, now);
@@ -99,6 +99,22 @@
   return deps_.targets.Pick(query, deps_.clock.Now());
 }
 
+std::vector<TargetPtr> Exchange::AllTriedTargets() const {
+  std::vector<TargetPtr> tried = excluded_targets_;
+  tried.insert(tried.end(), silent_targets_.begin(), silent_targets_.end());
+  return tried;
+}
+
+// Picks a target that has neither failed the request nor been silent, or else
+// one that has only been silent.
+TargetPick Exchange::PickTarget() const {
+  const TargetPick pick = PickTarget(AllTriedTargets());
+  if (pick.outcome == PickOutcome::kChosen || silent_targets_.empty()) {
+    return pick;
+  }
+  return PickTarget(excluded_targets_);
+}
+
 void Exchange::OnAdapterLoaded(const TargetPtr& target) {
   const Instant now = deps_.clock.Now();
   if (target == nullptr) {
