Keep departed targets unused when the store comes back older

Cause: the feed of targets kept the version of a row only. In a new epoch every row of the copy counted as news, also one from before the leaving, and an entry that was removed left nothing behind at all.

Fix: the feed remembers which incarnations have left. One that announced it stays draining until a later incarnation registers. Numbers up to the copy's are not given out again, so a higher number than any that was read is a later write, whatever the epoch.

--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -97,11 +97,7 @@
   }
   LogBlocked();
   DropShareIfDisconnected();
-  for (const std::string& id : target_feed_.Expire(clock_.Now())) {
-    TargetFeed::Changes changes;
-    changes.removed.push_back(id);
-    OnTargetChanges(changes);
-  }
+  OnTargetChanges(target_feed_.Expire(clock_.Now()));
 }
 
 void FleetAgent::CountCrashes() {
--- a/src/fleet/target_feed.cc
+++ b/src/fleet/target_feed.cc
@@ -1,5 +1,6 @@
 #include "fleet/target_feed.h"
 
+#include <algorithm>
 #include <set>
 
 namespace jackdaw::serving {
@@ -9,43 +10,86 @@
 // entry that is found missing within this time after the outage may only have
 // expired; its target is kept for as long again.
 constexpr Micros kReregistrationTime = 1800ms;
+// Time in which the store, back from an older copy, removes the entries of
+// targets that are gone. One that it still has then belongs to a live target.
+constexpr Micros kDoubtTime = 10s;
 
 }  // namespace
 
 void TargetFeed::OnStoreRestored(Instant now) {
   OnStoreReconnected(now);
-  for (auto& [id, version] : versions_) {
-    version = 0;
+  awaits_first_snapshot_ = true;
+  in_doubt_.clear();
+  for (auto& [id, known] : known_) {
+    known.version = 0;
   }
 }
 
+void TargetFeed::Remove(const std::string& id, Instant now, Changes& changes) {
+  const KnownTarget& known = known_[id];
+  departed_.OnRemoved(id, known.born_ms, known.highest_version, now);
+  known_.erase(id);
+  missing_until_.erase(id);
+  changes.removed.push_back(id);
+}
+
 void TargetFeed::OnMissing(const std::string& id,
                            Instant now,
                            Changes& changes) {
-  if (!versions_.contains(id)) {
+  in_doubt_.erase(id);
+  if (!known_.contains(id)) {
     return;
   }
   if (now - reconnected_at_ < kReregistrationTime) {
     missing_until_.emplace(id, now + kReregistrationTime);
     return;
   }
-  versions_.erase(id);
-  missing_until_.erase(id);
-  changes.removed.push_back(id);
+  Remove(id, now, changes);
+}
+
+// Returns whether the row was read before in this epoch of the store.
+bool TargetFeed::IsKnown(const TargetRow& row) const {
+  const auto known = known_.find(row.id);
+  const auto doubt = in_doubt_.find(row.id);
+  return (known != known_.end() && known->second.version >= row.version) ||
+         (doubt != in_doubt_.end() && doubt->second.row.version >= row.version);
 }
 
 void TargetFeed::Apply(const TargetRow& row, Instant now, Changes& changes) {
-  const auto known = versions_.find(row.id);
-  if (known != versions_.end() && known->second >= row.version) {
+  if (IsKnown(row)) {
     return;
   }
   if (!row.readable) {
     OnMissing(row.id, now, changes);
     return;
   }
-  versions_[row.id] = row.version;
+  using Standing = DepartedTargets::Standing;
+  const Standing standing = departed_.Judge(row, awaits_first_snapshot_);
+  if (standing == Standing::kInDoubt) {
+    in_doubt_[row.id] = {row, now + kDoubtTime};
+    return;
+  }
+  if (standing == Standing::kDraining ||
+      row.entry.state == TargetState::kDraining) {
+    departed_.OnDraining(row, now);
+    Accept(row, TargetState::kDraining, changes);
+    return;
+  }
+  departed_.OnPresent(row.id);
+  Accept(row, TargetState::kReady, changes);
+}
+
+void TargetFeed::Accept(const TargetRow& row,
+                        TargetState state,
+                        Changes& changes) {
+  KnownTarget& known = known_[row.id];
+  known.version = row.version;
+  known.highest_version = std::max(known.highest_version, row.version);
+  known.born_ms = std::max(known.born_ms, row.entry.born_ms);
   missing_until_.erase(row.id);
+  in_doubt_.erase(row.id);
   changes.updated.push_back(row.entry);
+  changes.updated.back().state = state;
 }
 
 TargetFeed::Changes TargetFeed::OnSnapshot(const std::vector<TargetRow>& rows,
@@ -57,7 +101,7 @@
     Apply(row, now, changes);
   }
   std::vector<std::string> absent;
-  for (const auto& [id, version] : versions_) {
+  for (const auto& [id, known] : known_) {
     if (!present.contains(id)) {
       absent.push_back(id);
     }
@@ -65,6 +109,10 @@
   for (const std::string& id : absent) {
     OnMissing(id, now, changes);
   }
+  std::erase_if(in_doubt_, [&](const auto& item) {
+    return !present.contains(item.first);
+  });
+  awaits_first_snapshot_ = false;
   return changes;
 }
 
@@ -77,17 +125,28 @@
   return changes;
 }
 
-std::vector<std::string> TargetFeed::Expire(Instant now) {
-  std::vector<std::string> removed;
-  std::erase_if(missing_until_, [&](const auto& item) {
-    if (now < item.second) {
-      return false;
+TargetFeed::Changes TargetFeed::Expire(Instant now) {
+  Changes changes;
+  std::vector<std::string> missing;
+  for (const auto& [id, until] : missing_until_) {
+    if (now >= until) {
+      missing.push_back(id);
     }
-    versions_.erase(item.first);
-    removed.push_back(item.first);
-    return true;
-  });
-  return removed;
+  }
+  for (const std::string& id : missing) {
+    Remove(id, now, changes);
+  }
+  std::vector<TargetRow> confirmed;
+  for (const auto& [id, doubt] : in_doubt_) {
+    if (now >= doubt.until) {
+      confirmed.push_back(doubt.row);
+    }
+  }
+  for (const TargetRow& row : confirmed) {
+    departed_.OnPresent(row.id);
+    Accept(row, row.entry.state, changes);
+  }
+  return changes;
 }
 
 }  // namespace jackdaw::serving
--- a/src/fleet/target_feed.h
+++ b/src/fleet/target_feed.h
@@ -1,28 +1,20 @@
 #pragma once
 
-#include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
 #include "core/time.h"
-#include "serving/target_registration.h"
+#include "fleet/departed_targets.h"
+#include "fleet/target_row.h"
 
 namespace jackdaw::serving {
 
-/// A row of the table of targets. `readable` is false if the row was deleted or
-/// is malformed; `entry` is then empty.
-struct TargetRow {
-  std::string id;
-  std::int64_t version = 0;
-  bool readable = false;
-  TargetRegistration entry;
-};
-
 /// Derives the set of registered targets from the rows of the store. An entry
 /// that is missing right after an outage of the store may have expired because
 /// the target could not renew it. Such a target is kept for the time in which a
-/// live one registers again.
+/// live one registers again. A target that has left does not come back by the
+/// older entry of a store that lost its last writes.
 class TargetFeed {
  public:
   /// Changes to the set of targets that result from a read.
@@ -34,29 +26,46 @@
   /// The store answers again after an outage.
   void OnStoreReconnected(Instant now) { reconnected_at_ = now; }
   /// The store came back from an older copy: its versions begin anew, and what
-  /// targets wrote since the copy is written again.
+  /// targets wrote since the copy is written again. The next snapshot is the
+  /// first of the new epoch.
   void OnStoreRestored(Instant now);
   /// Applies all rows of the table, as of one version.
   Changes OnSnapshot(const std::vector<TargetRow>& rows, Instant now);
   /// Applies rows that changed.
   Changes OnChanges(const std::vector<TargetRow>& rows, Instant now);
-  /// Removes targets that were kept after an outage and have not registered
-  /// again in time.
-  /// @returns ids of the removed targets
-  std::vector<std::string> Expire(Instant now);
-  /// Whether targets are kept that Expire may have to remove.
-  bool has_pending() const { return !missing_until_.empty(); }
+  /// Ends the times of grace: removes targets that were kept after an outage
+  /// and have not registered again, and takes entries in doubt that the store
+  /// still has.
+  Changes Expire(Instant now);
 
  private:
+  struct KnownTarget {
+    /// Version of the row in this epoch of the store; 0 before it was read.
+    std::int64_t version = 0;
+    /// Highest version of the row in any epoch.
+    std::int64_t highest_version = 0;
+    std::int64_t born_ms = 0;
+  };
+  struct EntryInDoubt {
+    TargetRow row;
+    Instant until{};
+  };
+
+  bool IsKnown(const TargetRow& row) const;
   void Apply(const TargetRow& row, Instant now, Changes& changes);
+  void Accept(const TargetRow& row, TargetState state, Changes& changes);
   void OnMissing(const std::string& id, Instant now, Changes& changes);
+  void Remove(const std::string& id, Instant now, Changes& changes);
 
   /// End of the last outage of the store.
   Instant reconnected_at_{};
-  /// Version of each known target's row.
-  std::map<std::string, std::int64_t> versions_;
+  /// No snapshot was read since the store came back from an older copy.
+  bool awaits_first_snapshot_ = false;
+  std::map<std::string, KnownTarget> known_;
   /// Time at which each target without an entry is removed.
   std::map<std::string, Instant> missing_until_;
+  DepartedTargets departed_;
+  std::map<std::string, EntryInDoubt> in_doubt_;
 };
 
 }  // namespace jackdaw::serving
--- a/src/fleet/tests/target_feed_test.cc
+++ b/src/fleet/tests/target_feed_test.cc
@@ -31,8 +31,8 @@
   feed.OnStoreReconnected(kStart + 9s);
   BOOST_TEST(feed.OnSnapshot({}, kStart + 9s).removed.empty());
   BOOST_TEST(feed.OnChanges({RowOf("a", 7)}, kStart + 10s).updated.size() == 1);
-  BOOST_TEST(feed.Expire(kStart + 10s).empty());
-  const auto gone = feed.Expire(kStart + 11s);
+  BOOST_TEST(feed.Expire(kStart + 10s).removed.empty());
+  const auto gone = feed.Expire(kStart + 11s).removed;
   BOOST_REQUIRE(gone.size() == 1);
   BOOST_TEST(gone[0] == "b");
 }
@@ -63,5 +63,87 @@
   BOOST_TEST(feed.OnChanges({RowOf("b", 6)}, kStart + 10s).updated.size() == 1);
 }
 
+TargetRow DrainingRowOf(std::string id, std::int64_t version) {
+  TargetRow row = RowOf(std::move(id), version);
+  row.entry.state = TargetState::kDraining;
+  return row;
+}
+
+// Returns the ids of targets that may get requests after the changes.
+std::vector<std::string> ReadyIn(const TargetFeed::Changes& changes) {
+  std::vector<std::string> ready;
+  for (const TargetRegistration& entry : changes.updated) {
+    if (entry.state == TargetState::kReady) {
+      ready.push_back(entry.id);
+    }
+  }
+  return ready;
+}
+
+// Guards against requests to targets that are about to end (DRAIN).
+BOOST_AUTO_TEST_CASE(AnOlderRowDoesNotUndoADrainThatWasRead) {
+  TargetFeed feed;
+  feed.OnSnapshot({RowOf("known", 5), RowOf("removed", 6)}, kStart);
+  feed.OnChanges({DrainingRowOf("known", 8), DrainingRowOf("removed", 9)},
+                 kStart + 1s);
+  TargetRow gone = RowOf("removed", 10);
+  gone.readable = false;
+  BOOST_TEST(feed.OnChanges({gone}, kStart + 2s).removed.size() == 1);
+  for (int drill = 1; drill <= 2; ++drill) {
+    const Instant now = kStart + 10s * drill;
+    feed.OnStoreRestored(now);
+    const auto changes =
+        feed.OnSnapshot({RowOf("known", 5), RowOf("removed", 6)}, now);
+    BOOST_TEST(ReadyIn(changes).empty());
+    BOOST_TEST(ReadyIn(feed.Expire(now + 9s)).empty());
+  }
+}
+
+// Guards against requests to targets that left without announcing it (DRAIN).
+BOOST_AUTO_TEST_CASE(AnOlderRowDoesNotUndoARemovalThatWasRead) {
+  TargetFeed feed;
+  feed.OnSnapshot({RowOf("a", 5), RowOf("b", 6)}, kStart);
+  BOOST_TEST(feed.OnSnapshot({RowOf("b", 6)}, kStart + 4s).removed.size() == 1);
+  for (int drill = 1; drill <= 2; ++drill) {
+    const Instant now = kStart + 6s * drill;
+    feed.OnStoreRestored(now);
+    const auto changes = feed.OnSnapshot({RowOf("a", 5), RowOf("b", 6)}, now);
+    BOOST_TEST(ReadyIn(changes) == std::vector<std::string>{"b"});
+    BOOST_TEST(
+        ReadyIn(feed.OnSnapshot({RowOf("a", 5), RowOf("b", 6)}, now)).empty());
+    BOOST_TEST(ReadyIn(feed.Expire(now + 5s)).empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ARemovedTargetIsUsedAgainOnceTheStoreKeepsItsEntry) {
+  TargetFeed feed;
+  feed.OnSnapshot({RowOf("a", 5), RowOf("b", 6)}, kStart);
+  feed.OnSnapshot({}, kStart + 4s);
+  feed.OnStoreRestored(kStart + 9s);
+  feed.OnSnapshot({RowOf("a", 5), RowOf("b", 6)}, kStart + 9s);
+  TargetRow gone = RowOf("b", 7);
+  gone.readable = false;
+  feed.OnChanges({gone}, kStart + 10s);
+  BOOST_TEST(ReadyIn(feed.Expire(kStart + 20s)) ==
+             std::vector<std::string>{"a"});
+}
+
+BOOST_AUTO_TEST_CASE(ALaterWriteOrIncarnationEndsADepartureAtOnce) {
+  TargetFeed feed;
+  feed.OnSnapshot({RowOf("again", 5), RowOf("late", 6), RowOf("reborn", 7)},
+                  kStart);
+  feed.OnChanges({DrainingRowOf("reborn", 8)}, kStart + 1s);
+  feed.OnSnapshot({}, kStart + 4s);
+  feed.OnStoreRestored(kStart + 9s);
+  TargetRow reborn = RowOf("reborn", 4);
+  reborn.entry.born_ms = 1;
+  BOOST_TEST(
+      ReadyIn(feed.OnSnapshot({RowOf("again", 5), reborn}, kStart + 9s)) ==
+      std::vector<std::string>{"reborn"});
+  const auto changes =
+      feed.OnChanges({RowOf("again", 6), RowOf("late", 6)}, kStart + 10s);
+  BOOST_TEST(ReadyIn(changes) == (std::vector<std::string>{"again", "late"}));
+}
+
 }  // namespace
 }  // namespace jackdaw::serving
