Plan no share twice from a table of a store that came back older

Cause: shares that were moved in the lost seconds are moved again. A restarted instance reads the older table and applies its own share of it at once, and a new leader without memory of the lost table plans with its bounds, which are lower than what members hold.

Fix: a table from before the store came back raises no share, at nobody, and a leader does not hand it out. Heartbeats state the share that the instance applies. The first plan of an epoch waits until all live members were heard, counts what they hold, and lets each silent one hold all that the others do not, until it is heard or has dropped its share. While the sum of this exceeds the whole, nobody gets more than it holds.

Evidence: SharesOfAnOlderTableAreNotAddedToThoseThatMembersHold (1.5), SharesAreNotRaisedBesideAnUnheardHolderOfAnUnknownShare (1.75) and AnInstanceDoesNotRaiseItsShareByATableOfAnEarlierEpoch failed with the former plan behind the new signatures. All of test-fleet and test-platform pass.

--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -44,6 +44,7 @@
   own.heartbeat_number = heartbeat_number_;
   own.state = ready() ? MemberState::kReady : state_;
   own.shares_epoch = applied_shares_epoch_;
+  own.share = quotas_.share();
   for (const auto& [key, demand] : demand_.averages()) {
     own.demand.push_back({key, demand});
   }
@@ -299,7 +300,9 @@
   if (heartbeat.view_id != view_.id) {
     reply.view = view_;
   }
-  if (heartbeat.member.shares_epoch != shares_.epoch) {
+  // A table of an earlier epoch may name shares that others hold by now.
+  if (heartbeat.member.shares_epoch != shares_.epoch &&
+      shares_.epoch >= FirstNumberOfEpoch(store_epoch_)) {
     reply.shares = shares_;
   }
   const std::size_t max_bytes =
--- a/src/fleet/fleet_agent_store.cc
+++ b/src/fleet/fleet_agent_store.cc
@@ -128,8 +128,8 @@
 // before a heartbeat confirms its epoch, and only then does the leader raise
 // the shares of others.
 void FleetAgent::ApplyShares() {
-  const ShareEntry* own = shares_.Find(settings_.name);
-  const double share = own == nullptr ? 0 : own->share;
+  const double share = ShareToApply(shares_, settings_.name, quotas_.share(),
+                                    FirstNumberOfEpoch(store_epoch_));
   if (applied_shares_epoch_ == shares_.epoch && quotas_.share() == share) {
     return;
   }
@@ -232,9 +232,8 @@
     members_.OnHeartbeat(own, clock_.Now());
     members_.RemoveSilent(clock_.Now() - kMemberRetention);
     RefreshView();
-    planned = PlanShares(shares_, members_, clock_.Now());
-    // Members may have confirmed a later table that the store has lost.
-    planned.epoch = std::max(planned.epoch, FirstNumberOfEpoch(store_epoch_));
+    planned = PlanShares(shares_, members_, clock_.Now(),
+                         FirstNumberOfEpoch(store_epoch_));
     if (planned.epoch != shares_.epoch) {
       if (step == LeaseStep::kNone) {
         write.conditions.push_back(
--- a/src/fleet/member.cc
+++ b/src/fleet/member.cc
@@ -17,6 +17,8 @@
 constexpr double kMilli = 1000;
 // Limits above this, in requests a second, are no limits in practice.
 constexpr double kMaxRate = 1e6;
+// Shares are encoded in billionths, as integers.
+constexpr std::int64_t kShareUnits = 1'000'000'000;
 // Largest integer that is accepted in a field of a member's row, if the field
 // has no limit of its own.
 constexpr std::int64_t kMaxInteger = 1'000'000'000'000;
@@ -170,6 +172,8 @@
       {"beat", member.heartbeat_number},
       {"state", kStateNames[static_cast<std::size_t>(member.state)]},
       {"shares_epoch", member.shares_epoch},
+      {"share", static_cast<std::int64_t>(member.share *
+                                          static_cast<double>(kShareUnits))},
       {"demand", EncodeDemand(member)},
       {"crashes", EncodeCrashes(member.crashes)},
       {"rate_limits", EncodeRateLimits(member.rate_limits)}});
@@ -187,6 +191,9 @@
   member.heartbeat_number = reader.Integer("beat", 0, kMaxInteger);
   member.state = ParseState(reader.Text("state"));
   member.shares_epoch = reader.IntegerOr("shares_epoch", -1, kMaxInteger, 0);
+  const std::int64_t share =
+      reader.IntegerOr("share", -kShareUnits, kShareUnits, -kShareUnits);
+  member.share = static_cast<double>(share) / static_cast<double>(kShareUnits);
   for (const auto& item : reader.ItemsOr("demand")) {
     BOOST_OUTCOME_TRY(ModelDemand demand, DecodeDemand(item));
     member.demand.push_back(std::move(demand));
--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -41,6 +41,8 @@
   /// Epoch of the share table that the instance has applied: 0 before the
   /// first, -1 after the share was dropped or while it is unknown.
   std::int64_t shares_epoch = 0;
+  /// Share of all quotas that the instance applies; negative if unknown.
+  double share = -1;
   std::vector<ModelDemand> demand;
   /// Crashes of targets that the leader has not been told yet.
   std::vector<CrashReport> crashes;
--- a/src/fleet/tests/share_plan_test.cc
+++ b/src/fleet/tests/share_plan_test.cc
@@ -116,6 +116,7 @@
         }
       } else {
         rows[name] = MemberOf(name, ++holder.heartbeat_number, holder.epoch);
+        rows[name].share = holder.held;
       }
       MemberTable members;
       std::vector<Member> read;
@@ -135,6 +136,155 @@
   }
 }
 
+// Returns a fleet of which `a` and `b` share the quotas, while the store came
+// back with the table from when there were four.
+struct OlderTable {
+  ShareTable table;
+  MemberTable members;
+
+  OlderTable() {
+    table.epoch = 10;
+    for (const char* name : {"a", "b", "c", "d"}) {
+      table.entries.push_back({name, 0.25, 0.25});
+      FleetMember expected;
+      expected.name = name;
+      members.AddExpected(expected, kStart);
+    }
+  }
+
+  void OnHeartbeat(const std::string& name, std::int64_t epoch, double share) {
+    Member member = MemberOf(name, ++beats, epoch);
+    member.share = share;
+    members.OnHeartbeat(member, now);
+  }
+
+  /// Returns the sum of what members hold that apply the next table, and of
+  /// what `others` hold that have not heard of it.
+  double HeldAfterPlan(std::initializer_list<std::string_view> appliers,
+                       double others) {
+    const ShareTable next = PlanShares(table, members, now, kFirstEpoch);
+    BOOST_TEST(next.epoch >= kFirstEpoch);
+    for (const std::string_view name : appliers) {
+      const ShareEntry* entry = next.Find(name);
+      others += entry == nullptr ? 0 : entry->share;
+    }
+    return others;
+  }
+
+  static constexpr std::int64_t kFirstEpoch = 1000;
+  /// Those that were not heard by then are no longer waited for.
+  Instant now = kStart + 4s;
+  std::int64_t beats = 0;
+};
+
+// Guards against a quota that is spent twice after the store came back older.
+BOOST_AUTO_TEST_CASE(SharesOfAnOlderTableAreNotAddedToThoseThatMembersHold) {
+  OlderTable restored;
+  restored.OnHeartbeat("a", 12, 0.5);
+  restored.OnHeartbeat("b", 12, 0.5);
+  // Restarted; they have read the older table and hold nothing.
+  restored.OnHeartbeat("c", 10, 0);
+  restored.OnHeartbeat("d", 10, 0);
+  BOOST_TEST(restored.HeldAfterPlan({"c", "d"}, 0.5 + 0.5) <= 1.0 + 1e-6);
+}
+
+// Guards against the same for a holder that is cut off from the new leader.
+BOOST_AUTO_TEST_CASE(SharesAreNotRaisedBesideAnUnheardHolderOfAnUnknownShare) {
+  OlderTable restored;
+  restored.OnHeartbeat("a", 0, 0);
+  restored.OnHeartbeat("c", 10, 0);
+  restored.OnHeartbeat("d", 10, 0);
+  BOOST_TEST(restored.HeldAfterPlan({"a", "c", "d"}, 1.0) <= 1.0 + 1e-6);
+}
+
+BOOST_AUTO_TEST_CASE(SharesArePlannedFromAnOlderTableOnceLiveMembersAreHeard) {
+  OlderTable restored;
+  restored.now = kStart + 1s;
+  restored.OnHeartbeat("a", 12, 0.5);
+  BOOST_TEST(PlanShares(restored.table, restored.members, restored.now,
+                        OlderTable::kFirstEpoch)
+                 .epoch == restored.table.epoch);
+  restored.OnHeartbeat("b", 12, 0.5);
+  restored.OnHeartbeat("c", 10, 0);
+  restored.OnHeartbeat("d", 10, 0);
+  BOOST_TEST(restored.HeldAfterPlan({"a", "b"}, 0) > 0.5 - 1e-6);
+}
+
+// Members restart, are cut off and apply tables late, while the store comes
+// back with older tables, to a leader that knows no more than these.
+BOOST_AUTO_TEST_CASE(SharesNeverExceedOneWhenTheStoreComesBackOlder) {
+  struct Holder {
+    double held = 0;
+    std::int64_t epoch = 0;
+    std::int64_t first_epoch = 0;
+    std::int64_t beats = 0;
+    int cut_until = 0;
+  };
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    Random random(seed);
+    std::map<std::string, Holder> holders;
+    MemberTable members;
+    std::vector<ShareTable> tables(1);
+    std::int64_t first_epoch = 0;
+    Instant now = kStart;
+    const auto apply = [&](const std::string& name) {
+      Holder& holder = holders[name];
+      if (tables.back().epoch >= holder.epoch) {
+        holder.held =
+            ShareToApply(tables.back(), name, holder.held, holder.first_epoch);
+        holder.epoch = tables.back().epoch;
+      }
+    };
+    for (int step = 0; step < 600; ++step) {
+      now += 200ms;
+      const std::string name(1, static_cast<char>('a' + random.Below(6)));
+      Holder& holder = holders[name];
+      const bool joined = step > 60;
+      if (joined && random.OneIn(50)) {
+        holder.cut_until = step + 60;
+      } else if (joined && random.OneIn(40)) {
+        holder = {0, 0, first_epoch, holder.beats, 0};
+        apply(name);
+      } else if (joined && random.OneIn(40)) {
+        first_epoch += 1'000'000;
+        const std::size_t lost = random.Below(6);
+        tables.resize(tables.size() - std::min(lost, tables.size() - 1));
+        members = {};
+        for (const auto& [other, unused] : holders) {
+          FleetMember expected;
+          expected.name = other;
+          members.AddExpected(expected, now);
+        }
+      } else if (step >= holder.cut_until) {
+        Member member = MemberOf(name, ++holder.beats, holder.epoch);
+        member.share = holder.held;
+        members.OnHeartbeat(member, now);
+        if (tables.back().epoch >= first_epoch) {
+          apply(name);
+        }
+      }
+      const ShareTable next =
+          PlanShares(tables.back(), members, now, first_epoch);
+      if (next.epoch != tables.back().epoch) {
+        tables.push_back(next);
+      }
+      double sum = 0;
+      for (const auto& [other, state] : holders) {
+        sum += state.held;
+      }
+      BOOST_REQUIRE_LE(sum, 1.0 + 1e-5);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnInstanceDoesNotRaiseItsShareByATableOfAnEarlierEpoch) {
+  const OlderTable restored;
+  BOOST_TEST(ShareToApply(restored.table, "c", 0, 1000) == 0);
+  BOOST_TEST(ShareToApply(restored.table, "a", 0.5, 1000) == 0.25);
+  BOOST_TEST(ShareToApply(restored.table, "c", 0, 10) == 0.25);
+  BOOST_TEST(ShareToApply(restored.table, "new", 0.5, 10) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(TheTableReadsBackAsWritten) {
   ShareTable table;
   table.epoch = 9;
