Let only a 200 event stream continue a stream

Callers found the body of a 206, 203, 3xx or 4xx response with the type of an event stream in the middle of their stream, or a stream that ended as complete after a 204 or 304 with that type. Cause: a response was refused as a continuation by its type alone, and each status below 500 went on to the bytes. The type was matched by its beginning, so text/event-streams passed as well.

Now a response whose head is not 200 with exactly that type is refused at its head: retried within the limits of the route, else the stream is broken off. Its bytes are never read into the stream, and it is not recorded as an answer, so that the parts of the prompt do not count as sound.

A first response of another status was forwarded whole before and still is.

--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -22,9 +22,17 @@
 // Informational responses before the final one, at most.
 constexpr int kMaxInformational = 8;
 
+constexpr std::string_view kEventStreamType = "text/event-stream";
+
 bool IsEventStream(const http::response_header<>& head) {
   const auto type = head[http::field::content_type];
-  return type.starts_with("text/event-stream");
+  return boost::beast::iequals(type.substr(0, type.find_first_of("; \t")),
+                               kEventStreamType);
+}
+
+// Only such a response is forwarded as a stream, or continues one.
+bool IsGoodStream(const http::response_header<>& head) {
+  return head.result_int() == 200 && IsEventStream(head);
 }
 
 }  // namespace
@@ -123,15 +131,17 @@
   const int status = static_cast<int>(parser_->get().result_int());
   const bool failed =
       status >= 500 || response_head_.not_executed || status == 429;
-  if (failed || (head_sent_ && is_stream_ && !IsEventStream(parser_->get()))) {
-    if (parser_->is_done()) {
+  const bool cannot_continue =
+      head_sent_ && is_stream_ && !IsGoodStream(parser_->get());
+  if (failed || cannot_continue) {
+    if (parser_->is_done() || cannot_continue) {
       OnFailedResponse();
     } else if (parser_->get().body().size() > kMaxBufferedResponse) {
       OnAttemptBroken("endless answer");
     }
     return;
   }
-  if (status == 200 && IsEventStream(parser_->get())) {
+  if (IsGoodStream(parser_->get())) {
     is_stream_ = true;
     events_.Add(parser_->get().body());
     parser_->get().body().clear();
@@ -149,7 +159,7 @@
 }
 
 // Handles a complete response by which the target failed or rejected the
-// request, or cannot continue a stream.
+// request, or the head of one that cannot continue a stream.
 void Exchange::OnFailedResponse() {
   const int status = static_cast<int>(parser_->get().result_int());
   const bool ran = !response_head_.not_executed;
@@ -213,8 +223,7 @@
 // Returns whether a stream that ended now would end inside an event, or before
 // its first one.
 bool Exchange::EndsInsideEvent() const {
-  const auto& head = parser_->get();
-  return head.result_int() == 200 && IsEventStream(head) &&
+  return IsGoodStream(parser_->get()) &&
          (events_.partial_bytes() > 0 || !event_received_);
 }
 
