Continue a stream only with its next event

Callers could get pieces of two runs, a stream with a gap, or an early end as complete. Cause: what a second target sent was taken for the continuation whatever its first event was. One that started over was joined behind the events that the caller had, one that skipped events or had none at all was ended as complete, and events without ids passed. A stream without ids was asked for again from its start.

Now the first event of a continuation has the id after the last one forwarded (a greater one where the ids have skipped numbers before); else it is refused like an error: retried within the limits of the route, or the stream is broken off. A stream whose last event has no id is not continued.

The splitter's test ContinuedStreamRepeatsNoEvent demanded that a run that starts over be joined behind its repeated events; ContinuationBeginsWithTheNextEvent and ContinuationWithAnotherEventIsOutOfSequence replace it.

--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -21,9 +21,21 @@
   /// @returns the number of events appended
   int TakeCompleteEvents(std::string& out);
 
-  /// Discards the incomplete event of a broken stream; the stream that
-  /// continues it starts with a new event.
-  void DropPartialEvent() { pending_.clear(); }
+  /// Discards the incomplete event of a broken stream. What is added from now
+  /// on comes from another response, which continues the stream if its first
+  /// event is the next one.
+  void BeginContinuation();
+
+  /// Returns whether a stream that breaks off now can be continued: the id of
+  /// its last event tells another target where to go on.
+  bool can_continue() const { return last_event_ && last_has_id_; }
+
+  /// The response that is to continue the stream has begun with another event
+  /// than the next one. No event of it is taken.
+  bool out_of_sequence() const { return out_of_sequence_; }
+
+  /// The response that is to continue the stream has not begun to do so.
+  bool awaits_next() const { return awaits_next_; }
 
   /// Number of bytes of the incomplete event.
   std::size_t partial_bytes() const { return pending_.size(); }
@@ -33,11 +45,19 @@
 
   /// Id of the last event taken that has one.
   std::optional<std::int64_t> last_event() const { return last_event_; }
-  void set_last_event(std::optional<std::int64_t> id) { last_event_ = id; }
 
  private:
+  bool IsNext(std::string_view event, std::optional<std::int64_t> id) const;
+  void OnTaken(std::string_view event, std::optional<std::int64_t> id);
+
   std::string pending_;
   std::optional<std::int64_t> last_event_;
+  /// The last event taken that has data has an id.
+  bool last_has_id_ = false;
+  /// Each id taken so far is the one before plus one.
+  bool consecutive_ = true;
+  bool awaits_next_ = false;
+  bool out_of_sequence_ = false;
 };
 
 }  // namespace jackdaw::serving
--- a/src/gateway/exchange_forward.cc
+++ b/src/gateway/exchange_forward.cc
@@ -72,10 +72,16 @@
   pending_output_ += ResponseHeadText(framing);
 }
 
-// Forwards the complete events, and after the last one the remaining bytes.
+// Forwards the complete events, and after the last one the remaining bytes. A
+// response that is to continue a stream and does not begin with its next event
+// is refused.
 void Exchange::ForwardEvents(bool last) {
   std::string complete_events;
   event_received_ |= events_.TakeCompleteEvents(complete_events) > 0;
+  if (events_.out_of_sequence() || (last && events_.awaits_next())) {
+    OnFailedResponse();
+    return;
+  }
   if (last && head_sent_ && parser_->need_eof() &&
       body_end_ != BodyEnd::kConnection) {
     AppendBody(complete_events);
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -159,7 +159,7 @@
 }
 
 // Handles a complete response by which the target failed or rejected the
-// request, or the head of one that cannot continue a stream.
+// request, or what has come of one that cannot continue a stream.
 void Exchange::OnFailedResponse() {
   const int status = static_cast<int>(parser_->get().result_int());
   const bool ran = !response_head_.not_executed;
@@ -167,6 +167,10 @@
   if (!call_.adapter.empty() && status == 421) {
     deps_.targets.SetAdapter(*target_, call_.ModelName(), false);
   }
+  if (head_sent_) {
+    trace_.Add(deps_.clock.Now(), "continuation_refused",
+               target_->entry.id + " status=" + std::to_string(status));
+  }
   const bool may_retry = TryTakeRetry(ran);
   // A 400 is caused by the request, so it is forwarded.
   if (may_retry || head_sent_ || (!ran && status != 400)) {
--- a/src/gateway/exchange_retry.cc
+++ b/src/gateway/exchange_retry.cc
@@ -52,7 +52,7 @@
   may_have_run_ = true;
   excluded_targets_.push_back(target_);
   EndAttempt(TargetOutcome::kFailed);
-  events_.DropPartialEvent();
+  events_.BeginContinuation();
   ++deps_.counters.retries;
   SendTo(pick.target, now);
 }
@@ -63,7 +63,8 @@
   if (may_have_run && !route_->Repeatable()) {
     return false;
   }
-  if (head_sent_ && !(is_stream_ && route_->resumable)) {
+  if (head_sent_ &&
+      !(is_stream_ && route_->resumable && events_.can_continue())) {
     return false;
   }
   if (attempts_ >= route_->max_attempts || deadline_ - now < kMinTimeLeft ||
@@ -93,7 +94,7 @@
   trace_.Add(deps_.clock.Now(), "retry", std::string(reason));
   may_have_run_ = may_have_run_ || may_have_run;
   ++deps_.counters.retries;
-  events_.DropPartialEvent();
+  events_.BeginContinuation();
   Dispatch();
 }
 
