Forward a large body behind a stream that broke off early

A caller whose stream broke off inside its first event, at a target whose retry answered with a body above 256 KiB that is no stream, got a part of it and a break-off. Cause: the mark that the answer is a stream was set by the first attempt's head, of which the caller had nothing, and held in the next attempt, whose large body then counted as a continuation that is none.

Now the mark is set when the head of a stream goes to the caller, which is what each reader of it means. LargeBodyBehindABrokenStreamIsForwardedWhole failed on the code before: the body did not arrive whole.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -170,6 +170,7 @@
 
   // The response to the caller.
   EventSplitter events_;
+  /// The caller has the head of an event stream.
   bool is_stream_ = false;
   bool head_sent_ = false;
   BodyEnd body_end_ = BodyEnd::kLength;
--- a/src/gateway/exchange_forward.cc
+++ b/src/gateway/exchange_forward.cc
@@ -93,6 +93,7 @@
     complete_events += events_.TakeRemainder();
   }
   if (!head_sent_ && (!complete_events.empty() || last)) {
+    is_stream_ = true;
     BeginResponse(BodyEnd::kLastChunk, kChunkedField);
   }
   AppendBody(complete_events);
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -142,7 +142,6 @@
     return;
   }
   if (IsGoodStream(parser_->get())) {
-    is_stream_ = true;
     events_.Add(parser_->get().body());
     parser_->get().body().clear();
     ForwardEvents(parser_->is_done());
