Send no last chunk behind the head of a stream

A caller that asked by HEAD for an event stream got the bytes of an empty last chunk behind the head, which a kept connection takes for the start of the next answer. Cause: the answer went the way of a stream, whose end is written in chunks.

An answer to HEAD is now forwarded as what it is: a head, whole once it is read. HeadOfAStreamHasNoBody failed on the code before, with the last chunk behind the head.

--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -141,7 +141,7 @@
     }
     return;
   }
-  if (IsGoodStream(parser_->get())) {
+  if (IsGoodStream(parser_->get()) && request_.method() != http::verb::head) {
     events_.Add(parser_->get().body());
     parser_->get().body().clear();
     ForwardEvents(parser_->is_done());
