Wait for no body of an answer to HEAD behind an interim one

A HEAD request whose target sent an informational response first (103) waited for a body that does not come, was moved to another target and ended with 504. Cause: the parser that is started anew behind an informational response was not told that the request is a HEAD; the one started first was.

Both are now started at one place. HeadBehindAnInformationalResponseHasNoBody failed on the code before: 504, and the request was sent to the second target as well.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -95,6 +95,7 @@
   void OnDeadline();
 
   // Response.
+  void StartParser();
   bool ParseResponse();
   std::string_view AnswerFraming() const;
   void OnResponseHead();
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -54,13 +54,18 @@
   }
 }
 
+// Starts to read a response from its first byte.
+void Exchange::StartParser() {
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->body_limit(boost::none);
+  parser_->skip(request_.method() == http::verb::head);
+}
+
 // Parses the bytes received. @returns false if the attempt has ended
 bool Exchange::ParseResponse() {
   if (!parser_) {
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->body_limit(boost::none);
-    parser_->skip(request_.method() == http::verb::head);
+    StartParser();
   }
   auto& input = connection_->input();
   boost::system::error_code failure;
@@ -79,9 +84,7 @@
         OnAttemptBroken("endless answer");
         return false;
       }
-      parser_.emplace();
-      parser_->eager(true);
-      parser_->body_limit(boost::none);
+      StartParser();
     }
   }
   if (!parser_->is_done() && input.size() > kMaxUnparsedBytes) {
