Read on behind a response to another request

Cause: a response that bears another attempt's id ended the attempt.

Now such a response is skipped and reading goes on, for at most 4 of them and 256 KiB of their bodies. It leaves no trace: its head is not evaluated (refusal, load, limit, keep-alive, first byte, crash tracker), its bytes are no progress, and an attempt that ends with it alone promises nothing. The connection is not reused afterwards: its target has lost count, and what comes next on it may be anything. An answer to HEAD cannot be told from what follows, so there a foreign response still ends the attempt. A response with an id is foreign to a request without one as well; targets echo the id. Reading moves to exchange_parse.cc.

ResponseWithOtherAttemptIdIsNotForwarded awaited 502 while the connection stays open, which is the fault. It now awaits it when the connection ends, and ForeignResponseAloneAnswersNothing that an open one leads to 504 at the deadline.

Evidence: on the code before, all 24 cases of AnswerBehindAForeignResponseIsForwarded (whole and in pieces of 7 bytes), OwnRefusalBehindAForeignAnswerIsTold, ForeignResponseArrivesWhileTheBodyIsSent, ForeignResponseLeavesNoTrace, ConnectionWithAForeignResponseIsNotReused, ForeignResponseAloneAnswersNothing and ResponseWithAnIdIsForeignToARequestWithout fail; the tests of the bounds guard the new code and passed before.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -95,8 +95,11 @@
   void OnDeadline();
 
   // Response.
+  void RecordProgress();
   void StartParser();
   bool ParseResponse();
+  bool SkipOtherResponse();
+  bool SkipForeignResponse();
   std::string_view AnswerFraming() const;
   void OnResponseHead();
   void OnResponseProgress();
@@ -155,6 +158,11 @@
   bool first_byte_recorded_ = false;
   bool head_parsed_ = false;
   int informational_responses_ = 0;
+  /// Responses to other requests that were received, and bytes of their bodies.
+  int foreign_responses_ = 0;
+  std::size_t foreign_bytes_ = 0;
+  /// The parser reads such a response.
+  bool skipping_ = false;
   bool connection_reused_ = false;
 
   // All attempts.
--- a/src/gateway/exchange_forward.cc
+++ b/src/gateway/exchange_forward.cc
@@ -145,8 +145,9 @@
 void Exchange::Flush() {
   if (response_ended_ && !done_ && target_ != nullptr) {
     const int status = static_cast<int>(parser_->get().result_int());
+    // A target that writes responses to other requests has lost count.
     const bool reusable = parser_->get().keep_alive() && !parser_->need_eof() &&
-                          !connection_->sending();
+                          !connection_->sending() && foreign_responses_ == 0;
     // Other responses do not show that the target ran the request to its end.
     if (!parser_->need_eof() && !response_head_.not_executed && status < 500 &&
         status != 429) {
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -1,6 +1,4 @@
-// Response to a request: reading it from the target.
-#include <algorithm>
-
+// Response to a request: what becomes of it.
 #include "core/log.h"
 #include "gateway/exchange.h"
 #include "platform/call_codec.h"
@@ -14,13 +12,8 @@
 // bytes, before any of it is forwarded, so that the request can still be
 // retried if the response breaks off.
 constexpr std::size_t kMaxBufferedResponse = 256UL * 1024;
-// Unparsed bytes of a response, at most: an end of line that does not come
-// within them will not come.
-constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
 // Bytes of an incomplete event, at most.
 constexpr std::size_t kMaxPartialEvent = 256UL * 1024;
-// Informational responses before the final one, at most.
-constexpr int kMaxInformational = 8;
 
 constexpr std::string_view kEventStreamType = "text/event-stream";
 
@@ -37,86 +30,9 @@
 
 }  // namespace
 
-void Exchange::OnDataReceived() {
-  const auto self = shared_from_this();
-  const Instant now = deps_.clock.Now();
-  if (first_forwarded_at_ != Instant{}) {
-    longest_pause_ = std::max(longest_pause_, Micros(now - last_progress_at_));
-  }
-  last_progress_at_ = now;
-  target_->last_received_at = now;
-  deps_.crashes.OnTargetBytes(*target_, connection_->opened_at(), now);
-  if (!ParseResponse()) {
-    return;
-  }
-  if (parser_->is_header_done()) {
-    OnResponseProgress();
-  }
-}
-
-// Starts to read a response from its first byte.
-void Exchange::StartParser() {
-  parser_.emplace();
-  parser_->eager(true);
-  parser_->body_limit(boost::none);
-  parser_->skip(request_.method() == http::verb::head);
-}
-
-// Parses the bytes received. @returns false if the attempt has ended
-bool Exchange::ParseResponse() {
-  if (!parser_) {
-    StartParser();
-  }
-  auto& input = connection_->input();
-  boost::system::error_code failure;
-  while (input.size() > 0 && !parser_->is_done()) {
-    const std::size_t used = parser_->put(input.data(), failure);
-    input.consume(used);
-    if (failure == http::error::need_more) {
-      break;
-    }
-    if (failure) {
-      OnAttemptBroken("malformed answer");
-      return false;
-    }
-    if (parser_->is_header_done() && parser_->get().result_int() < 200) {
-      if (++informational_responses_ > kMaxInformational) {
-        OnAttemptBroken("endless answer");
-        return false;
-      }
-      StartParser();
-    }
-  }
-  if (!parser_->is_done() && input.size() > kMaxUnparsedBytes) {
-    OnAttemptBroken("endless answer");
-    return false;
-  }
-  if (parser_->is_header_done() && !head_parsed_) {
-    OnResponseHead();
-    return head_parsed_;
-  }
-  return true;
-}
-
-// Returns by what the end of the target's answer shows.
-std::string_view Exchange::AnswerFraming() const {
-  if (!parser_ || !parser_->is_header_done()) {
-    return "";
-  }
-  if (parser_->need_eof()) {
-    return "connection";
-  }
-  return parser_->chunked() ? "chunks" : "length";
-}
-
 void Exchange::OnResponseHead() {
   const Instant now = deps_.clock.Now();
   response_head_ = platform::DecodeAnswer(parser_->get());
-  if (!response_head_.id.empty() && !call_.id.empty() &&
-      response_head_.id != call_.id) {
-    OnAttemptBroken("answer of another request");
-    return;
-  }
   head_parsed_ = true;
   // 421 comes from another target that has taken over the address.
   if (parser_->get().result_int() != 421) {
@@ -196,7 +112,8 @@
   trace_.Add(now, "broken", target_->entry.id + " " + std::string(how));
   // The target has probably closed the idle connection, so the request may be
   // sent to it again. CrashSuspects finds out whether it has crashed.
-  const bool stale = connection_reused_ && !first_byte_recorded_;
+  const bool stale =
+      connection_reused_ && !first_byte_recorded_ && foreign_responses_ == 0;
   Log(LogLevel::kInfo, "attempt_broken",
       {{"id", call_.id},
        {"digest", std::to_string(causes_.request)},
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -166,6 +166,8 @@
   first_byte_recorded_ = false;
   head_parsed_ = false;
   informational_responses_ = 0;
+  foreign_responses_ = 0;
+  foreign_bytes_ = 0;
   parser_.reset();
   response_head_ = {};
   ++target_choices_;
