--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -97,7 +97,11 @@
   void OnDeadline();
 
   // Response.
+  void RecordProgress();
+  void StartParser();
   bool ParseResponse();
+  bool SkipOtherResponse();
+  bool SkipForeignResponse();
   std::string_view AnswerFraming() const;
   void OnResponseHead();
   void OnResponseProgress();
@@ -159,6 +163,11 @@
   bool first_byte_recorded_ = false;
   bool head_parsed_ = false;
   int informational_responses_ = 0;
+  /// Responses to other requests that were received, and bytes of their bodies.
+  int foreign_responses_ = 0;
+  std::size_t foreign_bytes_ = 0;
+  /// The parser reads such a response.
+  bool skipping_ = false;
   bool connection_reused_ = false;
 
   // All attempts.
@@ -179,6 +188,7 @@
 
   // The response to the caller.
   EventSplitter events_;
+  /// The caller has the head of an event stream.
   bool is_stream_ = false;
   bool head_sent_ = false;
   BodyEnd body_end_ = BodyEnd::kLength;
--- a/src/gateway/exchange_forward.cc
+++ b/src/gateway/exchange_forward.cc
@@ -79,10 +79,16 @@
   pending_output_ += ResponseHeadText(framing);
 }
 
-// Forwards the complete events, and after the last one the remaining bytes.
+// Forwards the complete events, and after the last one the remaining bytes. A
+// response that is to continue a stream and does not begin with its next event
+// is refused.
 void Exchange::ForwardEvents(bool last) {
   std::string complete_events;
   event_received_ |= events_.TakeCompleteEvents(complete_events) > 0;
+  if (events_.out_of_sequence() || (last && events_.awaits_next())) {
+    OnFailedResponse();
+    return;
+  }
   if (last && head_sent_ && parser_->need_eof() &&
       body_end_ != BodyEnd::kConnection) {
     AppendBody(complete_events);
@@ -94,6 +100,7 @@
     complete_events += events_.TakeRemainder();
   }
   if (!head_sent_ && (!complete_events.empty() || last)) {
+    is_stream_ = true;
     BeginResponse(BodyEnd::kLastChunk, kChunkedField);
   }
   AppendBody(complete_events);
@@ -145,8 +152,9 @@
 void Exchange::Flush() {
   if (response_ended_ && !done_ && target_ != nullptr) {
     const int status = static_cast<int>(parser_->get().result_int());
+    // A target that writes responses to other requests has lost count.
     const bool reusable = parser_->get().keep_alive() && !parser_->need_eof() &&
-                          !connection_->sending();
+                          !connection_->sending() && foreign_responses_ == 0;
     // Other responses do not show that the target ran the request to its end.
     if (!parser_->need_eof() && !response_head_.not_executed && status < 500 &&
         status != 429) {
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -1,6 +1,4 @@
-// Response to a request: reading it from the target.
-#include <algorithm>
-
+// Response to a request: what becomes of it.
 #include "core/log.h"
 #include "gateway/exchange.h"
 #include "platform/call_codec.h"
@@ -14,98 +12,27 @@
 // bytes, before any of it is forwarded, so that the request can still be
 // retried if the response breaks off.
 constexpr std::size_t kMaxBufferedResponse = 256UL * 1024;
-// Unparsed bytes of a response, at most: an end of line that does not come
-// within them will not come.
-constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
 // Bytes of an incomplete event, at most.
 constexpr std::size_t kMaxPartialEvent = 256UL * 1024;
-// Informational responses before the final one, at most.
-constexpr int kMaxInformational = 8;
+
+constexpr std::string_view kEventStreamType = "text/event-stream";
 
 bool IsEventStream(const http::response_header<>& head) {
   const auto type = head[http::field::content_type];
-  return type.starts_with("text/event-stream");
+  return boost::beast::iequals(type.substr(0, type.find_first_of("; \t")),
+                               kEventStreamType);
 }
 
-}  // namespace
-
-void Exchange::OnDataReceived() {
-  const auto self = shared_from_this();
-  const Instant now = deps_.clock.Now();
-  if (first_forwarded_at_ != Instant{}) {
-    longest_pause_ = std::max(longest_pause_, Micros(now - last_progress_at_));
-  }
-  last_progress_at_ = now;
-  target_->last_received_at = now;
-  deps_.crashes.OnTargetBytes(*target_, connection_->opened_at(), now);
-  if (!ParseResponse()) {
-    return;
-  }
-  if (parser_->is_header_done()) {
-    OnResponseProgress();
-  }
-}
-
-// Parses the bytes received. @returns false if the attempt has ended
-bool Exchange::ParseResponse() {
-  if (!parser_) {
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->body_limit(boost::none);
-    parser_->skip(request_.method() == http::verb::head);
-  }
-  auto& input = connection_->input();
-  boost::system::error_code failure;
-  while (input.size() > 0 && !parser_->is_done()) {
-    const std::size_t used = parser_->put(input.data(), failure);
-    input.consume(used);
-    if (failure == http::error::need_more) {
-      break;
-    }
-    if (failure) {
-      OnAttemptBroken("malformed answer");
-      return false;
-    }
-    if (parser_->is_header_done() && parser_->get().result_int() < 200) {
-      if (++informational_responses_ > kMaxInformational) {
-        OnAttemptBroken("endless answer");
-        return false;
-      }
-      parser_.emplace();
-      parser_->eager(true);
-      parser_->body_limit(boost::none);
-    }
-  }
-  if (!parser_->is_done() && input.size() > kMaxUnparsedBytes) {
-    OnAttemptBroken("endless answer");
-    return false;
-  }
-  if (parser_->is_header_done() && !head_parsed_) {
-    OnResponseHead();
-    return head_parsed_;
-  }
-  return true;
+// Only such a response is forwarded as a stream, or continues one.
+bool IsGoodStream(const http::response_header<>& head) {
+  return head.result_int() == 200 && IsEventStream(head);
 }
 
-// Returns by what the end of the target's answer shows.
-std::string_view Exchange::AnswerFraming() const {
-  if (!parser_ || !parser_->is_header_done()) {
-    return "";
-  }
-  if (parser_->need_eof()) {
-    return "connection";
-  }
-  return parser_->chunked() ? "chunks" : "length";
-}
+}  // namespace
 
 void Exchange::OnResponseHead() {
   const Instant now = deps_.clock.Now();
   response_head_ = platform::DecodeAnswer(parser_->get());
-  if (!response_head_.id.empty() && !call_.id.empty() &&
-      response_head_.id != call_.id) {
-    OnAttemptBroken("answer of another request");
-    return;
-  }
   head_parsed_ = true;
   // 421 comes from another target that has taken over the address.
   if (parser_->get().result_int() != 421) {
@@ -123,16 +50,17 @@
   const int status = static_cast<int>(parser_->get().result_int());
   const bool failed =
       status >= 500 || response_head_.not_executed || status == 429;
-  if (failed || (head_sent_ && is_stream_ && !IsEventStream(parser_->get()))) {
-    if (parser_->is_done()) {
+  const bool cannot_continue =
+      head_sent_ && is_stream_ && !IsGoodStream(parser_->get());
+  if (failed || cannot_continue) {
+    if (parser_->is_done() || cannot_continue) {
       OnFailedResponse();
     } else if (parser_->get().body().size() > kMaxBufferedResponse) {
       OnAttemptBroken("endless answer");
     }
     return;
   }
-  if (status == 200 && IsEventStream(parser_->get())) {
-    is_stream_ = true;
+  if (IsGoodStream(parser_->get()) && request_.method() != http::verb::head) {
     events_.Add(parser_->get().body());
     parser_->get().body().clear();
     ForwardEvents(parser_->is_done());
@@ -149,7 +77,7 @@
 }
 
 // Handles a complete response by which the target failed or rejected the
-// request, or cannot continue a stream.
+// request, or what has come of one that cannot continue a stream.
 void Exchange::OnFailedResponse() {
   const int status = static_cast<int>(parser_->get().result_int());
   const bool ran = !response_head_.not_executed;
@@ -157,6 +85,10 @@
   if (!call_.adapter.empty() && status == 421) {
     deps_.targets.SetAdapter(*target_, call_.ModelName(), false);
   }
+  if (head_sent_) {
+    trace_.Add(deps_.clock.Now(), "continuation_refused",
+               target_->entry.id + " status=" + std::to_string(status));
+  }
   const bool may_retry = TryTakeRetry(ran);
   // A 400 is caused by the request, so it is forwarded.
   if (may_retry || head_sent_ || (!ran && status != 400)) {
@@ -180,7 +112,8 @@
   trace_.Add(now, "broken", target_->entry.id + " " + std::string(how));
   // The target has probably closed the idle connection, so the request may be
   // sent to it again. CrashSuspects finds out whether it has crashed.
-  const bool stale = connection_reused_ && !first_byte_recorded_;
+  const bool stale =
+      connection_reused_ && !first_byte_recorded_ && foreign_responses_ == 0;
   Log(LogLevel::kInfo, "attempt_broken",
       {{"id", call_.id},
        {"digest", std::to_string(causes_.request)},
@@ -213,8 +146,7 @@
 // Returns whether a stream that ended now would end inside an event, or before
 // its first one.
 bool Exchange::EndsInsideEvent() const {
-  const auto& head = parser_->get();
-  return head.result_int() == 200 && IsEventStream(head) &&
+  return IsGoodStream(parser_->get()) &&
          (events_.partial_bytes() > 0 || !event_received_);
 }
 
