Do not end the process at a field that the HTTP parser cannot hold

One chunked request with a trailer of 70,000 bytes ended the whole instance, and with it every request in progress: the parser throws std::length_error at a field beyond 65,533 bytes, nothing on the event loop catches it, and the limit of a head does not cover a trailer. The same at an answer of a target, a control server and an answer to the control client, and at a head where its limit is above 64 KiB. Where the gateway feeds the parser itself, the exception is now an error of the parse; the server and the client for control requests, whose reads are composed, never hold so many unparsed bytes.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -4,6 +4,7 @@
 
 #include "core/log.h"
 #include "http/endpoint.h"
+#include "http/parse.h"
 
 namespace jackdaw::serving {
 namespace {
@@ -166,7 +167,7 @@
   }
   boost::system::error_code failure;
   while (input_.size() > 0 && !parser_->is_done()) {
-    const std::size_t used = parser_->put(input_.data(), failure);
+    const std::size_t used = ParseSome(*parser_, input_.data(), failure);
     input_.consume(used);
     if (failure == http::error::need_more) {
       break;
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -3,6 +3,7 @@
 
 #include "core/log.h"
 #include "gateway/exchange.h"
+#include "http/parse.h"
 #include "platform/call_codec.h"
 
 namespace jackdaw::serving {
@@ -57,7 +58,7 @@
   auto& input = connection_->input();
   boost::system::error_code failure;
   while (input.size() > 0 && !parser_->is_done()) {
-    const std::size_t used = parser_->put(input.data(), failure);
+    const std::size_t used = ParseSome(*parser_, input.data(), failure);
     input.consume(used);
     if (failure == http::error::need_more) {
       break;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -23,9 +23,9 @@
 
 // Largest answer body read from a server.
 constexpr std::uint64_t kAnswerBodyLimit = 64ULL * 1024 * 1024;
-// Bytes read ahead of the parser, at most. An answer whose head or chunk size
-// does not end within them fails.
-constexpr std::size_t kMaxUnparsedBytes = 128UL * 1024;
+// Bytes read ahead of the parser, at most. An answer whose head, chunk size or
+// trailer does not end within them fails. The parser throws at longer fields.
+constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
 // Body bytes taken from a connection in one read.
 constexpr std::size_t kReadBytes = 16UL * 1024;
 // Time to connect; a server's system accepts at once also when it is slow.
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -19,6 +19,8 @@
 
 // Bytes taken in the read that waits for a request to begin.
 constexpr std::size_t kFirstRead = 4096;
+// Bytes read ahead of the parser, at most. The parser throws at longer fields.
+constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
 
 using Parser = http::request_parser<http::string_body>;
 
@@ -180,7 +182,7 @@
     auto self = shared_from_this();
     ++connections;
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{kMaxUnparsedBytes};
     bool go_on = true;
     while (go_on) {
       go_on = co_await AwaitFirstByte(stream, buffer);
