Refuse a request whose trailer or field does not end, not drop it in silence

A caller whose trailer or field was longer than what is read ahead got neither an answer nor a refusal: beyond 64 KiB of unparsed bytes the connection waited for no more, and as no request was in progress and nothing was being written, its last owner was gone and it closed without a word in the log. Now such a request is refused with 431 as soon as the bound is reached.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -13,7 +13,7 @@
 
 // Bytes read from a connection at once.
 constexpr std::size_t kReadBytes = 16UL * 1024;
-// Bytes of pipelined requests that are read while one is in progress.
+// Unparsed bytes that are read, of pipelined requests too.
 constexpr std::size_t kMaxReadAhead = 64UL * 1024;
 
 // Returns whether the framing or host of the request is ambiguous: several Host
@@ -177,6 +177,11 @@
       return;
     }
   }
+  // No more is read beyond this, so the request would never be complete.
+  if (!parser_->is_done() && input_.size() > kMaxReadAhead) {
+    Reject(431, "field_too_large");
+    return;
+  }
   if (!parser_->is_header_done()) {
     if (input_.size() > handler_.limits().header_bytes) {
       Reject(431, "header_too_large");
