Send no body with the refusal of a HEAD request

The refusal of a HEAD request carried its text. A caller on a kept connection takes those bytes for the start of its next answer, so the next request's answer was lost to it. A response to HEAD has no body, whatever its length says. RefusedHeadRequestDoesNotSpoilTheNextAnswer failed before (404, then the text where the head of the next answer belongs).

--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -47,7 +47,9 @@
   }
   text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   text += closing_ ? "Connection: close\r\n\r\n" : "\r\n";
-  text += body;
+  if (request_.method() != http::verb::head) {
+    text += body;
+  }
   trace_.Add(now, "refused",
              std::string(rejection.kind) +
                  (retry_after.empty() ? "" : " retry_after_s=" + retry_after));
