Send no last chunk with the answer to HEAD of a stream

The answer of a target to HEAD, with the type of an event stream, was forwarded as a stream, with the last chunk behind its head. A caller on a kept connection takes these five bytes for the start of its next answer. It is now forwarded as other answers to HEAD are. HeadOfAStreamDoesNotSpoilTheNextAnswer failed before ("0" where the head of the next answer belongs).

--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -132,7 +132,8 @@
     }
     return;
   }
-  if (status == 200 && IsEventStream(parser_->get())) {
+  const bool has_body = request_.method() != http::verb::head;
+  if (status == 200 && has_body && IsEventStream(parser_->get())) {
     is_stream_ = true;
     events_.Add(parser_->get().body());
     parser_->get().body().clear();
