Wait for no body of HEAD behind an informational response

A HEAD request whose target sent an informational response first got 504 at its deadline, though the answer was there: the parser of the final response was not told that no body follows. Both parsers are now set up in one place. HeadAnsweredAfterAnInformationalResponseIsAnswered failed before (504 after 15 s).

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -97,6 +97,7 @@
   void OnDeadline();
 
   // Response.
+  void BeginParse();
   bool ParseResponse();
   std::string_view AnswerFraming() const;
   void OnResponseHead();
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -47,13 +47,17 @@
   }
 }
 
+void Exchange::BeginParse() {
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->body_limit(boost::none);
+  parser_->skip(request_.method() == http::verb::head);
+}
+
 // Parses the bytes received. @returns false if the attempt has ended
 bool Exchange::ParseResponse() {
   if (!parser_) {
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->body_limit(boost::none);
-    parser_->skip(request_.method() == http::verb::head);
+    BeginParse();
   }
   auto& input = connection_->input();
   boost::system::error_code failure;
@@ -72,9 +76,7 @@
         OnAttemptBroken("endless answer");
         return false;
       }
-      parser_.emplace();
-      parser_->eager(true);
-      parser_->body_limit(boost::none);
+      BeginParse();
     }
   }
   if (!parser_->is_done() && input.size() > kMaxUnparsedBytes) {
