Apply the limits in force to a request on an idle connection

A caller on a kept connection was refused with 413 though the configuration allowed its body: the limits of head and body were set when the connection became idle, so they were those of an older configuration for as long as it stayed idle, and a lowered limit came as late. They are now set at the request's first byte. LimitsOfAnOlderConfigurationRefuseNoRequest failed before (413 in place of 200).

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -74,11 +74,8 @@
 }
 
 void CallerConnection::BeginRequest() {
-  const CallerLimits limits = handler_.limits();
   parser_.emplace();
   parser_->eager(true);
-  parser_->header_limit(limits.header_bytes);
-  parser_->body_limit(limits.body_bytes);
   continue_sent_ = false;
   started_at_ = Instant{};
   idle_since_ = clock_.Now();
@@ -161,8 +158,11 @@
     return;
   }
   if (started_at_ == Instant{}) {
+    const CallerLimits limits = handler_.limits();
+    parser_->header_limit(limits.header_bytes);
+    parser_->body_limit(limits.body_bytes);
     started_at_ = clock_.Now();
-    timers_.Set(read_deadline_, started_at_ + handler_.limits().header_time,
+    timers_.Set(read_deadline_, started_at_ + limits.header_time,
                 [this] { Reject(408, "header_timeout"); });
   }
   boost::system::error_code failure;
