--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -4,6 +4,7 @@
 
 #include "core/log.h"
 #include "http/endpoint.h"
+#include "http/parse.h"
 
 namespace jackdaw::serving {
 namespace {
@@ -12,7 +13,7 @@
 
 // Bytes read from a connection at once.
 constexpr std::size_t kReadBytes = 16UL * 1024;
-// Bytes of pipelined requests that are read while one is in progress.
+// Unparsed bytes that are read, of pipelined requests too.
 constexpr std::size_t kMaxReadAhead = 64UL * 1024;
 
 // Returns whether the framing or host of the request is ambiguous: several Host
@@ -73,11 +74,8 @@
 }
 
 void CallerConnection::BeginRequest() {
-  const CallerLimits limits = handler_.limits();
   parser_.emplace();
   parser_->eager(true);
-  parser_->header_limit(limits.header_bytes);
-  parser_->body_limit(limits.body_bytes);
   continue_sent_ = false;
   started_at_ = Instant{};
   idle_since_ = clock_.Now();
@@ -160,13 +158,16 @@
     return;
   }
   if (started_at_ == Instant{}) {
+    const CallerLimits limits = handler_.limits();
+    parser_->header_limit(limits.header_bytes);
+    parser_->body_limit(limits.body_bytes);
     started_at_ = clock_.Now();
-    timers_.Set(read_deadline_, started_at_ + handler_.limits().header_time,
+    timers_.Set(read_deadline_, started_at_ + limits.header_time,
                 [this] { Reject(408, "header_timeout"); });
   }
   boost::system::error_code failure;
   while (input_.size() > 0 && !parser_->is_done()) {
-    const std::size_t used = parser_->put(input_.data(), failure);
+    const std::size_t used = ParseSome(*parser_, input_.data(), failure);
     input_.consume(used);
     if (failure == http::error::need_more) {
       break;
@@ -176,6 +177,11 @@
       return;
     }
   }
+  // No more is read beyond this, so the request would never be complete.
+  if (!parser_->is_done() && input_.size() > kMaxReadAhead) {
+    Reject(431, "field_too_large");
+    return;
+  }
   if (!parser_->is_header_done()) {
     if (input_.size() > handler_.limits().header_bytes) {
       Reject(431, "header_too_large");
--- a/src/gateway/exchange_parse.cc
+++ b/src/gateway/exchange_parse.cc
@@ -3,6 +3,7 @@
 
 #include "core/log.h"
 #include "gateway/exchange.h"
+#include "http/parse.h"
 #include "platform/call_codec.h"
 
 namespace jackdaw::serving {
@@ -64,7 +65,7 @@
   bool incomplete = false;
   while (input.size() > 0 && !parser_->is_done() && !incomplete) {
     boost::system::error_code failure;
-    const std::size_t used = parser_->put(input.data(), failure);
+    const std::size_t used = ParseSome(*parser_, input.data(), failure);
     input.consume(used);
     incomplete = failure == http::error::need_more;
     if (failure && !incomplete) {
