Relay a configuration that the store has lost to instances that lack it

By our stand-in, an instance that restarts after the store came back older, and before the operator has written again, answers 401 to a key that all others accept, and accepts keys that were withdrawn, for as long as the operator is silent (CONFIG, DENIED).

Cause: running instances never go back, but the leader relays the rows of the store, and the row is the older one. What is in force was not known from the row's version.

Fix: a heartbeat names the version of the sender's configuration, which is the operator's own and only grows. A leader that has read an older document than the one in force gives this one to whoever has less.

--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "core/clock.h"
 #include "core/random.h"
@@ -123,6 +124,8 @@
 
   // Configuration and targets.
   void OnConfigRows(const platform::RowSet& rows);
+  bool TakeConfig(std::string_view document);
+  std::string ConfigLostByStore(std::int64_t known_version) const;
   void LogQuotas(const ServingConfig& config) const;
   void OnTargetRows(const platform::RowSet& rows, bool whole);
   void OnTargetChanges(const TargetFeed::Changes& changes);
@@ -158,6 +161,11 @@
   boost::asio::steady_timer heartbeat_timer_;
   Random random_;
   ConfigPtr config_;
+  /// Document of the configuration in force, as it was read.
+  std::string config_document_;
+  /// The store has an older configuration than the one in force: it came back
+  /// from an older copy, and the operator has not written again.
+  bool store_lost_config_ = false;
   MemberState state_ = MemberState::kStarting;
   std::int64_t heartbeat_number_ = 0;
   /// Epoch of the store that the fleet table was read from; see TableVersion.
--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -157,6 +157,7 @@
   heartbeat.member = OwnMember();
   heartbeat.view_id = view_.id;
   heartbeat.config_after = config_replica_.version();
+  heartbeat.config_version = config_ == nullptr ? 0 : config_->version;
   heartbeat.targets_after = target_replica_.version();
   HttpRequest request;
   request.method = "POST";
@@ -218,6 +219,10 @@
   }
   config_replica_.OnDelta(reply.config, now);
   OnConfigRows(rows);
+  if (!reply.lost_config.empty()) {
+    TakeConfig(reply.lost_config);
+    store_lost_config_ = true;
+  }
   rows.epoch = reply.targets.version.epoch;
   rows.version = reply.targets.version.number;
   rows.rows = reply.targets.rows;
@@ -308,6 +313,7 @@
   const std::size_t max_bytes =
       kMaxRelayedBytes / std::max<std::size_t>(1, view_.members.size());
   reply.config = config_replica_.DeltaSince(heartbeat.config_after, max_bytes);
+  reply.lost_config = ConfigLostByStore(heartbeat.config_version);
   reply.targets =
       target_replica_.DeltaSince(heartbeat.targets_after, max_bytes);
   reply.crashes = crashes_.BlockedRequests(now);
--- a/src/fleet/fleet_agent_rows.cc
+++ b/src/fleet/fleet_agent_rows.cc
@@ -6,33 +6,58 @@
 #include "platform/target_row.h"
 
 namespace jackdaw::serving {
+namespace {
+
+// Largest document of a configuration that a heartbeat's answer carries; a link
+// of 10 Mbit/s needs a third of the time that the heartbeat has for it.
+constexpr std::size_t kMaxLostConfigBytes = 160UL * 1024;
+
+}  // namespace
 
 void FleetAgent::OnConfigRows(const platform::RowSet& rows) {
   for (const platform::StoredRow& row : rows.rows) {
-    if (row.at.key != platform::kConfigKey || row.dropped) {
-      continue;
-    }
-    auto config = platform::DecodeConfig(row.value);
-    if (!config) {
-      Log(LogLevel::kError, "config_unreadable",
-          {{"error", config.error().Line()}});
-      continue;
-    }
-    const std::int64_t version = config.value().version;
-    if (config_ != nullptr && version <= config_->version) {
-      continue;
+    if (row.at.key == platform::kConfigKey && !row.dropped) {
+      store_lost_config_ = !TakeConfig(row.value);
     }
-    LogQuotas(config.value());
-    config_ = std::make_shared<const ServingConfig>(std::move(config.value()));
-    quotas_.OnConfig(*config_, clock_.Now());
-    Log(LogLevel::kInfo, "config_taken",
-        {{"version", std::to_string(version)},
-         {"from", following_ ? leadership_.lease().holder : "store"},
-         {"routes", std::to_string(config_->routes.size())},
-         {"workspaces", std::to_string(config_->workspaces.size())}});
   }
 }
 
+// Applies a configuration unless it is older than the one in force.
+// @returns false if it is older
+bool FleetAgent::TakeConfig(std::string_view document) {
+  auto config = platform::DecodeConfig(document);
+  if (!config) {
+    Log(LogLevel::kError, "config_unreadable",
+        {{"error", config.error().Line()}});
+    return true;
+  }
+  const std::int64_t version = config.value().version;
+  if (config_ != nullptr && version <= config_->version) {
+    return version == config_->version;
+  }
+  LogQuotas(config.value());
+  config_ = std::make_shared<const ServingConfig>(std::move(config.value()));
+  config_document_ = document;
+  quotas_.OnConfig(*config_, clock_.Now());
+  Log(LogLevel::kInfo, "config_taken",
+      {{"version", std::to_string(version)},
+       {"from", following_ ? leadership_.lease().holder : "store"},
+       {"routes", std::to_string(config_->routes.size())},
+       {"workspaces", std::to_string(config_->workspaces.size())}});
+  return true;
+}
+
+// Returns the document of the configuration in force for an instance that has
+// an older one and cannot read it from the store; else nothing.
+// @param known_version version that the instance has in force
+std::string FleetAgent::ConfigLostByStore(std::int64_t known_version) const {
+  const bool lacks = store_lost_config_ && known_version >= 0 &&
+                     known_version < config_->version;
+  return lacks && config_document_.size() <= kMaxLostConfigBytes
+             ? config_document_
+             : std::string();
+}
+
 // Logs the quotas that are new or changed.
 void FleetAgent::LogQuotas(const ServingConfig& config) const {
   for (const Workspace& workspace : config.workspaces) {
--- a/src/fleet/heartbeat.cc
+++ b/src/fleet/heartbeat.cc
@@ -102,6 +102,7 @@
                   {"view_id", heartbeat.view_id},
                   {"config_epoch", heartbeat.config_after.epoch},
                   {"config_after", heartbeat.config_after.number},
+                  {"config_version", heartbeat.config_version},
                   {"targets_epoch", heartbeat.targets_after.epoch},
                   {"targets_after", heartbeat.targets_after.number}});
 }
@@ -115,6 +116,8 @@
   heartbeat.config_after.epoch =
       reader.IntegerOr("config_epoch", 0, INT64_MAX, 0);
   heartbeat.config_after.number = reader.Integer("config_after", 0, INT64_MAX);
+  heartbeat.config_version =
+      reader.IntegerOr("config_version", -1, INT64_MAX, -1);
   heartbeat.targets_after.epoch =
       reader.IntegerOr("targets_epoch", 0, INT64_MAX, 0);
   heartbeat.targets_after.number =
@@ -133,6 +136,9 @@
   }
   object["config"] = EncodeDelta(reply.config);
   object["targets"] = EncodeDelta(reply.targets);
+  if (!reply.lost_config.empty()) {
+    object["lost_config"] = reply.lost_config;
+  }
   if (!reply.crashes.empty()) {
     object["crashes"] = EncodeCrashes(reply.crashes);
   }
@@ -157,6 +163,7 @@
   }
   BOOST_OUTCOME_TRY(reply.config, ReadDelta(reader, "config"));
   BOOST_OUTCOME_TRY(reply.targets, ReadDelta(reader, "targets"));
+  reply.lost_config = reader.TextOr("lost_config", "");
   BOOST_OUTCOME_TRY(reply.crashes, ReadCrashes(reader));
   BOOST_OUTCOME_TRY(reply.rate_limits, ReadRateLimits(reader));
   BOOST_OUTCOME_TRY(reader.FinishKnown());
--- a/src/fleet/heartbeat.h
+++ b/src/fleet/heartbeat.h
@@ -23,6 +23,9 @@
   TableVersion config_after;
   /// Version up to which the sender knows the table of targets.
   TableVersion targets_after;
+  /// Version of the configuration in force at the sender; 0 if there is none,
+  /// -1 if unknown.
+  std::int64_t config_version = -1;
 };
 
 /// The leader's answer to a heartbeat: everything that has changed since the
@@ -40,6 +43,9 @@
   /// Rows of the tables of configurations and of targets.
   RowDelta config;
   RowDelta targets;
+  /// Document of the configuration in force at the leader, if the sender has an
+  /// older one and the store has lost this one; else empty.
+  std::string lost_config;
   /// Requests that crash their targets and are not to be sent.
   std::vector<CrashReport> crashes;
   /// Limits that targets have named.
--- a/src/fleet/tests/heartbeat_test.cc
+++ b/src/fleet/tests/heartbeat_test.cc
@@ -32,6 +32,7 @@
   heartbeat.member = MemberOf("a");
   heartbeat.member.shares_epoch = -1;
   heartbeat.member.share = 0.25;
+  heartbeat.config_version = 7;
   heartbeat.member.demand.push_back({{"s", "m/a1"}, {1.5, 2000, 0}});
   heartbeat.member.crashes.push_back({0xffffffffffffffffULL, 5, 1});
   const auto read = DecodeHeartbeat(EncodeHeartbeat(heartbeat));
@@ -40,6 +41,7 @@
   BOOST_TEST(read.value().member.name == "a");
   BOOST_TEST(read.value().member.shares_epoch == -1);
   BOOST_TEST(read.value().member.share == 0.25);
+  BOOST_TEST(read.value().config_version == 7);
   BOOST_TEST(read.value().member.demand[0].demand.tokens == 2000);
   const CrashReport& crash = read.value().member.crashes[0];
   BOOST_TEST(crash.digest == 0xffffffffffffffffULL);
