Promise a caller only what the target has stated

Callers of requests that may run once got a target's 503, 429 or 408 as it was, also where the target did not state that it had not run the request. To callers these statuses promise that it has not run and never will; the platform's pages say that no response without X-Not-Executed states this. Cause: only the statement was read where the request is retried, and only the status where the response is forwarded.

Such a response is now answered with 502, unsigned, where the request may run once only; a repeatable request is retried as before, now also after 408.

--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -28,6 +28,12 @@
   return head.result_int() == 200 && IsEventStream(head);
 }
 
+// Returns whether a caller takes the status for a promise that the request has
+// not run and never will.
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 }  // namespace
 
 void Exchange::OnResponseHead() {
@@ -49,7 +55,7 @@
 void Exchange::OnResponseProgress() {
   const int status = static_cast<int>(parser_->get().result_int());
   const bool failed =
-      status >= 500 || response_head_.not_executed || status == 429;
+      status >= 500 || response_head_.not_executed || PromisesNotRun(status);
   const bool cannot_continue =
       head_sent_ && is_stream_ && !IsGoodStream(parser_->get());
   if (failed || cannot_continue) {
@@ -104,6 +110,11 @@
     return;
   }
   may_have_run_ = may_have_run_ || ran;
+  if (ran && !route_->Repeatable() && PromisesNotRun(status)) {
+    EndAttempt(TargetOutcome::kFailed);
+    Reject({502, "target_failed", "the request may have run", std::nullopt});
+    return;
+  }
   SendBufferedResponse();
 }
 
