Send nothing to a target that announced that it leaves

Callers' requests reached a target that named Server-Leaving in all its responses until its entry was gone: the header was not read, so each instance chose the target by its entry alone. What a target announces is now kept for each incarnation in gateway/target_notice; such a target is no candidate, requests that wait are checked once more before they are sent, the heartbeats tell the other instances, and the planner places its models elsewhere as it does for an entry that says draining.

--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -49,6 +49,7 @@
   }
   own.crashes = crashes_.Unreported(clock_.Now());
   own.rate_limits = registry_.RateLimits(clock_.Now());
+  own.leaving_targets = registry_.LeavingTargets();
   return own;
 }
 
@@ -227,6 +228,7 @@
   OnTargetRows(rows, reply.targets.whole);
   crashes_.AddReports(reply.crashes, now);
   registry_.AddRateLimits(reply.rate_limits, now);
+  registry_.AddLeavingTargets(reply.leaving_targets, now);
 }
 
 void FleetAgent::ConfigureWatch(StoreWatch& watch,
@@ -296,6 +298,7 @@
   members_.OnHeartbeat(heartbeat.member, now);
   crashes_.AddReports(heartbeat.member.crashes, now);
   registry_.AddRateLimits(heartbeat.member.rate_limits, now);
+  registry_.AddLeavingTargets(heartbeat.member.leaving_targets, now);
   RefreshView();
   HeartbeatReply reply;
   reply.fresh = IsFreshLeader();
@@ -313,6 +316,7 @@
       target_replica_.DeltaSince(heartbeat.targets_after, max_bytes);
   reply.crashes = crashes_.BlockedRequests(now);
   reply.rate_limits = registry_.RateLimits(now);
+  reply.leaving_targets = registry_.LeavingTargets();
   return reply;
 }
 
--- a/src/fleet/heartbeat.cc
+++ b/src/fleet/heartbeat.cc
@@ -139,6 +139,9 @@
   if (!reply.rate_limits.empty()) {
     object["rate_limits"] = EncodeRateLimits(reply.rate_limits);
   }
+  if (!reply.leaving_targets.empty()) {
+    object["leaving_targets"] = EncodeLeaving(reply.leaving_targets);
+  }
   return json::serialize(object);
 }
 
@@ -159,6 +162,7 @@
   BOOST_OUTCOME_TRY(reply.targets, ReadDelta(reader, "targets"));
   BOOST_OUTCOME_TRY(reply.crashes, ReadCrashes(reader));
   BOOST_OUTCOME_TRY(reply.rate_limits, ReadRateLimits(reader));
+  BOOST_OUTCOME_TRY(reply.leaving_targets, ReadLeaving(reader));
   BOOST_OUTCOME_TRY(reader.FinishKnown());
   return reply;
 }
--- a/src/fleet/heartbeat.h
+++ b/src/fleet/heartbeat.h
@@ -44,6 +44,8 @@
   std::vector<CrashReport> crashes;
   /// Limits that targets have named.
   std::vector<RateLimitReport> rate_limits;
+  /// Targets that announced that they leave.
+  std::vector<LeavingReport> leaving_targets;
 };
 
 /// Returns the row value of the leader's view.
--- a/src/fleet/member.cc
+++ b/src/fleet/member.cc
@@ -148,6 +148,28 @@
   return reports;
 }
 
+json::array EncodeLeaving(std::span<const LeavingReport> reports) {
+  json::array targets;
+  for (const LeavingReport& report : reports) {
+    targets.push_back({{"target", std::to_string(report.target)},
+                       {"born_ms", report.born_ms}});
+  }
+  return targets;
+}
+
+Result<std::vector<LeavingReport>> ReadLeaving(ObjectReader& reader) {
+  std::vector<LeavingReport> reports;
+  for (const auto& item : reader.ItemsOr("leaving_targets")) {
+    ObjectReader target(item, "/leaving_targets");
+    LeavingReport report;
+    report.target = std::strtoull(target.Text("target").c_str(), nullptr, 10);
+    report.born_ms = target.Integer("born_ms", INT64_MIN, INT64_MAX);
+    BOOST_OUTCOME_TRY(target.FinishKnown());
+    reports.push_back(report);
+  }
+  return reports;
+}
+
 std::string EncodeCrashRow(std::span<const CrashReport> reports) {
   return json::serialize(json::value{{"crashes", EncodeCrashes(reports)}});
 }
@@ -172,7 +194,8 @@
       {"shares_epoch", member.shares_epoch},
       {"demand", EncodeDemand(member)},
       {"crashes", EncodeCrashes(member.crashes)},
-      {"rate_limits", EncodeRateLimits(member.rate_limits)}});
+      {"rate_limits", EncodeRateLimits(member.rate_limits)},
+      {"leaving_targets", EncodeLeaving(member.leaving_targets)}});
 }
 
 Result<Member> DecodeMember(std::string_view document) {
@@ -193,6 +216,7 @@
   }
   BOOST_OUTCOME_TRY(member.crashes, ReadCrashes(reader));
   BOOST_OUTCOME_TRY(member.rate_limits, ReadRateLimits(reader));
+  BOOST_OUTCOME_TRY(member.leaving_targets, ReadLeaving(reader));
   BOOST_OUTCOME_TRY(reader.FinishKnown());
   return member;
 }
--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -11,6 +11,7 @@
 #include "gateway/crash_tracker.h"
 #include "gateway/demand_meter.h"
 #include "gateway/rate_limit.h"
+#include "gateway/target_notice.h"
 #include "http/endpoint.h"
 
 namespace jackdaw::serving {
@@ -46,8 +47,16 @@
   std::vector<CrashReport> crashes;
   /// Limits that targets have named.
   std::vector<RateLimitReport> rate_limits;
+  /// Targets that announced that they leave.
+  std::vector<LeavingReport> leaving_targets;
 };
 
+/// Encodes the targets that leave, for heartbeats.
+boost::json::array EncodeLeaving(std::span<const LeavingReport> reports);
+/// Reads the field `leaving_targets` of an object.
+/// @returns the reports, or the error of the first malformed one
+Result<std::vector<LeavingReport>> ReadLeaving(ObjectReader& reader);
+
 /// Encodes the limits of targets for heartbeats.
 boost::json::array EncodeRateLimits(std::span<const RateLimitReport> reports);
 /// Reads the field `rate_limits` of an object.
--- a/src/fleet/peer_api.h
+++ b/src/fleet/peer_api.h
@@ -37,7 +37,7 @@
   void RequestUnits(std::string workspace,
                     double units,
                     std::function<void(double)> done) override;
-  void ReportDemandNow() override { agent_.ExpediteHeartbeat(); }
+  void SendHeartbeatNow() override { agent_.ExpediteHeartbeat(); }
   void AnnounceDispatch(const Target& target,
                         const RequestMetadata& call,
                         std::int64_t tokens) override;
--- a/src/fleet/peer_api_limits.cc
+++ b/src/fleet/peer_api_limits.cc
@@ -70,7 +70,7 @@
 
 SendPermission PeerApi::DecideSend(Target& target) {
   const Instant now = clock_.Now();
-  if (!registry_.DecidesLimitedSends(now)) {
+  if (!registry_.DecidesLimitedSends(now) || target.leaving) {
     return {false, now + kUndecidedRetryAfter};
   }
   if (registry_.TryTakeSend(target, now)) {
--- a/src/fleet/tests/heartbeat_test.cc
+++ b/src/fleet/tests/heartbeat_test.cc
@@ -84,6 +84,22 @@
   BOOST_TEST(stored.value().front().partner == 9U);
 }
 
+BOOST_AUTO_TEST_CASE(LeavingTargetsTravelInBothDirections) {
+  HeartbeatRequest heartbeat;
+  heartbeat.member = MemberOf("a");
+  heartbeat.member.leaving_targets = {{0xffffffffffffffffULL, -5}};
+  const auto read = DecodeHeartbeat(EncodeHeartbeat(heartbeat));
+  BOOST_TEST_REQUIRE(read.has_value());
+  BOOST_TEST_REQUIRE(read.value().member.leaving_targets.size() == 1U);
+  HeartbeatReply reply;
+  reply.leaving_targets = read.value().member.leaving_targets;
+  const auto again = DecodeHeartbeatReply(EncodeHeartbeatReply(reply));
+  BOOST_TEST_REQUIRE(again.has_value());
+  const LeavingReport& report = again.value().leaving_targets.front();
+  BOOST_TEST(report.target == 0xffffffffffffffffULL);
+  BOOST_TEST(report.born_ms == -5);
+}
+
 BOOST_AUTO_TEST_CASE(MessagesOfALaterReleaseStayReadable) {
   HeartbeatReply reply;
   reply.crashes.push_back({7, 0, 3});
--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -21,7 +21,8 @@
 constexpr std::size_t kMaxSuspects = 1024;
 
 bool HasLeftAsPlanned(const CrashSuspect& suspect) {
-  return suspect.target->entry.state == TargetState::kDraining;
+  return suspect.target->entry.state == TargetState::kDraining ||
+         suspect.target->notice.leaving();
 }
 
 bool HasCrashed(const CrashSuspect& suspect, Instant now) {
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -112,8 +112,12 @@
     deps_.crashes.OnTargetAnswered(*target_, now);
   }
   first_byte_recorded_ = true;
+  const bool was_leaving = target_->leaving;
   deps_.targets.OnFirstByte(*target_, response_head_, expected_prefill_,
                             sent_at_, now);
+  if (target_->leaving && !was_leaving) {
+    deps_.fleet.SendHeartbeatNow();
+  }
   trace_.Add(now, "head",
              "status=" + std::to_string(parser_->get().result_int()) +
                  (response_head_.not_executed ? " not_executed" : ""));
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -149,7 +149,7 @@
       deps_.missing_models.OnMissing(service_->name + "/" + call_.model,
                                      load_time, now);
   if (estimate.is_new) {
-    deps_.fleet.ReportDemandNow();
+    deps_.fleet.SendHeartbeatNow();
   }
   Reject({503, "model_not_held", "come back when it has been loaded",
           estimate.retry_at});
--- a/src/gateway/fleet_client.h
+++ b/src/gateway/fleet_client.h
@@ -29,9 +29,10 @@
   virtual void AnnounceDispatch(const Target& target,
                                 const RequestMetadata& call,
                                 std::int64_t tokens) = 0;
-  /// Sends the demand report to the leader now instead of at the next interval,
-  /// since a model that no target holds has come into demand.
-  virtual void ReportDemandNow() = 0;
+  /// Sends the next heartbeat to the leader now instead of at the next
+  /// interval: a model that no target holds has come into demand, or a target
+  /// has announced that it leaves.
+  virtual void SendHeartbeatNow() = 0;
   /// Requests that an adapter is loaded at a target that holds its model.
   /// @param done called once with the target, or with null on failure
   virtual void LoadAdapter(std::string service,
--- a/src/gateway/target.h
+++ b/src/gateway/target.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "gateway/rate_limit.h"
+#include "gateway/target_notice.h"
 #include "serving/target_registration.h"
 
 namespace jackdaw::serving {
@@ -16,7 +17,8 @@
 /// results of the instance's own requests.
 struct Target {
   TargetRegistration entry;
-  /// The entry was removed or is draining: no new request is sent.
+  /// The entry was removed or is draining, or the target announced that it
+  /// leaves: no new request is sent.
   bool leaving = false;
   /// The entry was removed, or another incarnation or address has replaced it.
   bool ended = false;
@@ -34,6 +36,7 @@
   /// Ratio of the measured to the nominal prefill time, as a moving average.
   double slowdown = 1;
   RateLimit rate_limit;
+  TargetNotice notice;
   /// Load report, received with a response.
   bool has_load = false;
   int reported_waiting = 0;
--- a/src/gateway/target_registry.cc
+++ b/src/gateway/target_registry.cc
@@ -237,6 +237,7 @@
   --target.awaiting_first_byte;
   target.last_received_at = now;
   OnRateLimit(target, response, now);
+  OnNotice(target, response, now);
   if (response.has_load) {
     target.has_load = true;
     target.reported_waiting = response.waiting;
--- a/src/gateway/target_registry.h
+++ b/src/gateway/target_registry.h
@@ -140,6 +140,11 @@
   /// Returns what is known of the limits of targets.
   std::vector<RateLimitReport> RateLimits(Instant now) const;
   void AddRateLimits(std::span<const RateLimitReport> reports, Instant now);
+  /// Returns the targets that announced that they leave and whose entries do
+  /// not say so; the newest ones if there are many.
+  std::vector<LeavingReport> LeavingTargets() const;
+  /// Applies what another instance knows; unknown targets are skipped.
+  void AddLeavingTargets(std::span<const LeavingReport> reports, Instant now);
   /// Records whether the target holds an adapter, named `model/adapter`.
   void SetAdapter(Target& target, std::string_view adapter, bool held);
 
@@ -155,6 +160,11 @@
   static void OnRateLimit(Target& target,
                           const ResponseMetadata& response,
                           Instant now);
+  static void OnNotice(Target& target,
+                       const ResponseMetadata& response,
+                       Instant now);
+  void RememberNotice(const Target& target);
+  void RestoreNotice(Target& target, const TargetRegistration& entry) const;
   /// Adds the prefill of a prompt to the target's queue.
   static void Enqueue(Target& target, std::int64_t tokens, Instant now);
   /// Returns the expected time to the first byte plus penalties, in
@@ -167,6 +177,9 @@
   Instant limited_sends_until_{};
   std::unordered_map<std::string, TargetPtr> targets_;
   std::unordered_map<std::uint64_t, TargetPtr> by_digest_;
+  /// Birth of the incarnation that announced that it leaves, by id, for
+  /// entries that were removed or replaced.
+  std::unordered_map<std::string, std::int64_t> left_;
 };
 
 }  // namespace jackdaw::serving
--- a/src/gateway/target_registry_entries.cc
+++ b/src/gateway/target_registry_entries.cc
@@ -26,11 +26,14 @@
       target->entry.address != entry.address) {
     if (target != nullptr) {
       target->ended = true;
+      RememberNotice(*target);
     }
     target = std::make_shared<Target>();
+    RestoreNotice(*target, entry);
     by_digest_[TargetDigest(entry.id)] = target;
   }
-  const bool leaving = entry.state == TargetState::kDraining;
+  const bool leaving =
+      entry.state == TargetState::kDraining || target->notice.leaving();
   const bool changed = target->entry.id.empty() || target->leaving != leaving ||
                        !SameModels(target->entry, entry);
   target->leaving = leaving;
@@ -52,6 +55,7 @@
   if (found != targets_.end()) {
     found->second->leaving = true;
     found->second->ended = true;
+    RememberNotice(*found->second);
     by_digest_.erase(TargetDigest(id));
     targets_.erase(found);
   }
--- a/src/serving/request_metadata.h
+++ b/src/serving/request_metadata.h
@@ -52,8 +52,9 @@
   std::int64_t Tokens() const { return prompt_tokens + max_output_tokens; }
 };
 
-/// Metadata of a target's response, from its head, besides the status.
+/// Metadata of a target's response, from its head.
 struct ResponseMetadata {
+  int status = 0;
   /// Attempt that the response belongs to; empty where the target named none.
   std::string id;
   /// The target states that it has not run the request and will not.
@@ -73,6 +74,10 @@
   std::optional<double> rate_limit;
   /// The target names a limit that cannot be read.
   bool rate_limit_unreadable = false;
+  /// The target announces that it leaves.
+  bool leaving = false;
+  /// The target announces something about leaving that cannot be read.
+  bool leaving_unreadable = false;
   /// Seconds for which the target keeps an idle connection; 0 where unknown.
   int keep_alive_seconds = 0;
 };
