Send nothing to a target that asked for rest, until its end

Callers of idempotent requests got 503 no_target though another target stood idle, and a target that answered 503 with Retry-After: 3 was sent on at the same rate: the header was not read, so the target, which looked idle, was chosen first again and again, and each rejection drew on the retry budget until that was spent. The time is now kept for each incarnation in gateway/target_notice; until its end the target is no candidate for this instance, the next requests go to others without a retry, what waits is checked once more before it is sent, and where all rest the caller is told the soonest end at once (targets_resting, with metrics and a row of the log's page).

--- a/src/fleet/order_dispatcher.cc
+++ b/src/fleet/order_dispatcher.cc
@@ -97,12 +97,15 @@
 
 // Sends an order, and retries it while it is not answered.
 // @returns the answer, or no value if none arrived; kConflict, kRefused or
-// kFenced also without sending, if the count of accepted orders is unknown,
-// memory is short, or the lease does not allow orders
+// kFenced also without sending, if the target rests or the count of accepted
+// orders is unknown, memory is short, or the lease does not allow orders
 boost::asio::awaitable<OrderDispatcher::Answer> OrderDispatcher::SendOrder(
     TargetPtr target,
     EngineSpec offer,
     platform::Order order) {
+  if (target->notice.Rests(clock_.Now())) {
+    co_return platform::OrderAnswer::kConflict;
+  }
   if (!TrackerOf(*target).accepted_orders()) {
     co_await FetchReport(target);
   }
@@ -164,7 +167,8 @@
     platform::Order order) {
   for (int i = 0; i < kOrderRetries; ++i) {
     co_await Pause(kRetryDelay);
-    if (!leadership_.MaySendOrders(boot_clock_.Now()) || target->leaving) {
+    if (!leadership_.MaySendOrders(boot_clock_.Now()) ||
+        !target->AcceptsRequests(clock_.Now())) {
       break;
     }
     const Answer answer = co_await SendAttempt(target, order);
@@ -207,6 +211,7 @@
         models.insert(model.name);
       }
     }
+    view.busy |= target->notice.Rests(now);
     view.models.assign(models.begin(), models.end());
     views.push_back(std::move(view));
   }
--- a/src/fleet/order_dispatcher_adapters.cc
+++ b/src/fleet/order_dispatcher_adapters.cc
@@ -40,7 +40,7 @@
     const auto tracked = tracked_targets_.find(target->entry.id);
     const bool busy =
         tracked != tracked_targets_.end() && tracked->second.tracker.Busy(now);
-    if (!target->HoldsModel(model) || busy) {
+    if (!target->HoldsModel(model) || busy || target->notice.Rests(now)) {
       continue;
     }
     const auto held = static_cast<double>(target->adapters.size());
--- a/src/gateway/exchange_counters.h
+++ b/src/gateway/exchange_counters.h
@@ -17,6 +17,8 @@
   std::uint64_t abandoned = 0;
   /// Requests rejected because all their targets name a limit.
   std::uint64_t limited_refusals = 0;
+  /// Requests rejected because all their targets asked for rest.
+  std::uint64_t resting_refusals = 0;
   std::uint64_t retries = 0;
   /// Streams continued at another target.
   std::uint64_t resumed = 0;
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -171,7 +171,8 @@
     } else if (head_sent_) {
       AbortResponse("target failed");
     } else {
-      OnNoTarget({});
+      const TargetPick pick = PickTarget(excluded_targets_);
+      OnNoTarget(pick.outcome == PickOutcome::kResting ? pick : TargetPick{});
     }
     return;
   }
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -80,11 +80,15 @@
 void Exchange::OnSendPermission(const TargetPick& pick,
                                 const SendPermission& permission) {
   const Instant now = deps_.clock.Now();
-  if (permission.granted && !pick.target->leaving) {
+  if (permission.granted && pick.target->AcceptsRequests(now)) {
     trace_.Add(now, "send_granted", pick.target->entry.id);
     SendTo(pick.target, now);
     return;
   }
+  if (permission.granted) {
+    Dispatch();
+    return;
+  }
   TargetPick refused = pick;
   refused.retry_at = std::max(permission.retry_at, now);
   OnNoTarget(refused);
@@ -128,6 +132,10 @@
   }
   if (pick.outcome == PickOutcome::kNoModel) {
     RejectMissingModel(now);
+  } else if (pick.outcome == PickOutcome::kResting) {
+    ++deps_.counters.resting_refusals;
+    Reject({503, "targets_resting", "come back when a target takes requests",
+            pick.retry_at});
   } else if (pick.outcome == PickOutcome::kLimited) {
     ++deps_.counters.limited_refusals;
     Reject({503, "target_limited", "come back when the target takes more",
@@ -189,7 +197,7 @@
 
 void Exchange::OpenConnection() {
   const Instant now = deps_.clock.Now();
-  if (target_->leaving) {
+  if (!target_->AcceptsRequests(now)) {
     EndAttempt(TargetOutcome::kAbandoned);
     Dispatch();
     return;
@@ -223,7 +231,7 @@
 
 void Exchange::SendRequest() {
   const Instant now = deps_.clock.Now();
-  if (target_->leaving) {
+  if (!target_->AcceptsRequests(now)) {
     EndAttempt(TargetOutcome::kAbandoned);
     Dispatch();
     return;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -232,9 +232,11 @@
   state.model_loads = agent_.order_dispatcher().loads_started();
   state.resumed = counters_.resumed;
   state.limited_refusals = counters_.limited_refusals;
+  state.resting_refusals = counters_.resting_refusals;
   for (const auto& [id, target] : targets_.all()) {
     ++(target->leaving ? state.targets_leaving : state.targets_usable);
     state.targets_suspected += now < target->backoff_until ? 1 : 0;
+    state.targets_resting += target->notice.Rests(now) ? 1 : 0;
     state.targets_limited += target->rate_limit.limited() ? 1 : 0;
   }
   state.crash_requests = crashes_.tracked_requests();
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -89,6 +89,8 @@
   set("targets_suspected", static_cast<double>(state.targets_suspected));
   set("targets_limited", static_cast<double>(state.targets_limited));
   set("limited_refusals", static_cast<double>(state.limited_refusals));
+  set("targets_resting", static_cast<double>(state.targets_resting));
+  set("resting_refusals", static_cast<double>(state.resting_refusals));
   set("crash_requests", static_cast<double>(state.crash_requests));
   set("crash_blocked", static_cast<double>(state.crash_blocked));
   set("members", static_cast<double>(state.members));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -41,6 +41,10 @@
   std::uint64_t targets_limited = 0;
   /// Requests that were refused because all their targets name one.
   std::uint64_t limited_refusals = 0;
+  /// Targets that asked this instance for rest.
+  std::uint64_t targets_resting = 0;
+  /// Requests that were refused because all their targets did.
+  std::uint64_t resting_refusals = 0;
   /// Requests during which a target crashed, and those of them that are not
   /// sent any more.
   std::uint64_t crash_requests = 0;
--- a/src/gateway/target.h
+++ b/src/gateway/target.h
@@ -69,6 +69,11 @@
     return false;
   }
 
+  /// Whether this instance may send a request to the target now.
+  bool AcceptsRequests(Instant now) const {
+    return !leaving && !notice.Rests(now);
+  }
+
   /// Returns how long this instance's requests have waited without any byte
   /// from the target.
   Micros TimeWithoutBytes(Instant now) const {
--- a/src/gateway/target_notice.h
+++ b/src/gateway/target_notice.h
@@ -22,6 +22,8 @@
   /// What a response has changed.
   struct Change {
     bool leaves = false;
+    /// It rests from now on; not set if it did before.
+    bool rests = false;
     /// The first announcement of this incarnation that could not be read.
     bool unreadable = false;
   };
@@ -35,12 +37,17 @@
   /// Whether the target announced that it leaves. A later response without the
   /// announcement does not take it back: it may have been sent earlier.
   bool leaving() const { return leaving_; }
-  /// Time at which this instance learned it.
+  /// Whether the target wants no request from this instance now.
+  bool Rests(Instant now) const { return now < rest_until_; }
+  /// End of the longest rest that it has asked for; zero if there was none.
+  Instant rest_until() const { return rest_until_; }
+  /// Time at which this instance learned that the target leaves.
   Instant leaving_since() const { return leaving_since_; }
 
  private:
   bool leaving_ = false;
   Instant leaving_since_{};
+  Instant rest_until_{};
   bool unreadable_seen_ = false;
 };
 
--- a/src/gateway/target_registry.cc
+++ b/src/gateway/target_registry.cc
@@ -134,6 +134,8 @@
       query.call->adapter.empty() ? std::string() : query.call->ModelName();
   bool any = false;
   bool model_held = false;
+  bool awake = false;
+  Instant rest_until = Instant::max();
   for (const auto& [id, target] : targets_) {
     if (target->leaving || target->entry.service != query.service) {
       continue;
@@ -147,6 +149,11 @@
       continue;
     }
     model_held = true;
+    if (target->notice.Rests(now)) {
+      rest_until = std::min(rest_until, target->notice.rest_until());
+      continue;
+    }
+    awake = true;
     if (excluded || (!adapter.empty() && !target->adapters.contains(adapter))) {
       continue;
     }
@@ -168,6 +175,9 @@
     pick.outcome = PickOutcome::kNoTarget;
   } else if (!model_held) {
     pick.outcome = PickOutcome::kNoModel;
+  } else if (!awake) {
+    pick.outcome = PickOutcome::kResting;
+    pick.retry_at = rest_until;
   } else if (limited != nullptr) {
     pick.outcome = PickOutcome::kLimited;
     pick.target = limited;
--- a/src/gateway/target_registry.h
+++ b/src/gateway/target_registry.h
@@ -37,6 +37,8 @@
   kNoModel,
   /// Targets hold the model, but none is known to hold the adapter.
   kNoAdapter,
+  /// All that could serve the request have asked for rest.
+  kResting,
   /// All that could serve the request have named a limit, and this instance may
   /// not send to them without asking.
   kLimited,
@@ -50,8 +52,8 @@
   /// Expected time to the first byte plus penalties, in milliseconds.
   double cost_ms = 0;
   int candidates = 0;
-  /// For kLimited, once it was asked for: time at which the caller may come
-  /// back.
+  /// For kResting, and for kLimited once it was asked for: time at which the
+  /// caller may come back.
   Instant retry_at{};
 };
 
@@ -156,6 +158,12 @@
   }
 
  private:
+  /// Notice of the incarnation that was born at a time.
+  struct RememberedNotice {
+    std::int64_t born_ms = 0;
+    TargetNotice notice;
+  };
+
   bool MaySend(const Target& target, Instant now) const;
   static void OnRateLimit(Target& target,
                           const ResponseMetadata& response,
@@ -177,9 +185,8 @@
   Instant limited_sends_until_{};
   std::unordered_map<std::string, TargetPtr> targets_;
   std::unordered_map<std::uint64_t, TargetPtr> by_digest_;
-  /// Birth of the incarnation that announced that it leaves, by id, for
-  /// entries that were removed or replaced.
-  std::unordered_map<std::string, std::int64_t> left_;
+  /// Notices of targets whose entries were removed or replaced, by id.
+  std::unordered_map<std::string, RememberedNotice> remembered_notices_;
 };
 
 }  // namespace jackdaw::serving
--- a/src/gateway/target_registry_notices.cc
+++ b/src/gateway/target_registry_notices.cc
@@ -9,7 +9,7 @@
 
 // Targets that are told to other instances at a time, the newest ones first.
 constexpr std::size_t kMaxLeavingReports = 32;
-// Removed targets of which it is remembered that they leave.
+// Removed targets whose notices are remembered.
 constexpr std::size_t kMaxRemembered = 1024;
 
 void LogLeaving(const Target& target, std::string_view from) {
@@ -29,6 +29,11 @@
     target.leaving = true;
     LogLeaving(target, "response");
   }
+  if (change.rests) {
+    Log(LogLevel::kInfo, "target_resting",
+        {{"id", target.entry.id},
+         {"for_ms", std::to_string((target.notice.rest_until() - now) / 1ms)}});
+  }
   if (change.unreadable) {
     Log(LogLevel::kWarn, "target_notice_unreadable",
         {{"id", target.entry.id}, {"status", std::to_string(response.status)}});
@@ -71,23 +76,26 @@
   }
 }
 
-// An entry may go and come back while its target is leaving. Without a time of
-// birth an entry does not tell incarnations apart.
+// An entry may go and come back while its target is leaving or rests. Without a
+// time of birth an entry does not tell incarnations apart.
 void TargetRegistry::RememberNotice(const Target& target) {
-  if (!target.notice.leaving() || target.entry.born_ms == 0) {
+  const bool empty =
+      !target.notice.leaving() && target.notice.rest_until() == Instant{};
+  if (empty || target.entry.born_ms == 0) {
     return;
   }
-  if (left_.size() >= kMaxRemembered) {
-    left_.clear();
+  if (remembered_notices_.size() >= kMaxRemembered) {
+    remembered_notices_.clear();
   }
-  left_[target.entry.id] = target.entry.born_ms;
+  remembered_notices_[target.entry.id] = {target.entry.born_ms, target.notice};
 }
 
 void TargetRegistry::RestoreNotice(Target& target,
                                    const TargetRegistration& entry) const {
-  const auto found = left_.find(entry.id);
-  if (found != left_.end() && found->second == entry.born_ms) {
-    target.notice.OnLeaving({});
+  const auto found = remembered_notices_.find(entry.id);
+  if (found != remembered_notices_.end() &&
+      found->second.born_ms == entry.born_ms) {
+    target.notice = found->second.notice;
   }
 }
 
--- a/src/gateway/tests/target_notice_test.cc
+++ b/src/gateway/tests/target_notice_test.cc
@@ -42,6 +42,44 @@
   BOOST_TEST(!notice.leaving());
 }
 
+ResponseMetadata RestOf(double seconds, int status = 503) {
+  ResponseMetadata response;
+  response.status = status;
+  response.retry_after_seconds = seconds;
+  return response;
+}
+
+BOOST_AUTO_TEST_CASE(RestLastsUntilTheLatestEndThatWasNamed) {
+  TargetNotice notice;
+  BOOST_TEST(!notice.Rests(kStart));
+  BOOST_TEST(notice.OnResponse(RestOf(2.5), kStart).rests);
+  BOOST_TEST(!notice.OnResponse(RestOf(0.5), kStart + 1s).rests);
+  notice.OnResponse(ResponseOf(200, false), kStart + 2s);
+  BOOST_TEST(notice.Rests(kStart + 2499ms));
+  BOOST_TEST(!notice.Rests(kStart + 2500ms));
+  BOOST_TEST(notice.OnResponse(RestOf(1), kStart + 3s).rests);
+  BOOST_TEST(notice.Rests(kStart + 3999ms));
+}
+
+BOOST_AUTO_TEST_CASE(OnlyAnUnavailableTargetAsksForRest) {
+  TargetNotice notice;
+  for (const int status : {200, 421, 429, 500}) {
+    BOOST_TEST(!notice.OnResponse(RestOf(9, status), kStart).rests);
+    ResponseMetadata response = ResponseOf(status, false);
+    response.retry_after_unreadable = true;
+    BOOST_TEST(!notice.OnResponse(response, kStart).unreadable);
+  }
+  BOOST_TEST(!notice.OnResponse(RestOf(0), kStart).rests);
+  BOOST_TEST(!notice.Rests(kStart));
+}
+
+BOOST_AUTO_TEST_CASE(AbsurdRestIsKeptForABoundedTime) {
+  TargetNotice notice;
+  notice.OnResponse(RestOf(1e300), kStart);
+  BOOST_TEST(notice.Rests(kStart + 300s));
+  BOOST_TEST(!notice.Rests(kStart + 660s));
+}
+
 class Fixture {
  protected:
   Fixture() : targets_("here") { entry_ = EntryOf("a", 1); }
@@ -54,11 +92,22 @@
     return entry;
   }
 
-  // Lets a target respond with the announcement.
-  void Announce(std::string_view id, Instant now = kStart) {
+  void Respond(std::string_view id,
+               const ResponseMetadata& response,
+               Instant now = kStart) {
     const TargetPtr target = targets_.Find(id);
     targets_.OnSent(*target, call_, now);
-    targets_.OnFirstByte(*target, ResponseOf(200, true), 0us, now, now);
+    targets_.OnFirstByte(*target, response, 0us, now, now);
+  }
+  void Announce(std::string_view id, Instant now = kStart) {
+    Respond(id, ResponseOf(200, true), now);
+  }
+  TargetPick Pick(Instant now, std::span<const TargetPtr> excluded = {}) const {
+    TargetQuery query;
+    query.service = "s";
+    query.call = &call_;
+    query.excluded = excluded;
+    return targets_.Pick(query, now);
   }
   bool IsUsable(std::string_view id) const {
     for (const TargetPtr& target : targets_.Usable("s")) {
@@ -149,6 +198,38 @@
   BOOST_TEST(suspects.TakeCrashes(kStart + 3s).empty());
 }
 
+BOOST_AUTO_TEST_CASE(RequestGoesToAnotherTargetWhileOneRests) {
+  targets_.Update(entry_);
+  targets_.Update(EntryOf("b", 1));
+  Respond("a", RestOf(3));
+  BOOST_TEST(Pick(kStart + 1s).target->entry.id == "b");
+  const std::vector<TargetPtr> tried = {targets_.Find("b")};
+  BOOST_TEST((Pick(kStart + 1s, tried).outcome == PickOutcome::kNoTarget));
+  BOOST_TEST(Pick(kStart + 3s, tried).target->entry.id == "a");
+}
+
+BOOST_AUTO_TEST_CASE(SoonestEndIsToldWhereAllTargetsRest) {
+  targets_.Update(entry_);
+  targets_.Update(EntryOf("b", 1));
+  Respond("a", RestOf(3));
+  Respond("b", RestOf(2));
+  const std::vector<TargetPtr> tried = {targets_.Find("b")};
+  const TargetPick pick = Pick(kStart + 1s, tried);
+  BOOST_TEST((pick.outcome == PickOutcome::kResting));
+  BOOST_TEST((pick.retry_at == kStart + 2s));
+  BOOST_TEST(Pick(kStart + 2s).target->entry.id == "b");
+}
+
+BOOST_AUTO_TEST_CASE(RestEndsWithItsIncarnationOnly) {
+  targets_.Update(entry_);
+  Respond("a", RestOf(60));
+  targets_.Remove("a");
+  targets_.Update(entry_);
+  BOOST_TEST((Pick(kStart + 1s).outcome == PickOutcome::kResting));
+  targets_.Update(EntryOf("a", 2));
+  BOOST_TEST((Pick(kStart + 1s).outcome == PickOutcome::kChosen));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/src/logread/request_explanation.cc
+++ b/src/logread/request_explanation.cc
@@ -33,6 +33,9 @@
     ReasonText{"target_limited",
                "Each target that could serve the request had named a limit of "
                "requests a second, which was used up."},
+    ReasonText{"targets_resting",
+               "Each target that could serve the request had asked this "
+               "instance to send nothing for some time."},
     ReasonText{"no_target",
                "No target accepted the request: each one tried refused "
                "it or could not be reached."},
--- a/src/serving/request_metadata.h
+++ b/src/serving/request_metadata.h
@@ -78,6 +78,10 @@
   bool leaving = false;
   /// The target announces something about leaving that cannot be read.
   bool leaving_unreadable = false;
+  /// Seconds for which the target wants no request, where it rejects one.
+  std::optional<double> retry_after_seconds;
+  /// The target names such a time, and it cannot be read.
+  bool retry_after_unreadable = false;
   /// Seconds for which the target keeps an idle connection; 0 where unknown.
   int keep_alive_seconds = 0;
 };
