--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -50,6 +50,7 @@
   }
   own.crashes = crashes_.Unreported(clock_.Now());
   own.rate_limits = registry_.RateLimits(clock_.Now());
+  own.leaving_targets = registry_.LeavingTargets();
   return own;
 }
 
@@ -229,6 +230,7 @@
   OnTargetRows(rows, reply.targets.whole);
   crashes_.AddReports(reply.crashes, now);
   registry_.AddRateLimits(reply.rate_limits, now);
+  registry_.AddLeavingTargets(reply.leaving_targets, now);
 }
 
 void FleetAgent::ConfigureWatch(StoreWatch& watch,
@@ -298,6 +300,7 @@
   members_.OnHeartbeat(heartbeat.member, now);
   crashes_.AddReports(heartbeat.member.crashes, now);
   registry_.AddRateLimits(heartbeat.member.rate_limits, now);
+  registry_.AddLeavingTargets(heartbeat.member.leaving_targets, now);
   RefreshView();
   HeartbeatReply reply;
   reply.fresh = IsFreshLeader();
@@ -318,6 +321,7 @@
       target_replica_.DeltaSince(heartbeat.targets_after, max_bytes);
   reply.crashes = crashes_.BlockedRequests(now);
   reply.rate_limits = registry_.RateLimits(now);
+  reply.leaving_targets = registry_.LeavingTargets();
   return reply;
 }
 
--- a/src/fleet/heartbeat.cc
+++ b/src/fleet/heartbeat.cc
@@ -145,6 +145,9 @@
   if (!reply.rate_limits.empty()) {
     object["rate_limits"] = EncodeRateLimits(reply.rate_limits);
   }
+  if (!reply.leaving_targets.empty()) {
+    object["leaving_targets"] = EncodeLeaving(reply.leaving_targets);
+  }
   return json::serialize(object);
 }
 
@@ -166,6 +169,7 @@
   reply.lost_config = reader.TextOr("lost_config", "");
   BOOST_OUTCOME_TRY(reply.crashes, ReadCrashes(reader));
   BOOST_OUTCOME_TRY(reply.rate_limits, ReadRateLimits(reader));
+  BOOST_OUTCOME_TRY(reply.leaving_targets, ReadLeaving(reader));
   BOOST_OUTCOME_TRY(reader.FinishKnown());
   return reply;
 }
--- a/src/gateway/target_registry.h
+++ b/src/gateway/target_registry.h
@@ -37,6 +37,8 @@
   kNoModel,
   /// Targets hold the model, but none is known to hold the adapter.
   kNoAdapter,
+  /// All that could serve the request have asked for rest.
+  kResting,
   /// All that could serve the request have named a limit, and this instance may
   /// not send to them without asking.
   kLimited,
@@ -50,8 +52,8 @@
   /// Expected time to the first byte plus penalties, in milliseconds.
   double cost_ms = 0;
   int candidates = 0;
-  /// For kLimited, once it was asked for: time at which the caller may come
-  /// back.
+  /// For kResting, and for kLimited once it was asked for: time at which the
+  /// caller may come back.
   Instant retry_at{};
 };
 
@@ -140,6 +142,11 @@
   /// Returns what is known of the limits of targets.
   std::vector<RateLimitReport> RateLimits(Instant now) const;
   void AddRateLimits(std::span<const RateLimitReport> reports, Instant now);
+  /// Returns the targets that announced that they leave and whose entries do
+  /// not say so; the newest ones if there are many.
+  std::vector<LeavingReport> LeavingTargets() const;
+  /// Applies what another instance knows; unknown targets are skipped.
+  void AddLeavingTargets(std::span<const LeavingReport> reports, Instant now);
   /// Records whether the target holds an adapter, named `model/adapter`.
   void SetAdapter(Target& target, std::string_view adapter, bool held);
 
@@ -151,10 +158,21 @@
   }
 
  private:
+  /// Notice of the incarnation that was born at a time.
+  struct RememberedNotice {
+    std::int64_t born_ms = 0;
+    TargetNotice notice;
+  };
+
   bool MaySend(const Target& target, Instant now) const;
   static void OnRateLimit(Target& target,
                           const ResponseMetadata& response,
                           Instant now);
+  static void OnNotice(Target& target,
+                       const ResponseMetadata& response,
+                       Instant now);
+  void RememberNotice(const Target& target);
+  void RestoreNotice(Target& target, const TargetRegistration& entry) const;
   /// Adds the prefill of a prompt to the target's queue.
   static void Enqueue(Target& target, std::int64_t tokens, Instant now);
   /// Returns the expected time to the first byte plus penalties, in
@@ -167,6 +185,8 @@
   Instant limited_sends_until_{};
   std::unordered_map<std::string, TargetPtr> targets_;
   std::unordered_map<std::uint64_t, TargetPtr> by_digest_;
+  /// Notices of targets whose entries were removed or replaced, by id.
+  std::unordered_map<std::string, RememberedNotice> remembered_notices_;
 };
 
 }  // namespace jackdaw::serving
