Relay only rows that could be read to followers

What callers could see: an odd entry among those of the targets, or beside the configuration, with bytes that are no UTF-8 made every reply of the leader that carried it unreadable. Each follower logged beat_unreadable, left its leader, read the store itself, and again after each rewrite of the entry; meanwhile it learned nothing of crashes, limits and shares from the leader.

Cause: the leader relayed the raw value of every row of both tables as JSON text, also of rows that it had itself skipped as unreadable. No JSON parser accepts such text. Now the replica that deltas are built from holds only what was read: an entry that names no target counts as deleted, so that followers drop a target that it named before, and of the other table only the row of the configuration is relayed. Values that parse as JSON are UTF-8.

--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -44,19 +44,13 @@
       boot_id_(RandomHex(kBootIdBytes)),
       http_(context, clock, kMaxIdleConnections),
       store_(http_, settings.store),
-      config_watch_(context,
-                    store_,
-                    clock,
-                    std::string(platform::kConfigTable),
-                    {[this](const auto& rows) {
-                       config_replica_.OnSnapshot(rows, clock_.Now());
-                       OnConfigRows(rows);
-                     },
-                     [this](const auto& rows) {
-                       config_replica_.OnChanges(rows, clock_.Now());
-                       OnConfigRows(rows);
-                     },
-                     [] {}}),
+      config_watch_(
+          context,
+          store_,
+          clock,
+          std::string(platform::kConfigTable),
+          {[this](const auto& rows) { OnConfigRows(rows, true); },
+           [this](const auto& rows) { OnConfigRows(rows, false); }, [] {}}),
       target_watch_(
           context,
           store_,
--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 
 #include "core/clock.h"
@@ -79,6 +80,8 @@
   /// Whether the instance relies on a leader for changes. It does not while the
   /// leader's last write to the store is too old.
   bool following() const { return following_; }
+  /// Replies of the leader to heartbeats that could not be decoded.
+  std::uint64_t replies_unreadable() const { return replies_unreadable_; }
   OrderDispatcher& order_dispatcher() { return order_dispatcher_; }
   const OrderDispatcher& order_dispatcher() const { return order_dispatcher_; }
   /// Returns the calls made to the store since startup.
@@ -122,11 +125,14 @@
   Member OwnMember() const;
 
   // Configuration and targets.
-  void OnConfigRows(const platform::RowSet& rows);
+  void OnConfigRows(const platform::RowSet& rows, bool whole);
+  bool TakeConfig(const platform::StoredRow& row);
   void LogQuotas(const ServingConfig& config) const;
   void OnTargetRows(const platform::RowSet& rows, bool whole);
   void OnTargetChanges(const TargetFeed::Changes& changes);
   std::vector<TargetRow> DecodeTargets(const platform::RowSet& rows) const;
+  static platform::RowSet RelayedRows(platform::RowSet rows,
+                                      std::span<const TargetRow> targets);
 
   boost::asio::awaitable<void> RunPlacement();
   boost::asio::awaitable<void> Pause(Micros span);
@@ -189,6 +195,7 @@
   /// Sending time of the last heartbeat that the leader answered.
   Instant leader_contact_at_{};
   bool following_ = false;
+  std::uint64_t replies_unreadable_ = 0;
   /// Tables that are read from the store although the instance follows a
   /// leader, because their changes are too large to be relayed.
   bool read_config_ = false;
--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -175,6 +175,7 @@
   }
   const auto reply = DecodeHeartbeatReply(answer.value().body);
   if (!reply) {
+    ++replies_unreadable_;
     Log(LogLevel::kError, "beat_unreadable", {{"error", reply.error().Line()}});
     OnHeartbeatFailed();
     co_return false;
@@ -213,18 +214,8 @@
   fleet_known_ = true;
   read_config_ = reply.config.read_store;
   read_targets_ = reply.targets.read_store;
-  platform::RowSet rows;
-  rows.version = reply.config.version.number;
-  rows.rows = reply.config.rows;
-  for (platform::StoredRow& row : rows.rows) {
-    row.at.table = platform::kConfigTable;
-  }
-  config_replica_.OnDelta(reply.config, now);
-  OnConfigRows(rows);
-  rows.epoch = reply.targets.version.epoch;
-  rows.version = reply.targets.version.number;
-  rows.rows = reply.targets.rows;
-  OnTargetRows(rows, reply.targets.whole);
+  OnConfigRows(reply.config.Rows(), reply.config.whole);
+  OnTargetRows(reply.targets.Rows(), reply.targets.whole);
   crashes_.AddReports(reply.crashes, now);
   registry_.AddRateLimits(reply.rate_limits, now);
 }
--- a/src/fleet/fleet_agent_rows.cc
+++ b/src/fleet/fleet_agent_rows.cc
@@ -7,30 +7,44 @@
 
 namespace jackdaw::serving {
 
-void FleetAgent::OnConfigRows(const platform::RowSet& rows) {
-  for (const platform::StoredRow& row : rows.rows) {
-    if (row.at.key != platform::kConfigKey || row.dropped) {
-      continue;
-    }
-    auto config = platform::DecodeConfig(row.value);
-    if (!config) {
-      Log(LogLevel::kError, "config_unreadable",
-          {{"error", config.error().Line()}});
-      continue;
-    }
-    const std::int64_t version = config.value().version;
-    if (config_ != nullptr && version <= config_->version) {
-      continue;
-    }
-    LogQuotas(config.value());
-    config_ = std::make_shared<const ServingConfig>(std::move(config.value()));
-    quotas_.OnConfig(*config_, clock_.Now());
-    Log(LogLevel::kInfo, "config_taken",
-        {{"version", std::to_string(version)},
-         {"from", following_ ? leadership_.lease().holder : "store"},
-         {"routes", std::to_string(config_->routes.size())},
-         {"workspaces", std::to_string(config_->workspaces.size())}});
+// Only rows that were read are relayed: a heartbeat reply carries their values
+// as JSON text, which takes no others.
+// @param whole the rows are a snapshot of the table
+void FleetAgent::OnConfigRows(const platform::RowSet& rows, bool whole) {
+  platform::RowSet readable = rows;
+  std::erase_if(readable.rows, [&](const platform::StoredRow& row) {
+    return row.at.key != platform::kConfigKey ||
+           (!row.dropped && !TakeConfig(row));
+  });
+  if (whole) {
+    config_replica_.OnSnapshot(readable, clock_.Now());
+  } else {
+    config_replica_.OnChanges(readable, clock_.Now());
+  }
+}
+
+// Puts the configuration of a row in force unless a later one is.
+// @returns whether the row holds a configuration
+bool FleetAgent::TakeConfig(const platform::StoredRow& row) {
+  auto config = platform::DecodeConfig(row.value);
+  if (!config) {
+    Log(LogLevel::kError, "config_unreadable",
+        {{"error", config.error().Line()}});
+    return false;
+  }
+  const std::int64_t version = config.value().version;
+  if (config_ != nullptr && version <= config_->version) {
+    return true;
   }
+  LogQuotas(config.value());
+  config_ = std::make_shared<const ServingConfig>(std::move(config.value()));
+  quotas_.OnConfig(*config_, clock_.Now());
+  Log(LogLevel::kInfo, "config_taken",
+      {{"version", std::to_string(version)},
+       {"from", following_ ? leadership_.lease().holder : "store"},
+       {"routes", std::to_string(config_->routes.size())},
+       {"workspaces", std::to_string(config_->workspaces.size())}});
+  return true;
 }
 
 // Logs the quotas that are new or changed.
@@ -72,6 +86,22 @@
   return targets;
 }
 
+// Returns the rows as they are relayed: one that names no target counts as
+// deleted, so that followers drop the target that it named before.
+platform::RowSet FleetAgent::RelayedRows(platform::RowSet rows,
+                                         std::span<const TargetRow> targets) {
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    if (!targets[i].readable) {
+      rows.rows[i].dropped = true;
+      rows.rows[i].value.clear();
+    }
+  }
+  std::erase_if(rows.rows, [](const platform::StoredRow& row) {
+    return row.at.key.empty();
+  });
+  return rows;
+}
+
 // Applies rows of the targets to the replica and to the registry.
 // @param whole the rows are a snapshot of the table
 void FleetAgent::OnTargetRows(const platform::RowSet& rows, bool whole) {
@@ -83,12 +113,13 @@
   if (rows.epoch > known_epoch) {
     target_feed_.OnStoreRestored(now);
   }
-  const auto targets = DecodeTargets(rows);
+  const std::vector<TargetRow> targets = DecodeTargets(rows);
+  const platform::RowSet relayed = RelayedRows(rows, targets);
   if (whole) {
-    target_replica_.OnSnapshot(rows, now);
+    target_replica_.OnSnapshot(relayed, now);
     OnTargetChanges(target_feed_.OnSnapshot(targets, now));
   } else {
-    target_replica_.OnChanges(rows, now);
+    target_replica_.OnChanges(relayed, now);
     OnTargetChanges(target_feed_.OnChanges(targets, now));
   }
 }
--- a/src/fleet/table_replica.cc
+++ b/src/fleet/table_replica.cc
@@ -11,6 +11,14 @@
 
 }  // namespace
 
+platform::RowSet RowDelta::Rows() const {
+  platform::RowSet set;
+  set.epoch = version.epoch;
+  set.version = version.number;
+  set.rows = rows;
+  return set;
+}
+
 void TableReplica::Apply(const platform::StoredRow& row, Instant now) {
   CachedRow& cached = rows_[row.at.key];
   if (cached.row.version <= row.version) {
@@ -72,18 +80,6 @@
   PruneTombstones(now);
 }
 
-void TableReplica::OnDelta(const RowDelta& delta, Instant now) {
-  platform::RowSet set;
-  set.epoch = delta.version.epoch;
-  set.version = delta.version.number;
-  set.rows = delta.rows;
-  if (delta.whole) {
-    OnSnapshot(set, now);
-  } else {
-    OnChanges(set, now);
-  }
-}
-
 RowDelta TableReplica::DeltaSince(const TableVersion& after,
                                   std::size_t max_bytes) const {
   RowDelta delta;
--- a/src/fleet/table_replica.h
+++ b/src/fleet/table_replica.h
@@ -23,6 +23,9 @@
   /// Version of the table that the receiver has after applying the rows.
   TableVersion version;
   std::vector<platform::StoredRow> rows;
+
+  /// Returns the rows as the store hands them out.
+  platform::RowSet Rows() const;
 };
 
 /// An instance's copy of one table of the store. A leader builds the deltas for
@@ -34,8 +37,6 @@
   void OnSnapshot(const platform::RowSet& set, Instant now);
   /// Applies rows that changed; those of another epoch are ignored.
   void OnChanges(const platform::RowSet& set, Instant now);
-  /// Applies a delta that the leader relayed.
-  void OnDelta(const RowDelta& delta, Instant now);
 
   /// Returns what an instance lacks that knows the table up to version `after`.
   /// If the rows exceed `max_bytes` together, the delta has none and refers to
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -51,6 +51,8 @@
   /// Share of the fleet's quotas that this instance holds, from 0 to 1.
   double quota_share = 0;
   std::uint64_t store_calls = 0;
+  /// Replies of the leader to heartbeats that could not be decoded.
+  std::uint64_t replies_unreadable = 0;
   std::uint64_t orders_sent = 0;
   std::uint64_t model_loads = 0;
   /// The instance watches the store, and the store does not respond.
