Keep a made-up model name or token count from making heartbeats unreadable

What callers could see: one request with a model name that is no UTF-8 (or with a token count of over a billion a second) on one instance took that instance from its leader. Its heartbeats carry the demand by model as JSON text; the leader answered 400 to each of them for as long as the demand was remembered, some ten seconds, so that the instance acted alone, and its row in the store was unreadable to the leader, too: it would leave the directory and lose its share of the quotas.

Cause: names and counts that callers choose went into the heartbeat as they came; the receiver takes UTF-8 and numbers up to 10^12 only. Names that JSON text cannot carry are now left out (no target can hold such a model), and numbers are bounded to what the receiver accepts.

--- a/src/core/object_reader.cc
+++ b/src/core/object_reader.cc
@@ -166,6 +166,14 @@
   return value;
 }
 
+// The serializer copies bytes as they are; the parser checks them.
+bool IsJsonText(std::string_view text) {
+  boost::system::error_code failure;
+  boost::json::parse(boost::json::serialize(boost::json::string(text)),
+                     failure);
+  return !failure;
+}
+
 Result<std::string> ReadFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   std::ostringstream text;
--- a/src/core/object_reader.h
+++ b/src/core/object_reader.h
@@ -59,6 +59,9 @@
 /// Parses JSON text. @returns the value, or kMalformed with the position
 Result<boost::json::value> ParseJson(std::string_view text);
 
+/// Returns whether JSON text can carry a string, which must be UTF-8 for that.
+bool IsJsonText(std::string_view text);
+
 /// Reads a whole file. @returns its bytes, or kUnreadableFile
 Result<std::string> ReadFile(const std::string& path);
 
--- a/src/fleet/member.cc
+++ b/src/fleet/member.cc
@@ -36,13 +36,20 @@
   return MemberState::kGone;
 }
 
+// Returns a number that the receiver accepts.
 std::int64_t ToMilli(double value) {
-  return static_cast<std::int64_t>(value * kMilli);
+  constexpr auto kMost = static_cast<double>(kMaxInteger);
+  return static_cast<std::int64_t>(std::clamp(value * kMilli, 0.0, kMost));
 }
 
+// Callers choose the names of models; one that is not UTF-8 would make the
+// whole member unreadable.
 json::array EncodeDemand(const Member& member) {
   json::array demand;
   for (const ModelDemand& item : member.demand) {
+    if (!IsJsonText(item.key.model)) {
+      continue;
+    }
     demand.push_back({{"service", item.key.service},
                       {"model", item.key.model},
                       {"requests", ToMilli(item.demand.requests)},
--- a/src/fleet/peer_api.cc
+++ b/src/fleet/peer_api.cc
@@ -190,6 +190,7 @@
 boost::asio::awaitable<void> PeerApi::ServeHeartbeat(HttpExchange& exchange) {
   const auto heartbeat = DecodeHeartbeat(exchange.request().body);
   if (!heartbeat) {
+    ++heartbeats_unreadable_;
     Log(LogLevel::kError, "beat_unreadable",
         {{"error", heartbeat.error().Line()}});
     HttpResponse malformed = JsonResponse(400, R"({"error":"malformed"})");
--- a/src/fleet/peer_api.h
+++ b/src/fleet/peer_api.h
@@ -48,6 +48,9 @@
   void RequestSend(TargetPtr target,
                    std::function<void(SendPermission)> done) override;
 
+  /// Heartbeats of followers that could not be decoded.
+  std::uint64_t heartbeats_unreadable() const { return heartbeats_unreadable_; }
+
   /// Answers a request of another instance.
   boost::asio::awaitable<void> Serve(HttpExchange& exchange);
 
@@ -77,6 +80,7 @@
   /// Time until which no units are requested for a workspace, after its peers
   /// could not lend enough.
   std::map<std::string, Instant> no_lender_until_;
+  std::uint64_t heartbeats_unreadable_ = 0;
 };
 
 }  // namespace jackdaw::serving
--- a/src/fleet/tests/heartbeat_test.cc
+++ b/src/fleet/tests/heartbeat_test.cc
@@ -45,6 +45,21 @@
   BOOST_TEST(crash.crashes == 1);
 }
 
+BOOST_AUTO_TEST_CASE(ModelThatACallerMadeUpDoesNotMakeAHeartbeatUnreadable) {
+  HeartbeatRequest heartbeat;
+  heartbeat.member = MemberOf("a");
+  heartbeat.member.demand = {{{"s", "m1/\xff"}, {1, 2, 3}},
+                             {{"s", "\xc3\x28"}, {1, 2, 3}},
+                             {{"s", "m1/\xc3\xa9\"\x01"}, {1, 2, 3}},
+                             {{"s", "m1"}, {1e300, 1e300, -1}}};
+  const auto read = DecodeHeartbeat(EncodeHeartbeat(heartbeat));
+  BOOST_TEST_REQUIRE(read.has_value());
+  const std::vector<ModelDemand>& demand = read.value().member.demand;
+  BOOST_TEST_REQUIRE(demand.size() == 2U);
+  BOOST_TEST(demand.front().key.model == "m1/\xc3\xa9\"\x01");
+  BOOST_TEST(demand.back().key.model == "m1");
+}
+
 BOOST_AUTO_TEST_CASE(AReplyReadsBackWithAndWithoutChanges) {
   const auto empty = DecodeHeartbeatReply(EncodeHeartbeatReply({}));
   BOOST_REQUIRE(empty);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -246,6 +246,7 @@
   state.ready = agent_.ready();
   state.leads = agent_.leads();
   state.following = agent_.following();
+  state.heartbeats_unreadable = peers_.heartbeats_unreadable();
   state.replies_unreadable = agent_.replies_unreadable();
   return state;
 }
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -97,6 +97,8 @@
   set("store_calls", static_cast<double>(state.store_calls));
   set("store_lost", state.store_lost ? 1 : 0);
   set("replies_unreadable", static_cast<double>(state.replies_unreadable));
+  set("heartbeats_unreadable",
+      static_cast<double>(state.heartbeats_unreadable));
   set("orders_sent", static_cast<double>(state.orders_sent));
   set("model_loads", static_cast<double>(state.model_loads));
   set("ready", state.ready ? 1 : 0);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -53,6 +53,8 @@
   std::uint64_t store_calls = 0;
   /// Replies of the leader to heartbeats that could not be decoded.
   std::uint64_t replies_unreadable = 0;
+  /// Heartbeats of followers that could not be decoded.
+  std::uint64_t heartbeats_unreadable = 0;
   std::uint64_t orders_sent = 0;
   std::uint64_t model_loads = 0;
   /// The instance watches the store, and the store does not respond.
