--- a/src/fleet/leader_row.cc
+++ b/src/fleet/leader_row.cc
@@ -5,6 +5,12 @@
 #include "core/object_reader.h"
 
 namespace jackdaw::serving {
+namespace {
+
+// Largest number that is read; the holder counts on from it.
+constexpr std::int64_t kMaxNumber = 1LL << 52;
+
+}  // namespace
 
 std::string EncodeLeaderLease(const LeaderLease& lease) {
   return boost::json::serialize(
@@ -24,9 +30,9 @@
   lease.holder = reader.Text("holder");
   lease.address = reader.Text("address");
   lease.boot_id = reader.Text("boot");
-  lease.term = reader.Integer("term", 0, INT64_MAX);
-  lease.renewals = reader.Integer("renewals", 0, INT64_MAX);
-  lease.store_epoch = reader.IntegerOr("store_epoch", 0, INT64_MAX, 0);
+  lease.term = reader.Integer("term", 0, kMaxNumber);
+  lease.renewals = reader.Integer("renewals", 0, kMaxNumber);
+  lease.store_epoch = reader.IntegerOr("store_epoch", 0, kMaxNumber, 0);
   lease.released = reader.FlagOr("released", false);
   BOOST_OUTCOME_TRY(reader.FinishKnown());
   return lease;
--- a/src/fleet/share_plan.cc
+++ b/src/fleet/share_plan.cc
@@ -15,6 +15,8 @@
 
 // Shares are encoded in billionths, as integers.
 constexpr double kBillion = 1e9;
+// Largest epoch that is read: members report it and its successors.
+constexpr std::int64_t kMaxSharesEpoch = 900'000'000'000;
 // Differences of shares below this are rounding errors.
 constexpr double kRounding = 1e-6;
 
@@ -62,7 +64,8 @@
   ObjectReader reader(value, "");
   constexpr auto kMaxUnits = static_cast<std::int64_t>(kBillion);
   ShareTable table;
-  table.epoch = reader.Integer("epoch", 0, INT64_MAX);
+  table.epoch = reader.Integer("epoch", 0, kMaxSharesEpoch);
+  double bound_sum = 0;
   for (const auto& item : reader.ItemsOr("entries")) {
     ObjectReader fields(item, "/entries");
     ShareEntry entry;
@@ -71,9 +74,16 @@
         static_cast<double>(fields.Integer("share", 0, kMaxUnits)) / kBillion;
     entry.bound =
         static_cast<double>(fields.Integer("bound", 0, kMaxUnits)) / kBillion;
+    bound_sum += entry.bound;
+    if (entry.share > entry.bound || table.Find(entry.name) != nullptr) {
+      fields.Fail("name", "has more than its bound, or two entries");
+    }
     BOOST_OUTCOME_TRY(fields.FinishKnown());
     table.entries.push_back(std::move(entry));
   }
+  if (bound_sum > 1.0 + kRounding) {
+    reader.Fail("entries", "give out more than the whole");
+  }
   BOOST_OUTCOME_TRY(reader.FinishKnown());
   return table;
 }
--- a/src/fleet/tests/share_plan_test.cc
+++ b/src/fleet/tests/share_plan_test.cc
@@ -30,6 +30,25 @@
   return sum;
 }
 
+BOOST_AUTO_TEST_CASE(ATableThatGivesOutMoreThanTheWholeIsRejected) {
+  const auto decode = [](std::string_view entries,
+                         std::string_view epoch = "1") {
+    return DecodeShares(R"({"epoch":)" + std::string(epoch) +
+                        R"(,"entries":[)" + std::string(entries) + "]}");
+  };
+  BOOST_TEST(
+      decode(R"({"name":"a","share":1,"bound":1000000000})").has_value());
+  // More than the whole, more than its bound, one instance twice.
+  for (
+      const char* entries :
+      {R"({"name":"a","share":1,"bound":1000000000},{"name":"b","share":1,"bound":9000000})",
+       R"({"name":"a","share":2,"bound":1})",
+       R"({"name":"a","share":1,"bound":1},{"name":"a","share":1,"bound":1})"}) {
+    BOOST_TEST(!decode(entries).has_value(), entries);
+  }
+  BOOST_TEST(!decode("", "9223372036854775807").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(ANewMemberGetsItsShareOnlyAfterTheOthersLoweredTheirs) {
   MemberTable members;
   members.OnRows({MemberOf("a", 1, 0), MemberOf("b", 1, 0)}, kStart);
