Go on from unreadable rows of the fleet's lease and shares

What callers could see: after one write of another writer, or of a faulty release, to the row of the lease or of the shares, no instance could lead again: no renewal and no acquisition succeeded, so that the instances acted alone for good, models were not placed, limits of targets were refused, and shares were lost.

Cause: an unreadable row was taken for a missing one, whose version is 0, or its version was not noted. Each write then named a version that the store does not have. The version of every row is noted now, and the lease that was known before stands, so that its holder replaces the row with its next renewal, with the same term.

Evidence: UnreadableRowsOfTheFleetAreReplacedByItsLeader, with five values in the rows leader, shares, view, crashes and of a member, failed on the code before: no readable lease within 40 s. It passes now, with one lease won in each of the five fleets.

--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -116,6 +116,7 @@
   // Rows of the fleet table in the store.
   boost::asio::awaitable<void> ReadFleetTable();
   boost::asio::awaitable<bool> WriteFleetTable(bool with_member);
+  LeaderLease ReadLease(const platform::StoredRow& row) const;
   void OnFleetRows(const platform::RowSet& rows);
   void OnStoreRestored(std::int64_t epoch);
   void OnLeaseAcquired(const std::string& last_holder);
--- a/src/fleet/fleet_agent_store.cc
+++ b/src/fleet/fleet_agent_store.cc
@@ -26,6 +26,14 @@
   return {std::string(platform::kFleetTable), "", std::string(key)};
 }
 
+template <typename Value>
+void LogUnreadable(const platform::StoredRow& row, const Result<Value>& value) {
+  if (!value) {
+    Log(LogLevel::kWarn, "row_unreadable",
+        {{"key", row.at.key}, {"error", value.error().Line()}});
+  }
+}
+
 }  // namespace
 
 boost::asio::awaitable<void> FleetAgent::ReadFleetTable() {
@@ -59,6 +67,16 @@
   crashes_written_ = 0;
 }
 
+// If the row is unreadable, the lease that was known before stands, with the
+// version of the row, so that its holder replaces the row.
+LeaderLease FleetAgent::ReadLease(const platform::StoredRow& row) const {
+  const Result<LeaderLease> read = DecodeLeaderLease(row.value);
+  LogUnreadable(row, read);
+  LeaderLease lease = read ? read.value() : leadership_.lease();
+  lease.row_version = row.version;
+  return lease;
+}
+
 void FleetAgent::OnFleetRows(const platform::RowSet& rows) {
   if (rows.epoch < store_epoch_) {
     return;
@@ -76,24 +94,20 @@
       }
       version = row.version;
       const auto member = DecodeMember(row.value);
-      if (!member) {
-        Log(LogLevel::kWarn, "row_unreadable",
-            {{"key", row.at.key}, {"error", member.error().Line()}});
-      } else if (member.value().name != settings_.name) {
+      LogUnreadable(row, member);
+      if (member && member.value().name != settings_.name) {
         members_.OnHeartbeat(member.value(), now);
         crashes_.AddReports(member.value().crashes, now);
       }
     } else if (row.at.key == kLeaseKey) {
-      auto lease = DecodeLeaderLease(row.value);
-      if (lease) {
-        lease.value().row_version = row.version;
-        leadership_.OnLeaseRow(&lease.value(), boot_clock_.Now(), rows.epoch);
-        lease_seen = true;
-      }
+      LeaderLease lease = ReadLease(row);
+      leadership_.OnLeaseRow(&lease, boot_clock_.Now(), rows.epoch);
+      lease_seen = true;
     } else if (row.at.key == kViewKey && !leadership_.HoldsLease() &&
                row.version > view_row_version_) {
       auto view = DecodeViewRow(row.value);
       view_row_version_ = row.version;
+      LogUnreadable(row, view);
       if (view) {
         view_ = std::move(view.value());
         retries_.SetInstances(static_cast<int>(view_.members.size()), now);
@@ -101,17 +115,15 @@
     } else if (row.at.key == kCrashesKey &&
                row.version > crashes_row_version_) {
       crashes_row_version_ = row.version;
-      if (const auto reports = DecodeCrashRow(row.value)) {
+      const auto reports = DecodeCrashRow(row.value);
+      LogUnreadable(row, reports);
+      if (reports) {
         crashes_.AddReports(reports.value(), now);
-      } else {
-        Log(LogLevel::kWarn, "row_unreadable",
-            {{"key", row.at.key}, {"error", reports.error().Line()}});
       }
     } else if (row.at.key == kSharesKey && row.version > shares_row_version_) {
       auto shares = DecodeShares(row.value);
-      if (shares) {
-        shares_row_version_ = row.version;
-      }
+      shares_row_version_ = row.version;
+      LogUnreadable(row, shares);
       if (shares && shares.value().epoch >= shares_.epoch) {
         shares_ = std::move(shares.value());
       }
