Take a share of more than the whole budget for malformed

What callers could see: none was seen. A row of shares whose two parts add up to more than 2^63 overflowed when it was added up, and one of more than the whole let its holder spend more than the workspace's quota.

Cause: each part was only checked not to be negative. A budget has 65,536 units, and no part can be more.

--- a/src/budget/share_row.cc
+++ b/src/budget/share_row.cc
@@ -5,6 +5,13 @@
 #include "core/object_reader.h"
 
 namespace jackdaw {
+namespace {
+
+bool IsPart(std::int64_t units) {
+  return units >= 0 && units <= kTotalUnits;
+}
+
+}  // namespace
 
 std::string EncodeShareRow(const ShareRow& row) {
   boost::json::object shares;
@@ -46,7 +53,7 @@
     if (!failed) {
       share.flexible = parts->at(1).to_number<std::int64_t>(failed);
     }
-    if (failed || share.floor < 0 || share.flexible < 0) {
+    if (failed || !IsPart(share.floor) || !IsPart(share.flexible)) {
       return malformed;
     }
     row.shares[std::string(workspace)] = share;
