--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -80,6 +81,8 @@
   /// Whether the instance relies on a leader for changes. It does not while the
   /// leader's last write to the store is too old.
   bool following() const { return following_; }
+  /// Replies of the leader to heartbeats that could not be decoded.
+  std::uint64_t replies_unreadable() const { return replies_unreadable_; }
   OrderDispatcher& order_dispatcher() { return order_dispatcher_; }
   const OrderDispatcher& order_dispatcher() const { return order_dispatcher_; }
   /// Returns the calls made to the store since startup.
@@ -114,6 +117,7 @@
   // Rows of the fleet table in the store.
   boost::asio::awaitable<void> ReadFleetTable();
   boost::asio::awaitable<bool> WriteFleetTable(bool with_member);
+  LeaderLease ReadLease(const platform::StoredRow& row) const;
   void OnFleetRows(const platform::RowSet& rows);
   void OnStoreRestored(std::int64_t epoch);
   void OnLeaseAcquired(const std::string& last_holder);
@@ -123,13 +127,18 @@
   Member OwnMember() const;
 
   // Configuration and targets.
-  void OnConfigRows(const platform::RowSet& rows);
-  bool TakeConfig(std::string_view document);
+  /// What became of the document of a configuration.
+  enum class ConfigOutcome : std::uint8_t { kUnreadable, kOlder, kInForce };
+
+  void OnConfigRows(const platform::RowSet& rows, bool whole);
+  ConfigOutcome TakeConfig(std::string_view document);
   std::string ConfigLostByStore(std::int64_t known_version) const;
   void LogQuotas(const ServingConfig& config) const;
   void OnTargetRows(const platform::RowSet& rows, bool whole);
   void OnTargetChanges(const TargetFeed::Changes& changes);
   std::vector<TargetRow> DecodeTargets(const platform::RowSet& rows) const;
+  static platform::RowSet RelayedRows(platform::RowSet rows,
+                                      std::span<const TargetRow> targets);
 
   boost::asio::awaitable<void> RunPlacement();
   boost::asio::awaitable<void> Pause(Micros span);
@@ -197,6 +206,7 @@
   /// Sending time of the last heartbeat that the leader answered.
   Instant leader_contact_at_{};
   bool following_ = false;
+  std::uint64_t replies_unreadable_ = 0;
   /// Tables that are read from the store although the instance follows a
   /// leader, because their changes are too large to be relayed.
   bool read_config_ = false;
--- a/src/fleet/fleet_agent_rows.cc
+++ b/src/fleet/fleet_agent_rows.cc
@@ -14,26 +14,40 @@
 
 }  // namespace
 
-void FleetAgent::OnConfigRows(const platform::RowSet& rows) {
-  for (const platform::StoredRow& row : rows.rows) {
-    if (row.at.key == platform::kConfigKey && !row.dropped) {
-      store_lost_config_ = !TakeConfig(row.value);
+// Only rows that were read are relayed: a heartbeat reply carries their values
+// as JSON text, which takes no others.
+// @param whole the rows are a snapshot of the table
+void FleetAgent::OnConfigRows(const platform::RowSet& rows, bool whole) {
+  platform::RowSet readable = rows;
+  std::erase_if(readable.rows, [&](const platform::StoredRow& row) {
+    if (row.at.key != platform::kConfigKey || row.dropped) {
+      return row.at.key != platform::kConfigKey;
+    }
+    const ConfigOutcome outcome = TakeConfig(row.value);
+    if (outcome != ConfigOutcome::kUnreadable) {
+      store_lost_config_ = outcome == ConfigOutcome::kOlder;
     }
+    return outcome == ConfigOutcome::kUnreadable;
+  });
+  if (whole) {
+    config_replica_.OnSnapshot(readable, clock_.Now());
+  } else {
+    config_replica_.OnChanges(readable, clock_.Now());
   }
 }
 
-// Applies a configuration unless it is older than the one in force.
-// @returns false if it is older
-bool FleetAgent::TakeConfig(std::string_view document) {
+// Puts a configuration in force unless a later one is.
+FleetAgent::ConfigOutcome FleetAgent::TakeConfig(std::string_view document) {
   auto config = platform::DecodeConfig(document);
   if (!config) {
     Log(LogLevel::kError, "config_unreadable",
         {{"error", config.error().Line()}});
-    return true;
+    return ConfigOutcome::kUnreadable;
   }
   const std::int64_t version = config.value().version;
   if (config_ != nullptr && version <= config_->version) {
-    return version == config_->version;
+    return version == config_->version ? ConfigOutcome::kInForce
+                                       : ConfigOutcome::kOlder;
   }
   LogQuotas(config.value());
   config_ = std::make_shared<const ServingConfig>(std::move(config.value()));
@@ -44,7 +58,7 @@
        {"from", following_ ? leadership_.lease().holder : "store"},
        {"routes", std::to_string(config_->routes.size())},
        {"workspaces", std::to_string(config_->workspaces.size())}});
-  return true;
+  return ConfigOutcome::kInForce;
 }
 
 // Returns the document of the configuration in force for an instance that has
@@ -97,6 +111,22 @@
   return targets;
 }
 
+// Returns the rows as they are relayed: one that names no target counts as
+// deleted, so that followers drop the target that it named before.
+platform::RowSet FleetAgent::RelayedRows(platform::RowSet rows,
+                                         std::span<const TargetRow> targets) {
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    if (!targets[i].readable) {
+      rows.rows[i].dropped = true;
+      rows.rows[i].value.clear();
+    }
+  }
+  std::erase_if(rows.rows, [](const platform::StoredRow& row) {
+    return row.at.key.empty();
+  });
+  return rows;
+}
+
 // Applies rows of the targets to the replica and to the registry.
 // @param whole the rows are a snapshot of the table
 void FleetAgent::OnTargetRows(const platform::RowSet& rows, bool whole) {
@@ -108,12 +138,13 @@
   if (rows.epoch > known_epoch) {
     target_feed_.OnStoreRestored(now);
   }
-  const auto targets = DecodeTargets(rows);
+  const std::vector<TargetRow> targets = DecodeTargets(rows);
+  const platform::RowSet relayed = RelayedRows(rows, targets);
   if (whole) {
-    target_replica_.OnSnapshot(rows, now);
+    target_replica_.OnSnapshot(relayed, now);
     OnTargetChanges(target_feed_.OnSnapshot(targets, now));
   } else {
-    target_replica_.OnChanges(rows, now);
+    target_replica_.OnChanges(relayed, now);
     OnTargetChanges(target_feed_.OnChanges(targets, now));
   }
 }
