Believe no second refusal of a request that may run once only

A request that may run once only ran at a second target, or its caller was told that it had not run, when its target wrote an earlier refusal of the same id once more. Several requests may bear one id: a call that a target's run makes bears the id of the run. Cause: a refusal was believed if its id was the request's, whichever request of that id it answered.

Now a target's refusals are remembered by id (the newest 32). A second one of the same id promises nothing for such a request: 502, and no other target. And a connection that has carried an id carries no second request of that id, since a late response to the first could not be told from the response to the second.

Evidence: on the code before, EarlierRefusalOfTheSameIdPromisesNothing got 200 from a second target, and ConnectionCarriesNoIdTwice found one connection for two requests of one id.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -102,6 +102,7 @@
   bool SkipForeignResponse();
   std::string_view AnswerFraming() const;
   void OnResponseHead();
+  void CheckRefusal();
   void OnResponseProgress();
   void OnFailedResponse();
   void OnAttemptBroken(std::string_view how);
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -40,6 +40,7 @@
   const Instant now = deps_.clock.Now();
   response_head_ = platform::DecodeAnswer(parser_->get());
   head_parsed_ = true;
+  CheckRefusal();
   // 421 comes from another target that has taken over the address.
   if (parser_->get().result_int() != 421) {
     deps_.crashes.OnTargetAnswered(*target_, now);
@@ -52,6 +53,19 @@
                  (response_head_.not_executed ? " not_executed" : ""));
 }
 
+// A target may write an earlier refusal once more. If it has refused a request
+// of this id before, a second refusal does not show that this one has not run.
+void Exchange::CheckRefusal() {
+  if (!response_head_.not_executed) {
+    return;
+  }
+  if (target_->refused_ids.Contains(call_.id) && !route_->Repeatable()) {
+    trace_.Add(deps_.clock.Now(), "refusal_doubted", target_->entry.id);
+    response_head_.not_executed = false;
+  }
+  target_->refused_ids.Add(call_.id);
+}
+
 void Exchange::OnResponseProgress() {
   const int status = static_cast<int>(parser_->get().result_int());
   const bool failed =
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -199,7 +199,7 @@
   sent_at_ = now;
   const Micros max_idle =
       route_->Repeatable() ? kMaxIdle : kMaxIdleNonRepeatable;
-  connection_ = deps_.connections.Acquire(*target_, now - max_idle);
+  connection_ = deps_.connections.Acquire(*target_, now - max_idle, call_.id);
   connection_reused_ = connection_ != nullptr;
   if (connection_reused_) {
     connection_->Attach(*this);
@@ -260,6 +260,7 @@
     deps_.demand.OnRequest({service_->name, call_.ModelName()},
                            static_cast<double>(call_.Tokens()), false);
   }
+  connection_->request_ids().Add(call_.id);
   connection_->Send(std::move(text));
   ArmStallTimer();
 }
--- a/src/gateway/target.h
+++ b/src/gateway/target.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "gateway/rate_limit.h"
+#include "gateway/recent_ids.h"
 #include "serving/target_registration.h"
 
 namespace jackdaw::serving {
@@ -52,6 +53,8 @@
   /// chosen before unless no other is left.
   Instant backoff_until{};
   int consecutive_failures = 0;
+  /// Ids of requests that the target has refused.
+  RecentIds refused_ids;
   /// Known adapters of the target, as `model/adapter`.
   std::set<std::string, std::less<>> adapters;
   /// Time at which each prompt part (see PartDigest) was last sent.
--- a/src/gateway/target_connection.h
+++ b/src/gateway/target_connection.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "core/time.h"
+#include "gateway/recent_ids.h"
 #include "http/endpoint.h"
 
 namespace jackdaw::serving {
@@ -61,6 +62,8 @@
   /// The connection has carried a request before.
   bool used() const { return used_; }
   void set_used() { used_ = true; }
+  /// Ids of the requests that the connection has carried.
+  RecentIds& request_ids() { return request_ids_; }
   Instant opened_at() const { return opened_at_; }
   void set_opened_at(Instant at) { opened_at_ = at; }
   Instant keep_until() const { return keep_until_; }
@@ -82,6 +85,7 @@
   bool reading_ = false;
   bool reading_paused_ = false;
   bool used_ = false;
+  RecentIds request_ids_;
   Instant opened_at_{};
   Instant keep_until_{};
   Instant idle_since_{};
--- a/src/gateway/target_connection_pool.cc
+++ b/src/gateway/target_connection_pool.cc
@@ -17,7 +17,8 @@
 }  // namespace
 
 TargetConnectionPtr TargetConnectionPool::Acquire(const Target& target,
-                                                  Instant idle_since) {
+                                                  Instant idle_since,
+                                                  std::string_view request_id) {
   const auto found = idle_.find(KeyOf(target));
   if (found == idle_.end()) {
     return nullptr;
@@ -31,11 +32,16 @@
     connection->Close();
     return true;
   });
-  if (connections.empty() || connections.back()->idle_since() < idle_since) {
+  const auto newest =
+      std::find_if(connections.rbegin(), connections.rend(),
+                   [&](const TargetConnectionPtr& connection) {
+                     return !connection->request_ids().Contains(request_id);
+                   });
+  if (newest == connections.rend() || (*newest)->idle_since() < idle_since) {
     return nullptr;
   }
-  TargetConnectionPtr connection = std::move(connections.back());
-  connections.pop_back();
+  TargetConnectionPtr connection = std::move(*newest);
+  connections.erase(std::next(newest).base());
   return connection;
 }
 
--- a/src/gateway/target_connection_pool.h
+++ b/src/gateway/target_connection_pool.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -21,10 +22,15 @@
                        const MonotonicClock& clock)
       : context_(context), clock_(clock) {}
 
-  /// Takes an idle connection out of the pool.
+  /// Takes an idle connection out of the pool. One that has carried a request
+  /// of the same id is left there: a late response to that one could not be
+  /// told from the response to this one.
   /// @param idle_since the connection must have been used at this time or later
+  /// @param request_id id of the request that is to be sent
   /// @returns null if there is none
-  TargetConnectionPtr Acquire(const Target& target, Instant idle_since);
+  TargetConnectionPtr Acquire(const Target& target,
+                              Instant idle_since,
+                              std::string_view request_id);
   /// Creates a connection that is not open yet.
   TargetConnectionPtr Create() {
     return std::make_shared<TargetConnection>(context_);
