--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -223,7 +223,7 @@
   sent_at_ = now;
   const Micros max_idle =
       route_->Repeatable() ? kMaxIdle : kMaxIdleNonRepeatable;
-  connection_ = deps_.connections.Acquire(*target_, now - max_idle);
+  connection_ = deps_.connections.Acquire(*target_, now - max_idle, call_.id);
   connection_reused_ = connection_ != nullptr;
   if (connection_reused_) {
     connection_->Attach(*this);
@@ -284,6 +284,7 @@
     deps_.demand.OnRequest({service_->name, call_.ModelName()},
                            static_cast<double>(call_.Tokens()), false);
   }
+  connection_->request_ids().Add(call_.id);
   connection_->Send(std::move(text));
   ArmStallTimer();
 }
