Tell the leader the limit with each request for permission

A target that had named a limit of 1.3 requests a second got 13 in 4 s (12 allowed) when the leader was killed and started again. The new process takes the lease of its own name back at once and decides on limited sends before a response or a heartbeat has told it of the limit; to it the target has none, so it granted the first request of each of the seven other instances. An instance that asks knows the limit, so it now sends what it knows along, and the leader applies it before it decides.

--- a/src/fleet/peer_api_limits.cc
+++ b/src/fleet/peer_api_limits.cc
@@ -47,7 +47,12 @@
   request.method = "POST";
   request.target = "/peer/send";
   request.headers.push_back({"Content-Type", "application/json"});
-  request.body = json::serialize(json::value{{"target", target->entry.id}});
+  // A new leader may not know the limit yet.
+  const RateLimitReport limit =
+      TargetRegistry::RateLimitOf(*target, clock_.Now());
+  request.body = json::serialize(
+      json::value{{"target", target->entry.id},
+                  {"rate_limits", EncodeRateLimits({&limit, 1})}});
   const Result<HttpResponse> answer = co_await http_.Fetch(
       *leader, std::move(request), clock_.Now() + kSendTimeout);
   if (!answer || answer.value().status != 200) {
@@ -81,11 +86,13 @@
 
 HttpResponse PeerApi::AnswerSend(ObjectReader& reader) {
   const TargetPtr target = registry_.Find(reader.Text("target"));
-  if (!reader.FinishKnown() || target == nullptr) {
+  const auto limits = ReadRateLimits(reader);
+  if (!limits || !reader.FinishKnown() || target == nullptr) {
     return JsonResponse(404, R"({"error":"no such target"})");
   }
-  const SendPermission permission = DecideSend(*target);
   const Instant now = clock_.Now();
+  registry_.AddRateLimits(limits.value(), now);
+  const SendPermission permission = DecideSend(*target);
   return JsonResponse(
       200, json::serialize(json::value{
                {"granted", permission.granted},
--- a/src/gateway/target_registry.h
+++ b/src/gateway/target_registry.h
@@ -141,6 +141,8 @@
   void RestartRateLimits(Instant now);
   /// Returns what is known of the limits of targets.
   std::vector<RateLimitReport> RateLimits(Instant now) const;
+  /// Returns what is known of the limit of one target that has named one.
+  static RateLimitReport RateLimitOf(const Target& target, Instant now);
   void AddRateLimits(std::span<const RateLimitReport> reports, Instant now);
   /// Returns the targets that announced that they leave and whose entries do
   /// not say so; the newest ones if there are many.
--- a/src/gateway/target_registry_limits.cc
+++ b/src/gateway/target_registry_limits.cc
@@ -52,15 +52,19 @@
 std::vector<RateLimitReport> TargetRegistry::RateLimits(Instant now) const {
   std::vector<RateLimitReport> reports;
   for (const auto& [id, target] : targets_) {
-    const RateLimit& limit = target->rate_limit;
-    if (limit.ever_limited()) {
-      reports.push_back({TargetDigest(id), target->entry.born_ms,
-                         limit.per_second(), now - limit.learned_at()});
+    if (target->rate_limit.ever_limited()) {
+      reports.push_back(RateLimitOf(*target, now));
     }
   }
   return reports;
 }
 
+RateLimitReport TargetRegistry::RateLimitOf(const Target& target, Instant now) {
+  const RateLimit& limit = target.rate_limit;
+  return {TargetDigest(target.entry.id), target.entry.born_ms,
+          limit.per_second(), now - limit.learned_at()};
+}
+
 void TargetRegistry::AddRateLimits(std::span<const RateLimitReport> reports,
                                    Instant now) {
   for (const RateLimitReport& report : reports) {
