Read heartbeats that tell of a target born before 1970

An entry with a negative time of birth whose target names a limit made the heartbeats of the instances that know the limit, and the replies of the leader, unreadable: the decoder of limits took only a time of birth of 0 or more, but the entry's decoder takes any. Found by reading; callers were not seen to suffer. It now takes any integer, as the targets that leave do. LimitOfATargetBornBefore1970DoesNotStopHeartbeats failed on the code before.

--- a/src/fleet/member.cc
+++ b/src/fleet/member.cc
@@ -136,7 +136,7 @@
     ObjectReader limit(item, "/rate_limits");
     RateLimitReport report;
     report.target = std::strtoull(limit.Text("target").c_str(), nullptr, 10);
-    report.born_ms = limit.Integer("born_ms", 0, INT64_MAX);
+    report.born_ms = limit.Integer("born_ms", INT64_MIN, INT64_MAX);
     report.age =
         std::chrono::milliseconds(limit.Integer("age_ms", 0, kMaxInteger));
     if (limit.Any("per_second") != nullptr) {
--- a/src/fleet/tests/heartbeat_test.cc
+++ b/src/fleet/tests/heartbeat_test.cc
@@ -100,6 +100,15 @@
   BOOST_TEST(report.born_ms == -5);
 }
 
+BOOST_AUTO_TEST_CASE(LimitOfATargetBornBefore1970DoesNotStopHeartbeats) {
+  HeartbeatRequest heartbeat;
+  heartbeat.member = MemberOf("a");
+  heartbeat.member.rate_limits = {{7, -5, 2.0, 10ms}};
+  const auto read = DecodeHeartbeat(EncodeHeartbeat(heartbeat));
+  BOOST_TEST_REQUIRE(read.has_value());
+  BOOST_TEST(read.value().member.rate_limits.front().born_ms == -5);
+}
+
 BOOST_AUTO_TEST_CASE(MessagesOfALaterReleaseStayReadable) {
   HeartbeatReply reply;
   reply.crashes.push_back({7, 0, 3});
