Format the includes of the target after the merge

Two parts added an include at the same place of one header; the formatter orders them. Nothing else changes, and the format check passes again. No functional change.

--- a/src/gateway/target.h
+++ b/src/gateway/target.h
@@ -8,8 +8,8 @@
 #include <unordered_map>
 
 #include "gateway/rate_limit.h"
-#include "gateway/target_notice.h"
 #include "gateway/recent_ids.h"
+#include "gateway/target_notice.h"
 #include "serving/target_registration.h"
 
 namespace jackdaw::serving {
