--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -112,7 +112,7 @@
 // Picks a target that has neither failed the request nor been silent, or else
 // one that has only been silent.
 TargetPick Exchange::PickTarget() const {
-  const TargetPick pick = PickTarget(AllTriedTargets());
+  TargetPick pick = PickTarget(AllTriedTargets());
   if (pick.outcome == PickOutcome::kChosen || silent_targets_.empty()) {
     return pick;
   }
