Log who enters and leaves the view, and by which sign of life

Change: each change of a view logs the members that joined and left, with the kind and the age of the last sign of life. MemberTable records the kind. OnRows, which nothing called, is gone.

No functional change

--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -129,6 +129,8 @@
   void ExtendParts(Instant contact_at);
   void LogLapsedParts();
   void RefreshView();
+  void SetView(FleetView view);
+  void LogViewChange(const FleetView& next) const;
   Member OwnMember() const;
 
   // Configuration and targets.
--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -207,8 +207,7 @@
                                   Instant sent_at) {
   const Instant now = clock_.Now();
   if (reply.view) {
-    view_ = *reply.view;
-    retries_.SetInstances(static_cast<int>(view_.members.size()), now);
+    SetView(*reply.view);
   }
   if (reply.parts) {
     OnPartsGranted(*reply.parts, sent_at);
--- a/src/fleet/fleet_agent_store.cc
+++ b/src/fleet/fleet_agent_store.cc
@@ -100,7 +100,7 @@
       const auto member = DecodeMember(row.value);
       LogUnreadable(row, member);
       if (member && member.value().name != settings_.name) {
-        members_.OnHeartbeat(member.value(), now);
+        members_.OnHeartbeat(member.value(), now, LifeSign::kRow);
         crashes_.AddReports(member.value().crashes, now);
       }
     } else if (row.at.key == kLeaseKey) {
@@ -113,8 +113,7 @@
       view_row_version_ = row.version;
       LogUnreadable(row, view);
       if (view) {
-        view_ = std::move(view.value());
-        retries_.SetInstances(static_cast<int>(view_.members.size()), now);
+        SetView(std::move(view.value()));
       }
     } else if (row.at.key == kCrashesKey &&
                row.version > crashes_row_version_) {
@@ -233,8 +232,7 @@
   ++view_sequence_;
   view.id =
       settings_.name + "/" + boot_id_ + "/" + std::to_string(view_sequence_);
-  view_ = std::move(view);
-  retries_.SetInstances(static_cast<int>(view_.members.size()), clock_.Now());
+  SetView(std::move(view));
 }
 
 // A new leader has no state of the members yet. Members of the previous view
--- a/src/fleet/member_table.cc
+++ b/src/fleet/member_table.cc
@@ -8,13 +8,23 @@
 
 }  // namespace
 
-void MemberTable::OnRows(const std::vector<Member>& members, Instant now) {
-  for (const Member& member : members) {
-    OnHeartbeat(member, now);
+std::string_view NameOf(LifeSign sign) {
+  switch (sign) {
+    case LifeSign::kHeartbeat:
+      return "heartbeat";
+    case LifeSign::kRow:
+      return "row";
+    case LifeSign::kOldView:
+      return "old_view";
+    case LifeSign::kPartTable:
+      return "part_table";
   }
+  return "unknown";
 }
 
-bool MemberTable::OnHeartbeat(const Member& member, Instant now) {
+bool MemberTable::OnHeartbeat(const Member& member,
+                              Instant now,
+                              LifeSign sign) {
   const auto known = members_.find(member.name);
   if (known != members_.end()) {
     const Member& old = known->second.member;
@@ -23,7 +33,7 @@
       return false;
     }
   }
-  members_[member.name] = {member, now};
+  members_[member.name] = {member, now, sign};
   return true;
 }
 
@@ -40,8 +50,10 @@
     record.member.failure_domain = member.failure_domain;
     record.member.state = member.state;
     record.changed_at = now;
+    record.sign = LifeSign::kOldView;
   } else if (!has_reported) {
     record.changed_at = now;
+    record.sign = LifeSign::kPartTable;
   }
 }
 
