Read all pages of the fleet's table

Callers of workspaces with a quota got 429 for good after a kill of all processes, once the fleet's table had more rows or bytes than one read returns. Cause: ReadFleetTable took the first page for the whole table. The rows parts and view sort behind those of members; unread, their versions stay 0, and each write of the leader, the renewal of its lease too, states that they do not exist and is refused. Change: one function reads a table page by page, for the watches too, whose own copy of that loop is gone.

--- a/src/fleet/fleet_agent_store.cc
+++ b/src/fleet/fleet_agent_store.cc
@@ -5,6 +5,7 @@
 #include "core/log.h"
 #include "fleet/fleet_agent.h"
 #include "fleet/leader_row.h"
+#include "fleet/table_read.h"
 #include "platform/tables.h"
 
 namespace jackdaw::serving {
@@ -45,8 +46,8 @@
     co_return;
   }
   const Result<platform::RowSet> read =
-      co_await store_.Read(std::string(platform::kFleetTable), std::string(),
-                           std::string(), std::string(), now + kStoreTimeout);
+      co_await ReadTable(store_, std::string(platform::kFleetTable), clock_,
+                         kStoreTimeout);
   if (!read) {
     co_return;
   }
--- a/src/fleet/store_watch.cc
+++ b/src/fleet/store_watch.cc
@@ -6,11 +6,12 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "core/log.h"
+#include "fleet/table_read.h"
 
 namespace jackdaw::serving {
 namespace {
 
-// Timeout of a read of the store.
+// Timeout of a read of one page of the store.
 constexpr Micros kReadTimeout = 1500ms;
 // The delay before the next call grows by the step with each failure in a row,
 // up to the maximum.
@@ -61,32 +62,13 @@
 }
 
 boost::asio::awaitable<bool> StoreWatch::ReadSnapshot() {
-  platform::RowSet all;
-  std::string from;
-  for (;;) {
-    const Result<platform::RowSet> read =
-        co_await store_.Read(table_, std::string(), from, std::string(),
-                             clock_.Now() + kReadTimeout);
-    if (!read) {
-      OnFailure(read.error());
-      co_return false;
-    }
-    if (from.empty()) {
-      all.epoch = read.value().epoch;
-      all.version = read.value().version;
-    } else if (read.value().epoch != all.epoch) {
-      Log(LogLevel::kInfo, "snapshot_torn", {{"table", table_}});
-      co_return false;
-    }
-    for (const auto& row : read.value().rows) {
-      all.rows.push_back(row);
-    }
-    if (!read.value().more || read.value().rows.empty()) {
-      break;
-    }
-    // The next page starts behind the last key read.
-    from = read.value().rows.back().at.key + '\x01';
+  const Result<platform::RowSet> read =
+      co_await ReadTable(store_, table_, clock_, kReadTimeout);
+  if (!read) {
+    OnFailure(read.error());
+    co_return false;
   }
+  const platform::RowSet& all = read.value();
   OnSuccess();
   // The replica that answered may lag behind what was already seen.
   const TableVersion version{all.epoch, all.version};
