Name only machines whose last sign of life is young, however it is learned

Cause: the time at which an instance read a row, took over a view or expected a holder of quota parts counted as a sign of life of that moment, and an address once learned stayed. Each new leader so gave 3.5 s more to whoever it read of or expected. Instances mark what they send with the store's steady clock; a row, a heartbeat or a view is as old as its mark or its confirmation, one of unknown age is no sign, and what is expected only keeps parts from being given away. A leader tells its followers, and its successor by the row of its lease, whom it has not heard for a while. Followers name by the same rule, so that an old view ends too. An older run's row no longer replaces a newer one's; a stored view does not replace a newer one; a new leader is no longer hidden for the silence of the one before. Why it works: the age of a sign never shrinks on its way, so no number of readers, leaders or restarts can prolong it.

--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -124,12 +124,12 @@
 
 std::vector<Endpoint> FleetAgent::EntryAddresses() const {
   std::vector<Endpoint> addresses;
-  for (const FleetMember& member : view_.members) {
+  for (const MemberRecord* record : members_.Ready(clock_.Now())) {
+    const Member& member = record->member;
     // A leader that has not answered several heartbeats has probably failed.
     const bool lost = failed_heartbeats_ > kFailedHeartbeatThreshold &&
-                      member.name == leadership_.lease().holder;
-    if (member.name != settings_.name && !lost &&
-        member.state == MemberState::kReady) {
+                      member.name == silent_leader_;
+    if (member.name != settings_.name && !lost) {
       addresses.push_back(member.entry);
     }
   }
--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -18,6 +18,7 @@
 #include "fleet/model_placer.h"
 #include "fleet/order_dispatcher.h"
 #include "fleet/part_plan.h"
+#include "fleet/store_clock.h"
 #include "fleet/store_watch.h"
 #include "fleet/table_replica.h"
 #include "fleet/target_feed.h"
@@ -107,7 +108,9 @@
   boost::asio::awaitable<void> SyncWithStore(bool try_leader);
   void OnHeartbeatFailed();
   bool HasUnreportedCrash() const;
-  void OnHeartbeatReply(const HeartbeatReply& reply, Instant sent_at);
+  void OnHeartbeatReply(const HeartbeatReply& reply,
+                        Instant sent_at,
+                        Instant asked_at);
   void SetFollowing(bool following);
   static void ConfigureWatch(StoreWatch& watch,
                              const TableReplica& replica,
@@ -131,6 +134,10 @@
   void RefreshView();
   void SetView(FleetView view);
   void LogViewChange(const FleetView& next) const;
+  void ConfirmView(std::span<const MemberSilence> silent, Instant confirmed_at);
+  void OnMemberRow(const platform::StoredRow& row);
+  void OnViewRow(const platform::StoredRow& row);
+  void ConfirmStoredView();
   Member OwnMember() const;
 
   // Configuration and targets.
@@ -169,8 +176,14 @@
   TableReplica config_replica_;
   TableReplica target_replica_;
   TargetFeed target_feed_;
+  StoreClock store_clock_;
   MemberTable members_;
+  /// The leader's last view.
   FleetView view_;
+  /// The view in the store, if its row was read.
+  std::optional<FleetView> stored_view_;
+  /// Latest local time at which `view_` certainly held at a leader.
+  Instant view_confirmed_at_{};
   Leadership leadership_;
   OrderDispatcher order_dispatcher_;
   ModelPlacer placer_;
@@ -221,6 +234,8 @@
   bool read_config_ = false;
   bool read_targets_ = false;
   int failed_heartbeats_ = 0;
+  /// The leader that did not answer the last failed heartbeat.
+  std::string silent_leader_;
   Instant heartbeat_sent_at_{};
   /// The fleet table was read, or a leader has answered.
   bool fleet_known_ = false;
--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -31,6 +31,8 @@
 // together in one round of heartbeats. The link of the leader may have only 10
 // Mbit/s.
 constexpr std::size_t kMaxRelayedBytes = 400UL * 1024;
+// A member of which nothing was learned for this time is forgotten.
+constexpr Micros kMemberRetention = 120s;
 // Followers rely on a leader only if its last successful write to the store is
 // younger than this.
 constexpr Micros kMaxLeaderWriteAge = 1600ms;
@@ -45,6 +47,7 @@
   own.failure_domain = settings_.failure_domain;
   own.boot_id = boot_id_;
   own.heartbeat_number = heartbeat_number_;
+  own.sent_at = store_clock_.At(clock_.Now());
   own.state = ready() ? MemberState::kReady : state_;
   own.parts_epoch = quotas_.epoch();
   own.parts = quotas_.parts();
@@ -91,6 +94,7 @@
   heartbeat_sent_at_ = clock_.Now();
   demand_.EndPeriod(clock_.Now());
   ++heartbeat_number_;
+  members_.RemoveSilent(clock_.Now() - kMemberRetention);
   CountCrashes();
   const bool knows_leader = LeaderAddress().has_value();
   bool followed = false;
@@ -169,6 +173,7 @@
   request.headers.push_back({"Content-Type", "application/json"});
   request.body = EncodeHeartbeat(heartbeat);
   const Instant sent_at = boot_clock_.Now();
+  const Instant asked_at = clock_.Now();
   const Result<HttpResponse> answer = co_await http_.Fetch(
       *leader, std::move(request), clock_.Now() + kHeartbeatTimeout);
   if (!answer || answer.value().status != 200) {
@@ -185,7 +190,7 @@
   failed_heartbeats_ = 0;
   ExtendParts(sent_at);
   crashes_.OnReported(heartbeat.member.crashes);
-  OnHeartbeatReply(reply.value(), sent_at);
+  OnHeartbeatReply(reply.value(), sent_at, asked_at);
   SetFollowing(reply.value().fresh);
   co_return reply.value().fresh;
 }
@@ -193,6 +198,7 @@
 // The leader may have ended before it stored what it was told.
 void FleetAgent::OnHeartbeatFailed() {
   ++failed_heartbeats_;
+  silent_leader_ = leadership_.lease().holder;
   crashes_.ReportAgain();
   SetFollowing(false);
 }
@@ -203,12 +209,17 @@
          !crashes_.Unreported(clock_.Now()).empty();
 }
 
+// @param sent_at sending time of the heartbeat, by the boot clock
+// @param asked_at the same by the monotonic clock
 void FleetAgent::OnHeartbeatReply(const HeartbeatReply& reply,
-                                  Instant sent_at) {
+                                  Instant sent_at,
+                                  Instant asked_at) {
   const Instant now = clock_.Now();
+  store_clock_.OnAnswer(reply.replied_at, now);
   if (reply.view) {
     SetView(*reply.view);
   }
+  ConfirmView(reply.silent, asked_at);
   if (reply.parts) {
     OnPartsGranted(*reply.parts, sent_at);
   }
@@ -290,7 +301,10 @@
     return std::nullopt;
   }
   const Instant now = clock_.Now();
-  members_.OnHeartbeat(heartbeat.member, now);
+  // A leader that was paused reads heartbeats late.
+  const Instant alive_at =
+      store_clock_.ToLocal(heartbeat.member.sent_at, now).value_or(now);
+  members_.OnReport(heartbeat.member, LifeSign::kHeartbeat, alive_at, now);
   crashes_.AddReports(heartbeat.member.crashes, now);
   registry_.AddRateLimits(heartbeat.member.rate_limits, now);
   registry_.AddLeavingTargets(heartbeat.member.leaving_targets, now);
@@ -298,6 +312,8 @@
   HeartbeatReply reply;
   reply.fresh = IsFreshLeader();
   reply.term = leadership_.term();
+  reply.replied_at = store_clock_.At(now);
+  reply.silent = members_.Silent(now);
   if (heartbeat.view_id != view_.id) {
     reply.view = view_;
   }
--- a/src/fleet/fleet_agent_store.cc
+++ b/src/fleet/fleet_agent_store.cc
@@ -15,8 +15,6 @@
 constexpr Micros kStoreTimeout = 900ms;
 // Interval at which the leader reads the rows of members that cannot reach it.
 constexpr Micros kLeaderReadInterval = 1900ms;
-// A member that has been silent for this time is removed from the table.
-constexpr Micros kMemberRetention = 120s;
 // Time after which a grant of parts is too old to be applied. With the age of
 // the leader's last write it is less than the time of its lease.
 constexpr Micros kMaxGrantAge = 1s;
@@ -45,13 +43,14 @@
   if (leadership_.HoldsLease() && now - fleet_read_at_ < kLeaderReadInterval) {
     co_return;
   }
-  const Result<platform::RowSet> read =
-      co_await ReadTable(store_, std::string(platform::kFleetTable), clock_,
-                         kStoreTimeout);
+  const Result<platform::RowSet> read = co_await ReadTable(
+      store_, std::string(platform::kFleetTable), clock_, kStoreTimeout);
   if (!read) {
     co_return;
   }
   fleet_read_at_ = clock_.Now();
+  store_clock_.OnAnswer({read.value().epoch, read.value().store_ms},
+                        fleet_read_at_);
   OnFleetRows(read.value());
   fleet_known_ = true;
 }
@@ -65,6 +64,7 @@
   store_epoch_ = epoch;
   member_versions_.clear();
   view_row_version_ = 0;
+  stored_view_.reset();
   view_written_.clear();
   parts_row_version_ = 0;
   crashes_row_version_ = 0;
@@ -93,29 +93,13 @@
   bool lease_seen = false;
   for (const platform::StoredRow& row : rows.rows) {
     if (row.at.key.starts_with(kMemberPrefix)) {
-      std::int64_t& version = member_versions_[row.at.key];
-      if (row.version <= version) {
-        continue;
-      }
-      version = row.version;
-      const auto member = DecodeMember(row.value);
-      LogUnreadable(row, member);
-      if (member && member.value().name != settings_.name) {
-        members_.OnHeartbeat(member.value(), now, LifeSign::kRow);
-        crashes_.AddReports(member.value().crashes, now);
-      }
+      OnMemberRow(row);
     } else if (row.at.key == kLeaseKey) {
       LeaderLease lease = ReadLease(row);
       leadership_.OnLeaseRow(&lease, boot_clock_.Now(), rows.epoch);
       lease_seen = true;
-    } else if (row.at.key == kViewKey && !leadership_.HoldsLease() &&
-               row.version > view_row_version_) {
-      auto view = DecodeViewRow(row.value);
-      view_row_version_ = row.version;
-      LogUnreadable(row, view);
-      if (view) {
-        SetView(std::move(view.value()));
-      }
+    } else if (row.at.key == kViewKey) {
+      OnViewRow(row);
     } else if (row.at.key == kCrashesKey &&
                row.version > crashes_row_version_) {
       crashes_row_version_ = row.version;
@@ -141,9 +125,63 @@
     members_.ForgetReports();
   }
   LowerParts();
+  ConfirmStoredView();
   RefreshView();
 }
 
+// A row may be read long after it was written, so its own time decides how old
+// a sign of life it is.
+void FleetAgent::OnMemberRow(const platform::StoredRow& row) {
+  std::int64_t& version = member_versions_[row.at.key];
+  if (row.version <= version) {
+    return;
+  }
+  version = row.version;
+  const auto member = DecodeMember(row.value);
+  LogUnreadable(row, member);
+  if (!member || member.value().name == settings_.name) {
+    return;
+  }
+  const Instant now = clock_.Now();
+  const Instant alive_at =
+      store_clock_.ToLocal(member.value().sent_at, now).value_or(Instant{});
+  members_.OnReport(member.value(), LifeSign::kRow, alive_at, now);
+  crashes_.AddReports(member.value().crashes, now);
+}
+
+void FleetAgent::OnViewRow(const platform::StoredRow& row) {
+  if (leadership_.HoldsLease() || row.version <= view_row_version_) {
+    return;
+  }
+  view_row_version_ = row.version;
+  auto view = DecodeViewRow(row.value);
+  LogUnreadable(row, view);
+  if (view) {
+    stored_view_ = std::move(view.value());
+  }
+}
+
+// The view in the store held when the leader last renewed its lease. It does
+// not replace one that a leader has told since.
+void FleetAgent::ConfirmStoredView() {
+  if (leadership_.HoldsLease() || !stored_view_) {
+    return;
+  }
+  const LeaderLease& lease = leadership_.lease();
+  const auto confirmed_at =
+      store_clock_.ToLocal(lease.renewed_at, clock_.Now());
+  const bool newer = confirmed_at && *confirmed_at > view_confirmed_at_;
+  if (!newer && !view_.id.empty()) {
+    return;
+  }
+  if (stored_view_->id != view_.id) {
+    SetView(*stored_view_);
+  }
+  if (newer) {
+    ConfirmView(lease.silent, *confirmed_at);
+  }
+}
+
 // Applies the leader's own parts of the table, of which its last write has
 // shown that it is the newest.
 // @param sent_at sending time of the write
@@ -220,12 +258,10 @@
     return;
   }
   FleetView view;
-  for (const MemberRecord& record : members_.Live(clock_.Now())) {
-    const Member& member = record.member;
-    if (member.entry.port() != 0) {
-      view.members.push_back({member.name, member.entry, member.peer,
-                              member.failure_domain, member.state});
-    }
+  for (const MemberRecord* record : members_.Live(clock_.Now())) {
+    const Member& member = record->member;
+    view.members.push_back({member.name, member.entry, member.peer,
+                            member.failure_domain, member.state});
   }
   if (view.members == view_.members && !view_.id.empty()) {
     return;
@@ -236,11 +272,9 @@
   SetView(std::move(view));
 }
 
-// A new leader has no state of the members yet. Members of the previous view
-// count as live, and so do holders of quota parts, until their heartbeats
-// arrive or they stay silent for too long. The previous leader has gone silent
-// or has left, so it is not taken over from the view; as a holder of parts it
-// still counts, as it may still spend from them.
+// Members of the previous view and holders of quota parts may live, so that
+// their parts are not given to others before they were heard or have been
+// silent for long enough. Callers are sent only to those that certainly live.
 void FleetAgent::OnLeaseAcquired(const std::string& last_holder) {
   const Instant now = clock_.Now();
   Log(LogLevel::kInfo, "lease_won",
@@ -277,6 +311,8 @@
     proposal.released = true;
   }
   if (step != LeaseStep::kNone) {
+    proposal.renewed_at = store_clock_.At(clock_.Now());
+    proposal.silent = members_.Silent(clock_.Now());
     write.conditions.push_back(
         {FleetKey(kLeaseKey), leadership_.lease().row_version});
     write.puts.push_back({FleetKey(kLeaseKey), EncodeLeaderLease(proposal)});
@@ -288,7 +324,6 @@
   PartTable planned = part_table_;
   if (leadership_.HoldsLease() && !ending) {
     members_.OnHeartbeat(own, clock_.Now());
-    members_.RemoveSilent(clock_.Now() - kMemberRetention);
     RefreshView();
     planned = PlanParts(part_table_, members_, clock_.Now(),
                         FirstNumberOfEpoch(store_epoch_));
@@ -327,6 +362,10 @@
   const Instant write_sent_at = clock_.Now();
   const Result<platform::RowCommit> commit =
       co_await store_.Commit(std::move(write), clock_.Now() + kStoreTimeout);
+  if (commit) {
+    store_clock_.OnAnswer({commit.value().epoch, commit.value().store_ms},
+                          clock_.Now());
+  }
   const bool applied =
       commit && commit.value().applied && commit.value().epoch == store_epoch_;
   if (!applied) {
--- a/src/fleet/fleet_agent_view.cc
+++ b/src/fleet/fleet_agent_view.cc
@@ -1,5 +1,5 @@
-// The view of the live instances: who is in it, and what callers are given.
-#include <algorithm>
+// The view of the live instances, at the leader and at its followers.
+#include <set>
 
 #include "core/log.h"
 #include "fleet/fleet_agent.h"
@@ -12,27 +12,38 @@
   retries_.SetInstances(static_cast<int>(view_.members.size()), clock_.Now());
 }
 
-// Logs each member that enters or leaves the view, with its last sign of life
-// as this instance knows it.
+// The view was in force at a leader at `confirmed_at`.
+void FleetAgent::ConfirmView(std::span<const MemberSilence> silent,
+                             Instant confirmed_at) {
+  view_confirmed_at_ = confirmed_at;
+  members_.OnView(view_, silent, confirmed_at);
+}
+
+// Logs a new view. The leader, which has made it, also logs each member that
+// enters or leaves it, with the last sign of life.
 void FleetAgent::LogViewChange(const FleetView& next) const {
+  Log(LogLevel::kInfo, "view",
+      {{"view", next.id}, {"members", std::to_string(next.members.size())}});
+  if (!leadership_.HoldsLease()) {
+    return;
+  }
   const Instant now = clock_.Now();
   const auto log_new = [&](std::string_view event, const FleetView& from,
                            const FleetView& other) {
+    std::set<std::string_view> known;
+    for (const FleetMember& member : other.members) {
+      known.insert(member.name);
+    }
     for (const FleetMember& member : from.members) {
-      if (std::ranges::find(other.members, member.name, &FleetMember::name) !=
-          other.members.end()) {
+      const MemberRecord* record = members_.Find(member.name);
+      if (known.contains(member.name) || record == nullptr) {
         continue;
       }
-      const MemberRecord* known = members_.Find(member.name);
       Log(LogLevel::kInfo, event,
           {{"member", member.name},
            {"view", next.id},
-           {"sign", known == nullptr ? std::string("none")
-                                     : std::string(NameOf(known->sign))},
-           {"sign_age_ms",
-            known == nullptr
-                ? ""
-                : std::to_string((now - known->changed_at) / 1ms)}});
+           {"sign", std::string(NameOf(record->sign))},
+           {"sign_age_ms", std::to_string((now - record->alive_at) / 1ms)}});
     }
   };
   log_new("member_joined", next, view_);
--- a/src/fleet/fleet_view.h
+++ b/src/fleet/fleet_view.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "fleet/member.h"
+#include "fleet/member_silence.h"
 
 namespace jackdaw::serving {
 
--- a/src/fleet/heartbeat.cc
+++ b/src/fleet/heartbeat.cc
@@ -131,6 +131,11 @@
   if (reply.view) {
     object["view"] = EncodeView(*reply.view);
   }
+  if (!reply.silent.empty()) {
+    object["silent"] = EncodeSilent(reply.silent);
+  }
+  object["store_epoch"] = reply.replied_at.epoch;
+  object["store_ms"] = reply.replied_at.ms;
   if (reply.parts) {
     object["parts_epoch"] = reply.parts->epoch;
     object["parts"] = EncodeParts(reply.parts->parts);
@@ -161,6 +166,9 @@
   if (const json::value* view = reader.Any("view")) {
     BOOST_OUTCOME_TRY(reply.view, DecodeView(*view));
   }
+  BOOST_OUTCOME_TRY(reply.silent, ReadSilent(reader));
+  reply.replied_at.epoch = reader.IntegerOr("store_epoch", 0, INT64_MAX, 0);
+  reply.replied_at.ms = reader.IntegerOr("store_ms", 0, INT64_MAX, 0);
   const std::string parts = reader.TextOr("parts", "");
   if (!parts.empty()) {
     PartGrant grant;
--- a/src/fleet/heartbeat.h
+++ b/src/fleet/heartbeat.h
@@ -38,6 +38,10 @@
   std::int64_t term = 0;
   /// Set if the view of the follower is outdated.
   std::optional<FleetView> view;
+  /// Members of the view that the leader has not heard for a while.
+  std::vector<MemberSilence> silent;
+  /// Store's time at which the leader replied, as far as it knows.
+  StoreTime replied_at;
   /// Parts of the quotas that the follower is to use, if it uses others or has
   /// not confirmed the table's epoch.
   std::optional<PartGrant> parts;
--- a/src/fleet/leader_row.cc
+++ b/src/fleet/leader_row.cc
@@ -20,6 +20,8 @@
                          {"term", lease.term},
                          {"renewals", lease.renewals},
                          {"store_epoch", lease.store_epoch},
+                         {"store_ms", lease.renewed_at.ms},
+                         {"silent", EncodeSilent(lease.silent)},
                          {"released", lease.released}});
 }
 
@@ -33,6 +35,9 @@
   lease.term = reader.Integer("term", 0, kMaxNumber);
   lease.renewals = reader.Integer("renewals", 0, kMaxNumber);
   lease.store_epoch = reader.IntegerOr("store_epoch", 0, kMaxNumber, 0);
+  lease.renewed_at.epoch = lease.store_epoch;
+  lease.renewed_at.ms = reader.IntegerOr("store_ms", 0, INT64_MAX, 0);
+  BOOST_OUTCOME_TRY(lease.silent, ReadSilent(reader));
   lease.released = reader.FlagOr("released", false);
   BOOST_OUTCOME_TRY(reader.FinishKnown());
   return lease;
--- a/src/fleet/leadership.h
+++ b/src/fleet/leadership.h
@@ -2,8 +2,11 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "core/time.h"
+#include "fleet/member_silence.h"
+#include "fleet/store_clock.h"
 
 namespace jackdaw::serving {
 
@@ -25,6 +28,10 @@
   /// Epoch of the store in which the row was written; see TableVersion. A lease
   /// of an earlier epoch belongs to nobody: the store may have lost later ones.
   std::int64_t store_epoch = 0;
+  /// Store's time of the last renewal, at which the holder's view held.
+  StoreTime renewed_at;
+  /// Members of that view that the holder had not heard for a while.
+  std::vector<MemberSilence> silent;
   /// Version of the row; the next write of the lease is conditional on it.
   std::int64_t row_version = 0;
 };
--- a/src/fleet/member.cc
+++ b/src/fleet/member.cc
@@ -198,6 +198,8 @@
       {"failure_domain", member.failure_domain},
       {"boot", member.boot_id},
       {"beat", member.heartbeat_number},
+      {"store_epoch", member.sent_at.epoch},
+      {"store_ms", member.sent_at.ms},
       {"state", kStateNames[static_cast<std::size_t>(member.state)]},
       {"parts_epoch", member.parts_epoch},
       {"parts", member.parts ? EncodeParts(*member.parts) : std::string()},
@@ -217,6 +219,8 @@
   member.failure_domain = reader.Text("failure_domain");
   member.boot_id = reader.Text("boot");
   member.heartbeat_number = reader.Integer("beat", 0, kMaxInteger);
+  member.sent_at.epoch = reader.IntegerOr("store_epoch", 0, kMaxInteger, 0);
+  member.sent_at.ms = reader.IntegerOr("store_ms", 0, INT64_MAX, 0);
   member.state = ParseState(reader.Text("state"));
   member.parts_epoch = reader.IntegerOr("parts_epoch", -1, kMaxInteger, 0);
   const std::string parts = reader.TextOr("parts", "");
--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -9,6 +9,7 @@
 
 #include "core/error.h"
 #include "core/object_reader.h"
+#include "fleet/store_clock.h"
 #include "gateway/crash_tracker.h"
 #include "gateway/demand_meter.h"
 #include "gateway/rate_limit.h"
@@ -40,6 +41,8 @@
   std::string boot_id;
   /// Grows with each heartbeat of a run. Older states are ignored.
   std::int64_t heartbeat_number = 0;
+  /// Store's time at which the instance sent this state, as far as it knows.
+  StoreTime sent_at;
   MemberState state = MemberState::kStarting;
   /// Epoch of the table of the quotas' parts that the instance has applied: 0
   /// before the first, -1 after its parts have lapsed or while it is unknown.
--- a/src/fleet/model_placer.cc
+++ b/src/fleet/model_placer.cc
@@ -108,11 +108,11 @@
     sum.tokens += demand.tokens;
     sum.unmet += demand.unmet;
   };
-  for (const MemberRecord& record : members_.Live(as_of)) {
-    if (record.member.name == own_name_) {
+  for (const MemberRecord* record : members_.Live(as_of)) {
+    if (record->member.name == own_name_) {
       continue;
     }
-    for (const ModelDemand& item : record.member.demand) {
+    for (const ModelDemand& item : record->member.demand) {
       add(item.key, item.demand);
     }
   }
--- a/src/fleet/part_plan.cc
+++ b/src/fleet/part_plan.cc
@@ -20,7 +20,7 @@
 // silent for so long that its parts have lapsed.
 bool IsReclaimed(const MemberRecord* record, Instant now) {
   return record == nullptr || record->member.state == MemberState::kGone ||
-         now - record->changed_at > kPartsReclaimTimeout;
+         now - record->learned_at > kPartsReclaimTimeout;
 }
 
 /// One plan of the table.
@@ -35,15 +35,15 @@
         is_older_(current.epoch < first_epoch),
         next_(current) {
     next_.epoch = std::max(current.epoch + 1, first_epoch);
-    for (const MemberRecord& record : members.Live(now)) {
+    for (const MemberRecord* record : members.MayLive(now)) {
       // A member may know a later table, which the store has lost.
-      const std::int64_t confirmed = record.member.parts_epoch;
+      const std::int64_t confirmed = record->member.parts_epoch;
       is_older_ = is_older_ || confirmed > current.epoch;
       next_.epoch = std::max(next_.epoch, confirmed + 1);
-      live_.emplace(record.member.name, record.member.state);
-      all_heard_ = all_heard_ && WasHeard(record);
-      if (record.member.state != MemberState::kDraining) {
-        candidates_.push_back(record.member.name);
+      live_.emplace(record->member.name, record->member.state);
+      all_heard_ = all_heard_ && WasHeard(*record);
+      if (record->member.state != MemberState::kDraining) {
+        candidates_.push_back(record->member.name);
       }
     }
   }
--- a/src/replay/quotas/quota_leader.h
+++ b/src/replay/quotas/quota_leader.h
@@ -27,9 +27,9 @@
         (member.parts_epoch != table.epoch || member.parts != usable)) {
       reply.grant = serving::PartGrant{table.epoch, usable};
     }
-    for (const serving::MemberRecord& record : members_.Live(now)) {
-      if (record.member.state != serving::MemberState::kDraining) {
-        reply.members.push_back(record.member.name);
+    for (const serving::MemberRecord* record : members_.MayLive(now)) {
+      if (record->member.state != serving::MemberState::kDraining) {
+        reply.members.push_back(record->member.name);
       }
     }
     return reply;
