Bound the bytes that are kept of an answer to a control call

Requests of other callers end with an instance that runs out of memory: a faulty engine that answers a report without end makes the leader keep it. Cause: the client reads the body of each control call whole, up to 64 MB; reports of many engines are read at a time, and an instance has 160 to 260 MB. One function reads a body; the dispatcher's own copy of that loop is gone.

--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -33,6 +33,9 @@
 constexpr std::size_t kMaxRelayedBytes = 400UL * 1024;
 // A member of which nothing was learned for this time is forgotten.
 constexpr Micros kMemberRetention = 120s;
+// Longest reply of a leader that is read: the relayed rows, as JSON text in
+// JSON, with the view and a configuration.
+constexpr std::size_t kMaxReplyBytes = 4UL * 1024 * 1024;
 // Followers rely on a leader only if its last successful write to the store is
 // younger than this.
 constexpr Micros kMaxLeaderWriteAge = 1600ms;
@@ -174,8 +177,9 @@
   request.body = EncodeHeartbeat(heartbeat);
   const Instant sent_at = boot_clock_.Now();
   const Instant asked_at = clock_.Now();
-  const Result<HttpResponse> answer = co_await http_.Fetch(
-      *leader, std::move(request), clock_.Now() + kHeartbeatTimeout);
+  const Result<HttpResponse> answer =
+      co_await http_.Fetch(*leader, std::move(request),
+                           clock_.Now() + kHeartbeatTimeout, kMaxReplyBytes);
   if (!answer || answer.value().status != 200) {
     OnHeartbeatFailed();
     co_return false;
--- a/src/fleet/order_dispatcher.cc
+++ b/src/fleet/order_dispatcher.cc
@@ -21,6 +21,8 @@
 constexpr Micros kRetryDelay = 100ms;
 // Assumed largest age of the data in a target's report.
 constexpr Micros kMaxReportAge = 500ms;
+// Longest report that is read. Reports of many targets may be read at a time.
+constexpr std::size_t kMaxReportBytes = 64UL * 1024;
 // Time for a target to finish the requests to a model that it unloads. The move
 // is abandoned if the target still holds the model after it.
 constexpr Micros kUnloadTimeout = 9s;
@@ -72,17 +74,13 @@
   if (!head || head.value().status != 200) {
     co_return false;
   }
-  std::string body;
-  for (;;) {
-    const Result<bool> more = co_await call->ReadSome(body);
-    if (!more) {
-      co_return false;
-    }
-    if (!more.value()) {
-      break;
-    }
+  const Result<std::string> body = co_await ReadBody(*call, kMaxReportBytes);
+  if (!body) {
+    Log(LogLevel::kWarn, "report_not_read",
+        {{"target", target->entry.id}, {"error", body.error().Line()}});
+    co_return false;
   }
-  const auto report = platform::DecodeReport(body);
+  const auto report = platform::DecodeReport(body.value());
   if (!report) {
     Log(LogLevel::kWarn, "report_unreadable",
         {{"target", target->entry.id}, {"error", report.error().Line()}});
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -250,24 +250,43 @@
                                            deadline, choice);
 }
 
+asio::awaitable<Result<std::string>> ReadBody(HttpCall& call,
+                                              std::size_t max_body) {
+  std::string body;
+  for (;;) {
+    const Result<bool> more = co_await call.ReadSome(body);
+    if (!more) {
+      co_return more.error();
+    }
+    if (!more.value()) {
+      co_return body;
+    }
+    if (body.size() > max_body) {
+      call.Cancel();
+      co_return Error{
+          ErrorKind::kTruncated,
+          "an answer is longer than " + std::to_string(max_body) + " bytes",
+          "check what the server there sends"};
+    }
+  }
+}
+
 asio::awaitable<Result<HttpResponse>> HttpClient::Fetch(Endpoint endpoint,
                                                         HttpRequest request,
-                                                        Instant deadline) {
+                                                        Instant deadline,
+                                                        std::size_t max_body) {
   auto call = Prepare(endpoint, std::move(request), deadline,
                       ConnectionChoice::kKeptOrFresh);
   Result<HttpResponse> head = co_await call->Start();
   if (!head) {
     co_return head.error();
   }
-  for (;;) {
-    Result<bool> more = co_await call->ReadSome(head.value().body);
-    if (!more) {
-      co_return more.error();
-    }
-    if (!more.value()) {
-      co_return head;
-    }
+  Result<std::string> body = co_await ReadBody(*call, max_body);
+  if (!body) {
+    co_return body.error();
   }
+  head.value().body = std::move(body.value());
+  co_return head;
 }
 
 Result<HttpResponse> FetchNow(const Endpoint& endpoint,
@@ -281,7 +300,7 @@
       context,
       [&]() -> asio::awaitable<void> {
         answer = co_await client.Fetch(endpoint, std::move(request),
-                                       clock.Now() + limit);
+                                       clock.Now() + limit, kAnswerBodyLimit);
       },
       asio::detached);
   context.run();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -35,6 +35,16 @@
   virtual void Cancel() = 0;
 };
 
+/// Longest body of an answer that is read whole, in bytes, unless a caller of
+/// the client expects more: answers to control calls are far shorter.
+inline constexpr std::size_t kMaxControlBody = 1024UL * 1024;
+
+/// Reads the rest of an answer.
+/// @param max_body bytes of the longest body that is read
+/// @returns the body, or kTruncated if it is longer or was cut off
+boost::asio::awaitable<Result<std::string>> ReadBody(HttpCall& call,
+                                                     std::size_t max_body);
+
 /// HTTP/1.1 client with kept connections, on one event loop. One request at a
 /// time uses a connection; one whose answer was given up is closed.
 class HttpClient {
@@ -52,9 +62,12 @@
                                     ConnectionChoice choice);
 
   /// Sends a request and reads the whole answer.
-  boost::asio::awaitable<Result<HttpResponse>> Fetch(Endpoint endpoint,
-                                                     HttpRequest request,
-                                                     Instant deadline);
+  /// @param max_body bytes of the longest body that is read
+  boost::asio::awaitable<Result<HttpResponse>> Fetch(
+      Endpoint endpoint,
+      HttpRequest request,
+      Instant deadline,
+      std::size_t max_body = kMaxControlBody);
 
  private:
   struct Pool;
