Remove rows of members that are gone from the fleet's table

Cause: an instance without a leader writes a row; nothing ever removed one. A row that an older store brings back counts as written when it is read.

--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -14,6 +14,7 @@
 #include "fleet/fleet_view.h"
 #include "fleet/heartbeat.h"
 #include "fleet/leadership.h"
+#include "fleet/member_rows.h"
 #include "fleet/member_table.h"
 #include "fleet/model_placer.h"
 #include "fleet/order_dispatcher.h"
@@ -121,6 +122,7 @@
   // Rows of the fleet table in the store.
   boost::asio::awaitable<void> ReadFleetTable();
   boost::asio::awaitable<bool> WriteFleetTable(bool with_member);
+  boost::asio::awaitable<void> RemoveOldRows();
   LeaderLease ReadLease(const platform::StoredRow& row) const;
   void OnFleetRows(const platform::RowSet& rows);
   void OnStoreRestored(std::int64_t epoch);
@@ -221,8 +223,7 @@
   bool parts_reserved_ = false;
   /// Whether the instance used parts at the last heartbeat.
   bool had_parts_ = false;
-  /// Row version that was applied last, by the key of the member's row.
-  std::map<std::string, std::int64_t> member_versions_;
+  MemberRows member_rows_;
   /// Time of the last read of the fleet table; zero forces the next read.
   Instant fleet_read_at_{};
   /// Sending time of the last successful write to the store.
--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -290,6 +290,9 @@
     const bool with_member =
         failed_heartbeats_ >= kFailedHeartbeatThreshold || HasUnreportedCrash();
     const bool written = co_await WriteFleetTable(with_member);
+    if (written) {
+      co_await RemoveOldRows();
+    }
     // The write failed, perhaps because another instance has acquired the
     // lease, so the rows are read and written once more.
     if (written || !try_leader || leadership_.HoldsLease()) {
--- a/src/fleet/fleet_agent_store.cc
+++ b/src/fleet/fleet_agent_store.cc
@@ -1,6 +1,7 @@
 // Rows of the fleet table in the store: lease, view, quota parts, and members
 // that cannot reach a leader.
 #include <algorithm>
+#include <set>
 
 #include "core/log.h"
 #include "fleet/fleet_agent.h"
@@ -62,7 +63,7 @@
       {{"epoch", std::to_string(epoch)},
        {"epoch_before", std::to_string(store_epoch_)}});
   store_epoch_ = epoch;
-  member_versions_.clear();
+  member_rows_.Clear();
   view_row_version_ = 0;
   stored_view_.reset();
   view_written_.clear();
@@ -91,8 +92,10 @@
   }
   const Instant now = clock_.Now();
   bool lease_seen = false;
+  std::set<std::string> member_keys;
   for (const platform::StoredRow& row : rows.rows) {
     if (row.at.key.starts_with(kMemberPrefix)) {
+      member_keys.insert(row.at.key);
       OnMemberRow(row);
     } else if (row.at.key == kLeaseKey) {
       LeaderLease lease = ReadLease(row);
@@ -124,6 +127,7 @@
   if (restored) {
     members_.ForgetReports();
   }
+  member_rows_.Retain(member_keys);
   LowerParts();
   ConfirmStoredView();
   RefreshView();
@@ -132,20 +136,24 @@
 // A row may be read long after it was written, so its own time decides how old
 // a sign of life it is.
 void FleetAgent::OnMemberRow(const platform::StoredRow& row) {
-  std::int64_t& version = member_versions_[row.at.key];
-  if (row.version <= version) {
+  const Instant now = clock_.Now();
+  if (!member_rows_.OnRow(row.at.key, row.version, now)) {
     return;
   }
-  version = row.version;
   const auto member = DecodeMember(row.value);
   LogUnreadable(row, member);
-  if (!member || member.value().name == settings_.name) {
+  if (!member) {
     return;
   }
-  const Instant now = clock_.Now();
-  const Instant alive_at =
-      store_clock_.ToLocal(member.value().sent_at, now).value_or(Instant{});
-  members_.OnReport(member.value(), LifeSign::kRow, alive_at, now);
+  const auto written_at = store_clock_.ToLocal(member.value().sent_at, now);
+  if (written_at) {
+    member_rows_.SetWritten(row.at.key, *written_at);
+  }
+  if (member.value().name == settings_.name) {
+    return;
+  }
+  members_.OnReport(member.value(), LifeSign::kRow,
+                    written_at.value_or(Instant{}), now);
   crashes_.AddReports(member.value().crashes, now);
 }
 
@@ -405,4 +413,28 @@
   co_return true;
 }
 
+// Removes rows of members that are gone, or that reach a leader again and need
+// none. The call is apart from the renewal of the lease: a row that its member
+// writes meanwhile makes it fail.
+boost::asio::awaitable<void> FleetAgent::RemoveOldRows() {
+  const std::vector<MemberRows::OldRow> old = member_rows_.Old(clock_.Now());
+  if (!leadership_.HoldsLease() || old.empty()) {
+    co_return;
+  }
+  platform::RowTransaction removal;
+  removal.conditions.push_back(
+      {FleetKey(kLeaseKey), leadership_.lease().row_version});
+  for (const MemberRows::OldRow& row : old) {
+    removal.conditions.push_back({FleetKey(row.key), row.version});
+    removal.drops.push_back(FleetKey(row.key));
+  }
+  const Result<platform::RowCommit> commit =
+      co_await store_.Commit(std::move(removal), clock_.Now() + kStoreTimeout);
+  // What is there is read before the next try.
+  fleet_read_at_ = Instant{};
+  Log(LogLevel::kInfo, "rows_removed",
+      {{"rows", std::to_string(old.size())},
+       {"removed", commit && commit.value().applied ? "yes" : "no"}});
+}
+
 }  // namespace jackdaw::serving
