Split the agent's parts and view from its rows in the store

Change: fleet_agent_parts.cc and fleet_agent_view.cc take these functions unchanged; LogUnreadable, which two files need now, has a header. A test reads the ages of signs of life back from heartbeats, replies and the lease.

No functional change

--- a/src/fleet/fleet_agent_store.cc
+++ b/src/fleet/fleet_agent_store.cc
@@ -6,6 +6,7 @@
 #include "core/log.h"
 #include "fleet/fleet_agent.h"
 #include "fleet/leader_row.h"
+#include "fleet/row_log.h"
 #include "fleet/table_read.h"
 #include "platform/tables.h"
 
@@ -16,9 +17,6 @@
 constexpr Micros kStoreTimeout = 900ms;
 // Interval at which the leader reads the rows of members that cannot reach it.
 constexpr Micros kLeaderReadInterval = 1900ms;
-// Time after which a grant of parts is too old to be applied. With the age of
-// the leader's last write it is less than the time of its lease.
-constexpr Micros kMaxGrantAge = 1s;
 constexpr std::string_view kMemberPrefix = "member/";
 constexpr std::string_view kLeaseKey = "leader";
 constexpr std::string_view kPartsKey = "parts";
@@ -29,14 +27,6 @@
   return {std::string(platform::kFleetTable), "", std::string(key)};
 }
 
-template <typename Value>
-void LogUnreadable(const platform::StoredRow& row, const Result<Value>& value) {
-  if (!value) {
-    Log(LogLevel::kWarn, "row_unreadable",
-        {{"key", row.at.key}, {"error", value.error().Line()}});
-  }
-}
-
 }  // namespace
 
 boost::asio::awaitable<void> FleetAgent::ReadFleetTable() {
@@ -157,129 +147,6 @@
   crashes_.AddReports(member.value().crashes, now);
 }
 
-void FleetAgent::OnViewRow(const platform::StoredRow& row) {
-  if (leadership_.HoldsLease() || row.version <= view_row_version_) {
-    return;
-  }
-  view_row_version_ = row.version;
-  auto view = DecodeViewRow(row.value);
-  LogUnreadable(row, view);
-  if (view) {
-    stored_view_ = std::move(view.value());
-  }
-}
-
-// The view in the store held when the leader last renewed its lease. It does
-// not replace one that a leader has told since.
-void FleetAgent::ConfirmStoredView() {
-  if (leadership_.HoldsLease() || !stored_view_) {
-    return;
-  }
-  const LeaderLease& lease = leadership_.lease();
-  const auto confirmed_at =
-      store_clock_.ToLocal(lease.renewed_at, clock_.Now());
-  const bool newer = confirmed_at && *confirmed_at > view_confirmed_at_;
-  if (!newer && !view_.id.empty()) {
-    return;
-  }
-  if (stored_view_->id != view_.id) {
-    SetView(*stored_view_);
-  }
-  if (newer) {
-    ConfirmView(lease.silent, *confirmed_at);
-  }
-}
-
-// Applies the leader's own parts of the table, of which its last write has
-// shown that it is the newest.
-// @param sent_at sending time of the write
-void FleetAgent::ApplyOwnParts(Instant sent_at) {
-  if (leadership_.HoldsLease() && part_table_.epoch > 0) {
-    OnPartsGranted({part_table_.epoch,
-                    PartsToApply(part_table_, settings_.name, quotas_.parts(),
-                                 FirstNumberOfEpoch(store_epoch_))},
-                   sent_at);
-  }
-}
-
-// Gives up parts that the store's table no longer names. More parts are taken
-// from a leader only: a replica of the store may lag behind.
-void FleetAgent::LowerParts() {
-  // Before the first grant: the table shows that nobody else uses them.
-  if (quotas_.epoch() == 0 && !parts_reserved_ &&
-      part_table_.epoch >= FirstNumberOfEpoch(store_epoch_)) {
-    parts_reserved_ = true;
-    quotas_.Reserve(part_table_.UsableBy(settings_.name), boot_clock_.Now());
-  }
-  if (leadership_.HoldsLease() || part_table_.epoch <= quotas_.epoch() ||
-      quotas_.epoch() <= 0) {
-    return;
-  }
-  SetParts(part_table_.UsableBy(settings_.name) & quotas_.parts(),
-           part_table_.epoch);
-}
-
-// Takes parts from the leader. A process that was paused since it asked may
-// not: others may hold them by now.
-// @param sent_at sending time of the request to the leader or to the store
-void FleetAgent::OnPartsGranted(const PartGrant& grant, Instant sent_at) {
-  const bool stale = boot_clock_.Now() - sent_at > kMaxGrantAge;
-  if (stale || grant.epoch < quotas_.epoch() ||
-      (grant.epoch == quotas_.epoch() && grant.parts == quotas_.parts())) {
-    return;
-  }
-  SetParts(grant.parts, grant.epoch);
-}
-
-// Fewer parts are in force here before a heartbeat confirms their epoch, and
-// only then does the leader give them to others.
-void FleetAgent::SetParts(const PartSet& parts, std::int64_t epoch) {
-  if (parts != quotas_.parts()) {
-    Log(LogLevel::kInfo, "parts_taken",
-        {{"epoch", std::to_string(epoch)},
-         {"parts", std::to_string(parts.count())},
-         {"parts_before", std::to_string(quotas_.parts().count())}});
-  }
-  quotas_.SetParts(parts, epoch, boot_clock_.Now());
-}
-
-// @param contact_at time at which a request was sent that the leader or the
-// store has answered since
-void FleetAgent::ExtendParts(Instant contact_at) {
-  quotas_.ExtendUntil(contact_at + kPartsLapseTimeout, boot_clock_.Now());
-}
-
-void FleetAgent::LogLapsedParts() {
-  quotas_.DropIfLapsed(boot_clock_.Now());
-  if (had_parts_ && quotas_.epoch() < 0) {
-    Log(LogLevel::kWarn, "parts_lapsed",
-        {{"leader", leadership_.lease().holder},
-         {"last_write_ms_ago",
-          std::to_string((boot_clock_.Now() - last_write_at_) / 1ms)}});
-  }
-  had_parts_ = quotas_.parts().any();
-}
-
-// Updates the view of the live members if this instance leads.
-void FleetAgent::RefreshView() {
-  if (!leadership_.HoldsLease()) {
-    return;
-  }
-  FleetView view;
-  for (const MemberRecord* record : members_.Live(clock_.Now())) {
-    const Member& member = record->member;
-    view.members.push_back({member.name, member.entry, member.peer,
-                            member.failure_domain, member.state});
-  }
-  if (view.members == view_.members && !view_.id.empty()) {
-    return;
-  }
-  ++view_sequence_;
-  view.id =
-      settings_.name + "/" + boot_id_ + "/" + std::to_string(view_sequence_);
-  SetView(std::move(view));
-}
-
 // Members of the previous view and holders of quota parts may live, so that
 // their parts are not given to others before they were heard or have been
 // silent for long enough. Callers are sent only to those that certainly live.
--- a/src/fleet/fleet_agent_view.cc
+++ b/src/fleet/fleet_agent_view.cc
@@ -3,6 +3,7 @@
 
 #include "core/log.h"
 #include "fleet/fleet_agent.h"
+#include "fleet/row_log.h"
 
 namespace jackdaw::serving {
 
@@ -50,4 +51,57 @@
   log_new("member_left", view_, next);
 }
 
+void FleetAgent::OnViewRow(const platform::StoredRow& row) {
+  if (leadership_.HoldsLease() || row.version <= view_row_version_) {
+    return;
+  }
+  view_row_version_ = row.version;
+  auto view = DecodeViewRow(row.value);
+  LogUnreadable(row, view);
+  if (view) {
+    stored_view_ = std::move(view.value());
+  }
+}
+
+// The view in the store held when the leader last renewed its lease. It does
+// not replace one that a leader has told since.
+void FleetAgent::ConfirmStoredView() {
+  if (leadership_.HoldsLease() || !stored_view_) {
+    return;
+  }
+  const LeaderLease& lease = leadership_.lease();
+  const auto confirmed_at =
+      store_clock_.ToLocal(lease.renewed_at, clock_.Now());
+  const bool newer = confirmed_at && *confirmed_at > view_confirmed_at_;
+  if (!newer && !view_.id.empty()) {
+    return;
+  }
+  if (stored_view_->id != view_.id) {
+    SetView(*stored_view_);
+  }
+  if (newer) {
+    ConfirmView(lease.silent, *confirmed_at);
+  }
+}
+
+// Updates the view of the live members if this instance leads.
+void FleetAgent::RefreshView() {
+  if (!leadership_.HoldsLease()) {
+    return;
+  }
+  FleetView view;
+  for (const MemberRecord* record : members_.Live(clock_.Now())) {
+    const Member& member = record->member;
+    view.members.push_back({member.name, member.entry, member.peer,
+                            member.failure_domain, member.state});
+  }
+  if (view.members == view_.members && !view_.id.empty()) {
+    return;
+  }
+  ++view_sequence_;
+  view.id =
+      settings_.name + "/" + boot_id_ + "/" + std::to_string(view_sequence_);
+  SetView(std::move(view));
+}
+
 }  // namespace jackdaw::serving
--- a/src/fleet/tests/heartbeat_test.cc
+++ b/src/fleet/tests/heartbeat_test.cc
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "fleet/leader_row.h"
+
 namespace jackdaw::serving {
 namespace {
 
@@ -94,6 +96,36 @@
   BOOST_TEST(read.value().targets.rows[1].dropped);
 }
 
+BOOST_AUTO_TEST_CASE(AgesOfSignsOfLifeTravelWithHeartbeatsRepliesAndTheLease) {
+  HeartbeatRequest heartbeat;
+  heartbeat.member = MemberOf("a");
+  heartbeat.member.sent_at = {2, 12345};
+  const auto sent = DecodeHeartbeat(EncodeHeartbeat(heartbeat));
+  BOOST_TEST_REQUIRE(sent.has_value());
+  BOOST_TEST(sent.value().member.sent_at.epoch == 2);
+  BOOST_TEST(sent.value().member.sent_at.ms == 12345);
+  HeartbeatReply reply;
+  reply.replied_at = {2, 12350};
+  reply.silent = {{"b", 1500ms}};
+  const auto replied = DecodeHeartbeatReply(EncodeHeartbeatReply(reply));
+  BOOST_TEST_REQUIRE(replied.has_value());
+  BOOST_TEST(replied.value().replied_at.ms == 12350);
+  BOOST_TEST_REQUIRE(replied.value().silent.size() == 1U);
+  BOOST_TEST((replied.value().silent.front().age == 1500ms));
+  LeaderLease lease;
+  lease.holder = "a";
+  lease.address = "127.0.0.1:7";
+  lease.boot_id = "b";
+  lease.store_epoch = 2;
+  lease.renewed_at = {2, 12360};
+  lease.silent = reply.silent;
+  const auto stored = DecodeLeaderLease(EncodeLeaderLease(lease));
+  BOOST_TEST_REQUIRE(stored.has_value());
+  BOOST_TEST(stored.value().renewed_at.epoch == 2);
+  BOOST_TEST(stored.value().renewed_at.ms == 12360);
+  BOOST_TEST(stored.value().silent.front().name == "b");
+}
+
 BOOST_AUTO_TEST_CASE(BlockedPartWithAPartnerDoesNotMakeAReplyUnreadable) {
   HeartbeatReply reply;
   reply.crashes.push_back({7, 0, 3, 0, 5ms, 9});
