Split the choice of a target from the registry of targets

Several further conditions on targets are coming; the choice now checks one target in one function and tallies the reasons in another, in a file of its own.

--- a/src/gateway/target.h
+++ b/src/gateway/target.h
@@ -14,6 +14,11 @@
 
 namespace jackdaw::serving {
 
+/// Returns a time span in milliseconds, with its fraction.
+inline double Milliseconds(Micros span) {
+  return std::chrono::duration<double, std::milli>(span).count();
+}
+
 /// One target as an instance sees it: its entry, its reported load, and the
 /// results of the instance's own requests.
 struct Target {
@@ -85,6 +90,14 @@
                : Micros(0);
   }
 
+  /// Returns the share of failed requests after its decay since the last
+  /// result.
+  double FailureShare(Instant now) const {
+    constexpr double kHalfLifeSeconds = 1.5;
+    const double age =
+        std::chrono::duration<double>(now - failure_share_updated_at).count();
+    return failure_share * std::exp2(-age / kHalfLifeSeconds);
+  }
   /// Returns the estimated number of requests that run or wait at the target.
   int EstimatedLoad(Instant now) const {
     const double age =
--- a/src/gateway/target_registry.cc
+++ b/src/gateway/target_registry.cc
@@ -10,22 +10,8 @@
 
 // Prompt tokens that an engine processes per millisecond.
 constexpr double kPrefillTokensPerMs = 25.0;
-// Cost of each running request: it slows the steps of the batch.
-constexpr double kRunningCostMs = 1.0;
-// Cost of each waiting request: load above the slots, or reported as waiting.
-constexpr double kWaitingCostMs = 60.0;
-// Duration of a plain request; load counts half below full use, double above.
-constexpr double kPlainRequestMs = 25.0;
-// Cost of another failure domain: longer round trip and price of the traffic.
-constexpr double kOtherDomainCostMs = 12.0;
-// Share of failed requests: cost of a share of 1, weight of a new result, and
-// half-life without new results.
-constexpr double kFailureCostMs = 1500.0;
+// Weight of a new result in the share of failed requests.
 constexpr double kFailureWeight = 0.2;
-constexpr double kFailureHalfLifeMs = 1500.0;
-// Time without bytes above which a target is penalized, and cost per ms of it.
-constexpr Micros kStallThreshold = 350ms;
-constexpr double kStallCostPerMs = 3;
 // Weight of a new result in the prefill slowdown, and bounds of the result.
 constexpr double kSlowdownWeight = 0.1;
 constexpr double kMinSlowdown = 0.7;
@@ -41,14 +27,10 @@
 // First and longest back-off; doubles with each broken or failed connection.
 constexpr Micros kFirstBackoff = 150ms;
 constexpr Micros kMaxBackoff = 1500ms;
-// Penalty that ranks targets in back-off behind all others.
-constexpr double kBackoffCostMs = 1e6;
 // Time for which a part counts as cached, and count above which all are
 // dropped.
 constexpr Micros kMaxPartAge = 20s;
 constexpr std::size_t kMaxParts = 4096;
-// Age from which on the waiting requests of a load report are ignored.
-constexpr Micros kMaxLoadReportAge = 3s;
 
 // Returns the prompt tokens that are probably not in the target's prefix cache.
 std::int64_t UncachedTokens(const Target& target,
@@ -65,20 +47,6 @@
   return std::max<std::int64_t>(0, call.prompt_tokens - cached);
 }
 
-double Milliseconds(Micros span) {
-  return static_cast<double>(span.count()) / 1000;
-}
-
-// Returns a share of failed requests after its decay since the last result.
-double Decayed(double value, Instant since, Instant now) {
-  const double age_ms = static_cast<double>((now - since) / 1ms);
-  return value * std::exp2(-age_ms / kFailureHalfLifeMs);
-}
-
-double FailureShare(const Target& target, Instant now) {
-  return Decayed(target.failure_share, target.failure_share_updated_at, now);
-}
-
 }  // namespace
 
 std::uint64_t TargetDigest(std::string_view id) {
@@ -94,100 +62,6 @@
 TargetRegistry::TargetRegistry(std::string failure_domain)
     : failure_domain_(std::move(failure_domain)) {}
 
-double TargetRegistry::Cost(const Target& target,
-                            const TargetQuery& query,
-                            Instant now) const {
-  double cost = 0;
-  const Micros stall = target.TimeWithoutBytes(now);
-  if (stall > kStallThreshold) {
-    cost += kStallCostPerMs * Milliseconds(stall);
-  }
-  const int load = target.EstimatedLoad(now);
-  const bool has_recent_report =
-      target.has_load && now - target.load_reported_at < kMaxLoadReportAge;
-  if (query.engine != nullptr) {
-    const int beyond = std::max(0, load - query.engine->slots);
-    const int waiting = has_recent_report ? target.reported_waiting : 0;
-    cost += std::max(0.0, Milliseconds(target.prefill_until - now));
-    cost += Milliseconds(PrefillTime(target, *query.call, now));
-    cost += kRunningCostMs * load + kWaitingCostMs * std::max(beyond, waiting);
-  } else {
-    const int slots = std::max(1, target.entry.slots);
-    const double used_share = static_cast<double>(load) / slots;
-    cost += used_share < 1 ? kPlainRequestMs * used_share / 2
-                           : kPlainRequestMs * used_share * 2;
-  }
-  cost += kFailureCostMs * FailureShare(target, now);
-  if (target.entry.failure_domain != failure_domain_) {
-    cost += kOtherDomainCostMs;
-  }
-  if (now < target.backoff_until) {
-    cost += kBackoffCostMs;
-  }
-  return cost;
-}
-
-TargetPick TargetRegistry::Pick(const TargetQuery& query, Instant now) const {
-  TargetPick pick;
-  TargetPtr limited;
-  const std::string adapter =
-      query.call->adapter.empty() ? std::string() : query.call->ModelName();
-  bool any = false;
-  bool model_held = false;
-  bool awake = false;
-  Instant rest_until = Instant::max();
-  for (const auto& [id, target] : targets_) {
-    if (target->leaving || target->entry.service != query.service) {
-      continue;
-    }
-    const bool excluded =
-        std::find(query.excluded.begin(), query.excluded.end(), target) !=
-        query.excluded.end();
-    any = true;
-    if (query.engine != nullptr && !query.call->model.empty() &&
-        !target->HoldsModel(query.call->model)) {
-      continue;
-    }
-    model_held = true;
-    if (target->notice.Rests(now)) {
-      rest_until = std::min(rest_until, target->notice.rest_until());
-      continue;
-    }
-    awake = true;
-    if (excluded || (!adapter.empty() && !target->adapters.contains(adapter))) {
-      continue;
-    }
-    if (!MaySend(*target, now)) {
-      limited = target;
-      continue;
-    }
-    ++pick.candidates;
-    const double cost = Cost(*target, query, now);
-    if (pick.target == nullptr || cost < pick.cost_ms ||
-        (cost == pick.cost_ms && id < pick.target->entry.id)) {
-      pick.target = target;
-      pick.cost_ms = cost;
-    }
-  }
-  if (pick.target != nullptr) {
-    pick.outcome = PickOutcome::kChosen;
-  } else if (!any) {
-    pick.outcome = PickOutcome::kNoTarget;
-  } else if (!model_held) {
-    pick.outcome = PickOutcome::kNoModel;
-  } else if (!awake) {
-    pick.outcome = PickOutcome::kResting;
-    pick.retry_at = rest_until;
-  } else if (limited != nullptr) {
-    pick.outcome = PickOutcome::kLimited;
-    pick.target = limited;
-  } else {
-    pick.outcome =
-        adapter.empty() ? PickOutcome::kNoTarget : PickOutcome::kNoAdapter;
-  }
-  return pick;
-}
-
 void TargetRegistry::Enqueue(Target& target, std::int64_t tokens, Instant now) {
   const double ms =
       static_cast<double>(tokens) * target.slowdown / kPrefillTokensPerMs;
@@ -283,7 +157,7 @@
                       outcome == TargetOutcome::kBroken ||
                       outcome == TargetOutcome::kUnreachable;
   const double result = failed ? 1.0 : 0.0;
-  const double share = FailureShare(target, now);
+  const double share = target.FailureShare(now);
   target.failure_share = share + kFailureWeight * (result - share);
   target.failure_share_updated_at = now;
   if (outcome == TargetOutcome::kUnreachable ||
--- a/src/gateway/target_registry.h
+++ b/src/gateway/target_registry.h
@@ -44,6 +44,16 @@
   kLimited,
 };
 
+/// Whether a target of the service may be chosen for a request, or why not.
+enum class Availability : std::uint8_t {
+  kUsable,
+  kModelNotHeld,
+  kResting,
+  kExcluded,
+  kAdapterNotHeld,
+  kLimited,
+};
+
 /// The chosen target, with the figures behind the choice.
 struct TargetPick {
   PickOutcome outcome = PickOutcome::kNoTarget;
@@ -177,6 +187,10 @@
   void RestoreNotice(Target& target, const TargetRegistration& entry) const;
   /// Adds the prefill of a prompt to the target's queue.
   static void Enqueue(Target& target, std::int64_t tokens, Instant now);
+  Availability Check(const TargetPtr& target,
+                     const TargetQuery& query,
+                     std::string_view adapter,
+                     Instant now) const;
   /// Returns the expected time to the first byte plus penalties, in
   /// milliseconds.
   double Cost(const Target& target,
