--- a/src/fleet/model_placer.cc
+++ b/src/fleet/model_placer.cc
@@ -11,16 +11,8 @@
 
 // Time constant of the exponential average of demand that placement follows.
 constexpr double kSmoothingSeconds = 1.2;
-// Least time between two moves that only balance load, for each
-// kTargetsPerMove targets: a larger fleet has more models whose demand changes
-// at a time.
+// Least time between two moves that only balance load.
 constexpr Micros kMinRebalanceInterval = 400ms;
-constexpr std::size_t kTargetsPerMove = 20;
-
-// Returns how many moves one plan may start.
-int MaxMoves(std::size_t targets) {
-  return static_cast<int>(std::max<std::size_t>(1, targets / kTargetsPerMove));
-}
 
 }  // namespace
 
@@ -48,44 +40,30 @@
 void ModelPlacer::PlanService(const Service& service, Instant as_of) {
   const DemandByModel demand =
       SmoothedDemand(service, FleetDemand(service, as_of));
-  const std::vector<EngineView> engines = dispatcher_.Views(service);
-  const int max_moves = MaxMoves(engines.size());
-  const Micros interval = kMinRebalanceInterval / max_moves;
+  const auto move =
+      PlanMove(*service.engine, dispatcher_.Views(service), demand,
+               dispatcher_.AvailableLoads(*service.engine));
+  if (!move) {
+    return;
+  }
   const Instant now = clock_.Now();
-  PlacementLimits limits;
-  limits.moves = max_moves;
-  limits.available_loads = dispatcher_.AvailableLoads(*service.engine);
-  limits.light_tokens_per_s = LightTokensPerS(
-      *service.engine, demand, dispatcher_.MeanRunSeconds(service));
-  // Unused time is saved up only as far as one plan may use it.
-  next_rebalance_at_ =
-      std::max(next_rebalance_at_, now - interval * (max_moves - 1));
-  limits.rebalances =
-      now < next_rebalance_at_
-          ? 0
-          : static_cast<int>(1 + (now - next_rebalance_at_) / interval);
-  for (const PlacementMove& move :
-       PlanMoves(*service.engine, engines, demand, limits)) {
-    if (!move.is_first_copy) {
-      next_rebalance_at_ += interval;
-    }
-    StartMove(service, move);
+  if (!move->is_first_copy &&
+      now - last_rebalance_at_ < kMinRebalanceInterval) {
+    return;
   }
-}
-
-void ModelPlacer::StartMove(const Service& service, const PlacementMove& move) {
+  last_rebalance_at_ = move->is_first_copy ? last_rebalance_at_ : now;
   std::string unload;
-  for (const std::string& model : move.unload) {
+  for (const std::string& model : move->unload) {
     unload += unload.empty() ? "" : ",";
     unload += model;
   }
   Log(LogLevel::kInfo, "move_planned",
-      {{"target", move.engine},
-       {"load", move.load},
+      {{"target", move->engine},
+       {"load", move->load},
        {"unload", unload},
-       {"from_store", move.from_store ? "yes" : "no"}});
+       {"from_store", move->from_store ? "yes" : "no"}});
   boost::asio::co_spawn(
-      context_, dispatcher_.ApplyMove(service, move),
+      context_, dispatcher_.ApplyMove(service, *move),
       [](const std::exception_ptr& failure) {
         if (failure != nullptr) {
           Log(LogLevel::kError, "duty_failed", {{"duty", "move"}});
--- a/src/fleet/model_placer.h
+++ b/src/fleet/model_placer.h
@@ -21,14 +21,12 @@
               const DemandMeter& own_demand,
               std::string own_name);
 
-  /// Plans moves for each service and starts them: one, or several if the
-  /// service has many targets.
+  /// Plans at most one move for each service and starts it.
   /// @param as_of current time; silent members are left out
   void Plan(const ServingConfig& config, Instant as_of);
 
  private:
   void PlanService(const Service& service, Instant as_of);
-  void StartMove(const Service& service, const PlacementMove& move);
   DemandByModel SmoothedDemand(const Service& service,
                                const DemandByModel& current);
   DemandByModel FleetDemand(const Service& service, Instant as_of) const;
@@ -41,8 +39,7 @@
   std::string own_name_;
   std::map<std::string, DemandByModel> averages_;
   Instant averaged_at_{};
-  /// Time from which on the next move that only balances load may start.
-  Instant next_rebalance_at_{};
+  Instant last_rebalance_at_{};
 };
 
 }  // namespace jackdaw::serving
--- a/src/fleet/model_plan.cc
+++ b/src/fleet/model_plan.cc
@@ -9,13 +9,8 @@
 // A copy is added to a target only if each holder of the model bears at least
 // this many times the demand of that target.
 constexpr double kMinDemandRatio = 1.6;
-// Highest demand, in tokens per second, that is taken for light on any target.
-constexpr double kMaxLightTokensPerS = 8000;
-// Share of the throughput of a target up to which requests rarely queue.
-constexpr double kLightShare = 0.45;
-// Prompt tokens that an engine processes per second. All running requests wait
-// meanwhile.
-constexpr double kPrefillTokensPerS = 25'000;
+// Demand, in tokens per second, that a target serves without queues.
+constexpr double kLightTokensPerS = 8000;
 // Copies are unloaded only if the new copy gains at least this many times the
 // demand that they lose.
 constexpr double kMinGainRatio = 2.0;
@@ -181,8 +176,7 @@
     const EngineSpec& offer,
     const std::vector<EngineView>& engines,
     const DemandByModel& demand,
-    const CopyStats& stats,
-    double light_tokens_per_s) {
+    const CopyStats& stats) {
   std::vector<CopyCandidate> candidates;
   for (const ModelSpec& model : offer.models) {
     const double tokens = TokensOf(demand, model.name);
@@ -205,7 +199,7 @@
                 : std::min(min_holder_tokens, stats.target_tokens[i]);
       }
     }
-    if (min_holder_tokens > light_tokens_per_s && tokens > kIdleTokensPerS) {
+    if (min_holder_tokens > kLightTokensPerS && tokens > kIdleTokensPerS) {
       const double gain = std::min(min_holder_tokens, tokens / copies);
       candidates.push_back({model.name, gain, min_holder_tokens, false});
     }
@@ -217,19 +211,6 @@
   return candidates;
 }
 
-// Changes the views as if the move were done.
-void ApplyTo(std::vector<EngineView>& engines, const PlacementMove& move) {
-  const auto engine = std::ranges::find(engines, move.engine, &EngineView::id);
-  if (engine == engines.end()) {
-    return;
-  }
-  engine->busy = true;
-  std::erase_if(engine->models, [&](const std::string& model) {
-    return std::ranges::find(move.unload, model) != move.unload.end();
-  });
-  engine->models.push_back(move.load);
-}
-
 }  // namespace
 
 bool EngineView::Holds(const std::string& model) const {
@@ -241,40 +222,20 @@
          near_models.end();
 }
 
-double LightTokensPerS(const EngineSpec& offer,
-                       const DemandByModel& demand,
-                       double run_seconds) {
-  double requests = 0;
-  double tokens = 0;
-  for (const auto& [model, item] : demand) {
-    requests += item.requests;
-    tokens += item.tokens;
-  }
-  if (requests <= 0 || tokens <= 0) {
-    return kMaxLightTokensPerS;
-  }
-  const double mean_tokens = tokens / requests;
-  const double prefill_s = mean_tokens / kPrefillTokensPerS;
-  const double decode_s = std::max(0.0, run_seconds - prefill_s);
-  // Time of the target that one request takes from the others.
-  const double request_s = prefill_s + decode_s / std::max(1, offer.slots);
-  return std::min(kMaxLightTokensPerS, kLightShare * mean_tokens / request_s);
-}
-
 std::optional<PlacementMove> PlanMove(const EngineSpec& offer,
                                       const std::vector<EngineView>& engines,
                                       const DemandByModel& demand,
-                                      const PlacementLimits& limits) {
+                                      int available_loads) {
   const CopyStats stats = ComputeCopyStats(engines, demand);
-  for (const CopyCandidate& candidate : CopyCandidates(
-           offer, engines, demand, stats, limits.light_tokens_per_s)) {
+  for (const CopyCandidate& candidate :
+       CopyCandidates(offer, engines, demand, stats)) {
     std::optional<PlacementMove> best;
     double best_cost = 0;
     for (std::size_t i = 0; i < engines.size(); ++i) {
       const EngineView& engine = engines[i];
       const bool near = engine.IsNear(candidate.model);
       if (engine.busy || engine.Holds(candidate.model) ||
-          (!near && limits.available_loads <= 0)) {
+          (!near && available_loads <= 0)) {
         continue;
       }
       if (!candidate.is_first_copy && stats.target_tokens[i] * kMinDemandRatio >
@@ -304,25 +265,4 @@
   return std::nullopt;
 }
 
-std::vector<PlacementMove> PlanMoves(const EngineSpec& offer,
-                                     std::vector<EngineView> engines,
-                                     const DemandByModel& demand,
-                                     const PlacementLimits& limits) {
-  std::vector<PlacementMove> moves;
-  PlacementLimits left = limits;
-  while (left.moves > 0) {
-    const auto move = PlanMove(offer, engines, demand, left);
-    // Moves that only balance load come last.
-    if (!move || (!move->is_first_copy && left.rebalances <= 0)) {
-      break;
-    }
-    left.moves -= 1;
-    left.rebalances -= move->is_first_copy ? 0 : 1;
-    left.available_loads -= move->from_store ? 1 : 0;
-    ApplyTo(engines, *move);
-    moves.push_back(*move);
-  }
-  return moves;
-}
-
 }  // namespace jackdaw::serving
--- a/src/fleet/model_plan.h
+++ b/src/fleet/model_plan.h
@@ -43,43 +43,16 @@
 /// Demand for the models of one service, by name.
 using DemandByModel = std::map<std::string, Demand>;
 
-/// What bounds the moves of one plan.
-struct PlacementLimits {
-  /// Loads from the weight store that may start now.
-  int available_loads = 0;
-  /// Demand, in tokens per second, that a target serves without queues.
-  double light_tokens_per_s = 8000;
-  /// Moves of one plan, and those of them that only balance load.
-  int moves = 1;
-  int rebalances = 1;
-};
-
-/// Returns the demand that a target of a service serves without queues, in
-/// tokens per second. A target with few slots reaches its limit earlier, since
-/// each step of its batch generates tokens for fewer requests.
-/// @param demand demand for the models of the service
-/// @param run_seconds mean duration of a request at a target
-double LightTokensPerS(const EngineSpec& offer,
-                       const DemandByModel& demand,
-                       double run_seconds);
-
 /// Plans the next move for the targets of one service. Models that are
 /// requested and held by no target come first, then additional copies where all
 /// holders of a model are heavily loaded, then models without demand where
 /// memory is free. To free memory, the copies with the least demand are
 /// unloaded, but never the last copy of a model that is in demand.
+/// @param available_loads loads from the weight store that may start now
 /// @returns the possible move with the largest gain, or none
 std::optional<PlacementMove> PlanMove(const EngineSpec& offer,
                                       const std::vector<EngineView>& engines,
                                       const DemandByModel& demand,
-                                      const PlacementLimits& limits);
-
-/// Plans several moves, each as if those before it were done. A large fleet has
-/// many models whose demand moves at a time; one move after the other would
-/// leave the last ones overloaded for long.
-std::vector<PlacementMove> PlanMoves(const EngineSpec& offer,
-                                     std::vector<EngineView> engines,
-                                     const DemandByModel& demand,
-                                     const PlacementLimits& limits);
+                                      int available_loads);
 
 }  // namespace jackdaw::serving
--- a/src/fleet/order_dispatcher.cc
+++ b/src/fleet/order_dispatcher.cc
@@ -219,15 +219,6 @@
   return views;
 }
 
-double OrderDispatcher::MeanRunSeconds(const Service& service) const {
-  double sum = 0;
-  const std::vector<TargetPtr> targets = registry_.Usable(service.name);
-  for (const TargetPtr& target : targets) {
-    sum += target->run_seconds;
-  }
-  return targets.empty() ? 0 : sum / static_cast<double>(targets.size());
-}
-
 int OrderDispatcher::AvailableLoads(const EngineSpec& offer) const {
   return load_budget_.Available(offer, clock_.Now());
 }
--- a/src/fleet/order_dispatcher.h
+++ b/src/fleet/order_dispatcher.h
@@ -41,9 +41,6 @@
 
   /// Returns the models that each target of a service holds or may soon hold.
   std::vector<EngineView> Views(const Service& service) const;
-  /// Returns the mean duration of a request at the targets of a service, in
-  /// seconds; 0 if it has no targets.
-  double MeanRunSeconds(const Service& service) const;
   /// Returns the number of loads from the weight store that may start now; 0 or
   /// less if none may.
   int AvailableLoads(const EngineSpec& offer) const;
--- a/src/fleet/tests/model_plan_test.cc
+++ b/src/fleet/tests/model_plan_test.cc
@@ -1,7 +1,6 @@
 #include "fleet/model_plan.h"
 
 #include <boost/test/unit_test.hpp>
-#include <set>
 
 namespace jackdaw::serving {
 namespace {
@@ -34,7 +33,7 @@
 BOOST_AUTO_TEST_CASE(ARequestedModelThatNoTargetHoldsComesFirst) {
   const auto move =
       PlanMove(Offer(), {Engine("a", {"m0", "m1"}), Engine("b", {"m0", "m2"})},
-               DemandOf({{"m0", 90'000}, {"m1", 5000}, {"m3", 500}}), {2});
+               DemandOf({{"m0", 90'000}, {"m1", 5000}, {"m3", 500}}), 2);
   BOOST_REQUIRE(move.has_value());
   BOOST_TEST(move->load == "m3");
   // The copy without demand is unloaded.
@@ -46,7 +45,7 @@
 BOOST_AUTO_TEST_CASE(TheLastCopyOfAModelInUseIsKept) {
   const auto move = PlanMove(
       Offer(), {Engine("a", {"m0", "m1"}), Engine("b", {"m2", "m3"})},
-      DemandOf({{"m0", 60'000}, {"m1", 900}, {"m2", 900}, {"m3", 900}}), {2});
+      DemandOf({{"m0", 60'000}, {"m1", 900}, {"m2", 900}, {"m3", 900}}), 2);
   BOOST_TEST(!move.has_value());
 }
 
@@ -57,8 +56,7 @@
       Offer(),
       {Engine("a", {"m0", "m1"}), Engine("b", {"m0", "m2"}),
        Engine("c", {"m3", "m4"}), Engine("d", {"m3", "m4"})},
-      DemandOf({{"m0", 60'000}, {"m1", 9000}, {"m2", 9000}, {"m3", 2000}}),
-      {2});
+      DemandOf({{"m0", 60'000}, {"m1", 9000}, {"m2", 9000}, {"m3", 2000}}), 2);
   BOOST_REQUIRE(move.has_value());
   BOOST_TEST(move->load == "m0");
   BOOST_TEST((move->engine == "c" || move->engine == "d"));
@@ -71,10 +69,10 @@
 BOOST_AUTO_TEST_CASE(AModelWithoutDemandOnlyUsesFreeMemory) {
   BOOST_TEST(!PlanMove(Offer(),
                        {Engine("a", {"m0", "m1"}), Engine("b", {"m0", "m2"})},
-                       {}, {2})
+                       {}, 2)
                   .has_value());
   const auto move = PlanMove(
-      Offer(), {Engine("a", {"m0", "m1"}), Engine("b", {"m0"})}, {}, {2});
+      Offer(), {Engine("a", {"m0", "m1"}), Engine("b", {"m0"})}, {}, 2);
   BOOST_REQUIRE(move.has_value());
   BOOST_TEST(move->unload.empty());
 }
@@ -90,20 +88,20 @@
                          {"m2", 45'000},
                          {"m3", 4000},
                          {"m4", 4000}}),
-               {2});
+               2);
   BOOST_TEST(!move.has_value());
 }
 
 BOOST_AUTO_TEST_CASE(NothingIsLoadedWithoutLoadBudget) {
   const auto move =
-      PlanMove(Offer(), {Engine("a", {"m0"})}, DemandOf({{"m3", 500}}), {0});
+      PlanMove(Offer(), {Engine("a", {"m0"})}, DemandOf({{"m3", 500}}), 0);
   BOOST_TEST(!move.has_value());
 }
 
 BOOST_AUTO_TEST_CASE(ANearCopyNeedsNoLoadBudget) {
   EngineView engine = Engine("a", {"m0"});
   engine.near_models = {"m3"};
-  const auto move = PlanMove(Offer(), {engine}, DemandOf({{"m3", 500}}), {0});
+  const auto move = PlanMove(Offer(), {engine}, DemandOf({{"m3", 500}}), 0);
   BOOST_REQUIRE(move.has_value());
   BOOST_TEST(!move->from_store);
 }
@@ -112,54 +110,7 @@
   EngineView engine = Engine("a", {"m0"});
   engine.busy = true;
   BOOST_TEST(
-      !PlanMove(Offer(), {engine}, DemandOf({{"m3", 500}}), {2}).has_value());
-}
-
-// Guards against a fleet of small engines whose busy models get no copy before
-// their requests queue: 16 slots are full at a demand that 64 serve with ease.
-BOOST_AUTO_TEST_CASE(FewSlotsLowerTheDemandThatCountsAsLight) {
-  EngineSpec offer = Offer();
-  const DemandByModel demand = {{"m0", {10, 16'000, 0}}};
-  offer.slots = 64;
-  BOOST_TEST(LightTokensPerS(offer, demand, 1.9) == 7'812,
-             boost::test_tools::tolerance(0.05));
-  offer.slots = 16;
-  const double light = LightTokensPerS(offer, demand, 1.9);
-  BOOST_TEST(light > 3000);
-  BOOST_TEST(light < 5000);
-  BOOST_TEST(LightTokensPerS(offer, {}, 1.9) == 8000);
-}
-
-// Guards against models that wait for their copies one after the other when the
-// demand of several moves at a time.
-BOOST_AUTO_TEST_CASE(OnePlanServesSeveralModelsThatNoTargetHolds) {
-  const std::vector<EngineView> engines = {
-      Engine("a", {"m0"}), Engine("b", {"m0"}), Engine("c", {"m0"})};
-  const DemandByModel demand =
-      DemandOf({{"m0", 900}, {"m1", 500}, {"m2", 500}, {"m3", 500}});
-  const auto moves = PlanMoves(Offer(), engines, demand, {5, 8000, 3, 0});
-  BOOST_REQUIRE(moves.size() == 3);
-  std::set<std::string> loaded;
-  std::set<std::string> targets;
-  for (const PlacementMove& move : moves) {
-    loaded.insert(move.load);
-    targets.insert(move.engine);
-  }
-  BOOST_TEST(loaded.size() == 3);
-  BOOST_TEST(targets.size() == 3);
-}
-
-// Guards against one plan that starts more loads than the weight store allows,
-// or more moves for balance than their interval allows.
-BOOST_AUTO_TEST_CASE(OnePlanKeepsTheLimitsOfLoadsAndRebalances) {
-  const std::vector<EngineView> engines = {
-      Engine("a", {"m0"}), Engine("b", {"m1"}), Engine("c", {"m2"}),
-      Engine("d", {"m3"})};
-  const DemandByModel demand = DemandOf(
-      {{"m0", 900}, {"m1", 900}, {"m2", 900}, {"m3", 90'000}, {"m4", 500}});
-  BOOST_TEST(PlanMoves(Offer(), engines, demand, {1, 8000, 4, 4}).size() == 1);
-  BOOST_TEST(PlanMoves(Offer(), engines, demand, {9, 8000, 4, 0}).size() == 1);
-  BOOST_TEST(PlanMoves(Offer(), engines, demand, {9, 8000, 4, 2}).size() == 3);
+      !PlanMove(Offer(), {engine}, DemandOf({{"m3", 500}}), 2).has_value());
 }
 
 }  // namespace
