--- a/src/serving/request_metadata.h
+++ b/src/serving/request_metadata.h
@@ -31,6 +31,8 @@
   std::int64_t prompt_tokens = 0;
   std::int64_t max_output_tokens = 0;
   bool has_token_count = false;
+  /// Output tokens that the caller expects; at most `max_output_tokens`.
+  std::optional<std::int64_t> expected_output_tokens;
   std::vector<PromptPart> prompt_parts;
   /// Number of the last event that the caller has received, where it resumes a
   /// stream.
@@ -50,6 +52,11 @@
     return parts.first(parts.empty() ? 0 : parts.size() - 1);
   }
   std::int64_t Tokens() const { return prompt_tokens + max_output_tokens; }
+  /// Returns the output tokens to expect: those named by the caller, else the
+  /// most that it accepts.
+  std::int64_t ExpectedOutput() const {
+    return expected_output_tokens.value_or(max_output_tokens);
+  }
 };
 
 /// Metadata of a target's response, from its head.
@@ -69,6 +76,9 @@
   int running = 0;
   int waiting = 0;
   int slots = 0;
+  /// How long work takes at the target at this moment, as a ratio; 1 as usual.
+  /// Empty where it does not say.
+  std::optional<double> work_ratio;
   /// Requests a second that the target takes from all instances together;
   /// empty where it names no limit.
   std::optional<double> rate_limit;
