Choose targets by the forecast, the speed and the memory of targets

Once a target of a service has reported its speed, its cost is the expected wait for a slot, the prefill queue and the own prefill, each at the target's speed; a target whose memory the request would exceed is no candidate (targets_full, with the time at which there is room). Pacing takes its wait from the forecast too. Notices carry tokens and duration of a request, and load reports ride along. Other services are served as before.

--- a/src/fleet/dispatch_notifier.cc
+++ b/src/fleet/dispatch_notifier.cc
@@ -1,6 +1,6 @@
 #include "fleet/dispatch_notifier.h"
 
-#include <algorithm>
+#include "fleet/dispatch_codec.h"
 
 namespace jackdaw::serving {
 namespace {
@@ -25,13 +25,8 @@
 
 void DispatchNotifier::Announce(const Target& target,
                                 const RequestMetadata& call,
-                                std::int64_t tokens) {
-  auto& dispatch = *pending_.add_dispatches();
-  dispatch.set_target(TargetDigest(target.entry.id));
-  dispatch.set_tokens(static_cast<std::uint32_t>(tokens));
-  for (const PromptPart& part : call.prompt_parts) {
-    dispatch.add_parts(PartDigest(call, part.id));
-  }
+                                const SentRequest& sent) {
+  EncodeDispatch(target, call, sent, *pending_.add_dispatches());
   if (flush_scheduled_) {
     return;
   }
@@ -46,6 +41,9 @@
 
 void DispatchNotifier::Flush() {
   flush_scheduled_ = false;
+  for (const LoadReport& load : registry_.TakeLoadReports(clock_.Now())) {
+    EncodeLoadReport(load, *pending_.add_load_reports());
+  }
   std::size_t sent = 0;
   for (const FleetMember& peer : agent_.Peers()) {
     if (++sent > kMaxPeers) {
@@ -59,10 +57,9 @@
 void DispatchNotifier::OnMessage(const dispatch::PeerDatagram& message) {
   const Instant now = clock_.Now();
   for (const auto& dispatch : message.dispatches()) {
-    const std::vector<std::uint64_t> parts(dispatch.parts().begin(),
-                                           dispatch.parts().end());
-    registry_.OnPeerDispatch(dispatch.target(), dispatch.tokens(), parts, now);
+    ApplyDispatch(dispatch, registry_, now);
   }
+  registry_.AddLoadReports(DecodeLoadReports(message), now);
 }
 
 }  // namespace jackdaw::serving
--- a/src/fleet/dispatch_notifier.h
+++ b/src/fleet/dispatch_notifier.h
@@ -23,10 +23,10 @@
                    PeerDatagrams& datagrams);
 
   /// Announces a dispatched request to the peers. Notices are sent in batches.
-  /// @param tokens prompt tokens that the target probably has to process
+  /// Reports of the load of targets are sent along.
   void Announce(const Target& target,
                 const RequestMetadata& call,
-                std::int64_t tokens);
+                const SentRequest& sent);
   /// Applies the notices of another instance.
   void OnMessage(const dispatch::PeerDatagram& message);
 
--- a/src/fleet/peer_api.cc
+++ b/src/fleet/peer_api.cc
@@ -52,8 +52,8 @@
 
 void PeerApi::AnnounceDispatch(const Target& target,
                                const RequestMetadata& call,
-                               std::int64_t tokens) {
-  notifier_.Announce(target, call, tokens);
+                               const SentRequest& sent) {
+  notifier_.Announce(target, call, sent);
 }
 
 void PeerApi::ChargeUnits(std::string_view workspace,
--- a/src/fleet/peer_api.h
+++ b/src/fleet/peer_api.h
@@ -43,7 +43,7 @@
   void SendHeartbeatNow() override { agent_.ExpediteHeartbeat(); }
   void AnnounceDispatch(const Target& target,
                         const RequestMetadata& call,
-                        std::int64_t tokens) override;
+                        const SentRequest& sent) override;
   void LoadAdapter(std::string service,
                    std::string model,
                    std::string adapter,
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -81,6 +81,7 @@
   void OnNoTarget(const TargetPick& pick);
   void RejectMissingModel(Instant now);
   void TraceChoice(const TargetPick& pick, Instant now);
+  Micros SlotTime(const Target& target, int excess, Instant now) const;
   bool DelayOrReject(const TargetPick& pick);
   void SetWaiting(bool waiting);
   void SendTo(const TargetPtr& target, Instant at);
@@ -148,6 +149,8 @@
 
   // The attempt in progress.
   TargetPtr target_;
+  /// The request as it is counted at the target.
+  SentRequest sent_request_;
   TargetConnectionPtr connection_;
   std::optional<ResponseParser> parser_;
   ResponseMetadata response_head_;
--- a/src/gateway/exchange_counters.h
+++ b/src/gateway/exchange_counters.h
@@ -19,6 +19,8 @@
   std::uint64_t limited_refusals = 0;
   /// Requests rejected because all their targets asked for rest.
   std::uint64_t resting_refusals = 0;
+  /// Requests rejected because the memory of all their targets is full.
+  std::uint64_t full_refusals = 0;
   std::uint64_t retries = 0;
   /// Streams continued at another target.
   std::uint64_t resumed = 0;
--- a/src/gateway/exchange_pacing.cc
+++ b/src/gateway/exchange_pacing.cc
@@ -26,9 +26,28 @@
   detail += target.has_load
                 ? std::to_string((now - target.load_reported_at) / 1ms)
                 : std::string("none");
+  if (target.uses_forecast) {
+    const int slots =
+        service_->engine ? service_->engine->slots : target.Slots();
+    detail += " wait_ms=" +
+              std::to_string(target.forecast.WaitForSlot(slots, now) / 1ms);
+    // In hundredths, as targets report it.
+    detail += " speed=" +
+              std::to_string(static_cast<int>(target.speed.Ratio(now) * 100));
+  }
   trace_.Add(now, "chosen", detail);
 }
 
+// Returns the mean interval at which slots of the engine become free until it
+// has one for a request of which `excess` are above the slots, itself included.
+Micros Exchange::SlotTime(const Target& target, int excess, Instant now) const {
+  const int slots = std::max(1, service_->engine->slots);
+  if (target.uses_forecast) {
+    return target.forecast.WaitForSlot(slots, now) / std::max(1, excess);
+  }
+  return Micros(static_cast<std::int64_t>(target.run_seconds * 1e6 / slots));
+}
+
 // Delays or rejects a request that would overload its engine. A request that
 // was sent before is not rejected.
 // @returns false if the caller of this function is to send the request now
@@ -47,8 +66,7 @@
                      route_->priority >= kMinDeferrablePriority;
   input.excess_requests = std::max(
       0, pick.target->EstimatedLoad(now) + 1 - service_->engine->slots);
-  input.slot_time = Micros(static_cast<std::int64_t>(
-      pick.target->run_seconds * 1e6 / std::max(1, service_->engine->slots)));
+  input.slot_time = SlotTime(*pick.target, input.excess_requests, now);
   const PacingDecision pacing = DecidePacing(input);
   switch (pacing.action) {
     case PacingAction::kSend:
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -48,7 +48,7 @@
   first_byte_recorded_ = true;
   const bool was_leaving = target_->leaving;
   deps_.targets.OnFirstByte(*target_, response_head_, expected_prefill_,
-                            sent_at_, now);
+                            sent_at_, now, &sent_request_);
   if (target_->leaving && !was_leaving) {
     deps_.fleet.SendHeartbeatNow();
   }
@@ -124,7 +124,9 @@
       AbortResponse("target failed");
     } else {
       const TargetPick pick = PickTarget(excluded_targets_);
-      OnNoTarget(pick.outcome == PickOutcome::kResting ? pick : TargetPick{});
+      const bool has_time = pick.outcome == PickOutcome::kResting ||
+                            pick.outcome == PickOutcome::kFull;
+      OnNoTarget(has_time ? pick : TargetPick{});
     }
     return;
   }
--- a/src/gateway/exchange_retry.cc
+++ b/src/gateway/exchange_retry.cc
@@ -111,7 +111,8 @@
     deps_.crashes.OnAttemptFailed({causes_.request, target_, sent_at_, now,
                                    connection_ended_, causes_.parts});
   }
-  deps_.targets.OnEnded(*target_, outcome, first_byte_recorded_, sent_at_, now);
+  deps_.targets.OnEnded(*target_, outcome, first_byte_recorded_, sent_at_, now,
+                        &sent_request_);
   if (connection_ != nullptr) {
     connection_->Close();
     connection_.reset();
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -23,6 +23,7 @@
 constexpr Micros kNoTargetRetryAfter = 500ms;
 constexpr Micros kNoAdapterRetryAfter = 300ms;
 constexpr Micros kLimitedRetryAfter = 100ms;
+constexpr Micros kFullRetryAfter = 100ms;
 
 }  // namespace
 
@@ -156,6 +157,10 @@
     ++deps_.counters.limited_refusals;
     Reject({503, "target_limited", "come back when the target takes more",
             std::max(pick.retry_at, now + kLimitedRetryAfter)});
+  } else if (pick.outcome == PickOutcome::kFull) {
+    ++deps_.counters.full_refusals;
+    Reject({503, "targets_full", "come back when requests there have ended",
+            std::max(pick.retry_at, now + kFullRetryAfter)});
   } else if (pick.outcome == PickOutcome::kNoAdapter) {
     Reject({503, "adapter_not_held", "come back when it has been loaded",
             now + kNoAdapterRetryAfter});
@@ -196,12 +201,12 @@
   response_head_ = {};
   ++target_choices_;
   const Instant prefill_before = std::max(now, target_->prefill_until);
-  const std::int64_t tokens = deps_.targets.OnSent(*target_, call_, now);
+  sent_request_ = deps_.targets.OnSent(*target_, call_, now);
   expected_prefill_ = Micros(0);
   if (service_->engine) {
     expected_prefill_ = target_->prefill_until - std::max(at, prefill_before) +
                         std::max(Micros(0), Micros(prefill_before - at));
-    deps_.fleet.AnnounceDispatch(*target_, call_, tokens);
+    deps_.fleet.AnnounceDispatch(*target_, call_, sent_request_);
   }
   if (at <= now) {
     OpenConnection();
--- a/src/gateway/fleet_client.h
+++ b/src/gateway/fleet_client.h
@@ -28,11 +28,9 @@
   /// Returns the units of a request that has not run.
   virtual void RefundUnits(const QuotaCharge& charge) = 0;
   /// Notifies the other instances of a request that is sent to a target.
-  /// @param tokens prompt tokens that are probably not in the target's prefix
-  /// cache
   virtual void AnnounceDispatch(const Target& target,
                                 const RequestMetadata& call,
-                                std::int64_t tokens) = 0;
+                                const SentRequest& sent) = 0;
   /// Sends the next heartbeat to the leader now instead of at the next
   /// interval: a model that no target holds has come into demand, or a target
   /// has announced that it leaves.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -240,6 +240,8 @@
   state.limited_refusals = counters_.limited_refusals;
   state.without_end = counters_.without_end;
   state.resting_refusals = counters_.resting_refusals;
+  state.full_refusals = counters_.full_refusals;
+  state.target_work_ratio = targets_.MeanWorkRatio(now);
   for (const auto& [id, target] : targets_.all()) {
     ++(target->leaving ? state.targets_leaving : state.targets_usable);
     state.targets_suspected += now < target->backoff_until ? 1 : 0;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -48,6 +48,12 @@
   std::uint64_t targets_resting = 0;
   /// Requests that were refused because all their targets did.
   std::uint64_t resting_refusals = 0;
+  /// Requests that were refused because the memory of all their targets is
+  /// full.
+  std::uint64_t full_refusals = 0;
+  /// Mean ratio of the time of work to its nominal time at the targets that
+  /// report it; 0 if none does.
+  double target_work_ratio = 0;
   /// Requests during which a target crashed, and those of them that are not
   /// sent any more.
   std::uint64_t crash_requests = 0;
--- a/src/gateway/target.h
+++ b/src/gateway/target.h
@@ -7,9 +7,11 @@
 #include <string>
 #include <unordered_map>
 
+#include "gateway/load_forecast.h"
 #include "gateway/rate_limit.h"
 #include "gateway/recent_ids.h"
 #include "gateway/target_notice.h"
+#include "gateway/target_speed.h"
 #include "serving/target_registration.h"
 
 namespace jackdaw::serving {
@@ -39,14 +41,28 @@
   Instant awaiting_since{};
   /// Time of the last byte received from the target.
   Instant last_received_at{};
-  /// Ratio of the measured to the nominal prefill time, as a moving average.
-  double slowdown = 1;
+  /// Ratio of the time that work takes to its nominal time.
+  TargetSpeed speed;
+  /// A target of the service has reported its speed. Only then the forecast and
+  /// what follows from it replace the estimates below: targets that do not
+  /// report it are served as before.
+  bool uses_forecast = false;
+  LoadForecast forecast;
+  /// Time of a plain request that does not wait, as a moving average divided by
+  /// the ratio of the speed; 0 before the first one.
+  double plain_work_ms = 0;
   RateLimit rate_limit;
   TargetNotice notice;
   /// Load report, received with a response.
   bool has_load = false;
+  int reported_running = 0;
   int reported_waiting = 0;
+  int reported_slots = 0;
   Instant load_reported_at{};
+  /// The other instances have not been told of the report.
+  bool load_unsent = false;
+  /// Sample of the long-term ratio that they have not been told of; 0 if none.
+  double unsent_speed_sample = 0;
   /// Estimated requests at the target at `load_updated_at`: the last report
   /// plus the requests that all instances have sent since, decaying
   /// exponentially as requests end.
@@ -100,11 +116,19 @@
   }
   /// Returns the estimated number of requests that run or wait at the target.
   int EstimatedLoad(Instant now) const {
+    if (uses_forecast) {
+      return std::max(in_flight, forecast.Requests(now));
+    }
     const double age =
         std::chrono::duration<double>(now - load_updated_at).count();
     const double left = load * std::exp(-std::max(0.0, age) / run_seconds);
     return std::max(in_flight, static_cast<int>(std::lround(left)));
   }
+  /// Returns the number of requests that run at the same time, as the target
+  /// reports it or else as its entry names it.
+  int Slots() const {
+    return std::max(1, reported_slots > 0 ? reported_slots : entry.slots);
+  }
   /// Counts a request that this or another instance sent to the target.
   void AddLoad(Instant now) {
     const double age =
--- a/src/gateway/target_registry.cc
+++ b/src/gateway/target_registry.cc
@@ -12,10 +12,6 @@
 constexpr double kPrefillTokensPerMs = 25.0;
 // Weight of a new result in the share of failed requests.
 constexpr double kFailureWeight = 0.2;
-// Weight of a new result in the prefill slowdown, and bounds of the result.
-constexpr double kSlowdownWeight = 0.1;
-constexpr double kMinSlowdown = 0.7;
-constexpr double kMaxSlowdown = 6;
 // Weight of a new result in the run time, and its bounds in seconds.
 constexpr double kRunWeight = 0.05;
 constexpr double kMinRun = 0.02;
@@ -32,6 +28,12 @@
 constexpr Micros kMaxPartAge = 20s;
 constexpr std::size_t kMaxParts = 4096;
 
+Micros TimeOfPrefill(const Target& target, std::int64_t tokens, Instant now) {
+  const double ms = static_cast<double>(tokens) * target.speed.Ratio(now) /
+                    kPrefillTokensPerMs;
+  return Micros(static_cast<std::int64_t>(ms * 1000));
+}
+
 // Returns the prompt tokens that are probably not in the target's prefix cache.
 std::int64_t UncachedTokens(const Target& target,
                             const RequestMetadata& call,
@@ -63,36 +65,44 @@
     : failure_domain_(std::move(failure_domain)) {}
 
 void TargetRegistry::Enqueue(Target& target, std::int64_t tokens, Instant now) {
-  const double ms =
-      static_cast<double>(tokens) * target.slowdown / kPrefillTokensPerMs;
-  target.prefill_until = std::max(now, target.prefill_until) +
-                         Micros(static_cast<std::int64_t>(ms * 1000));
+  target.prefill_until =
+      std::max(now, target.prefill_until) + TimeOfPrefill(target, tokens, now);
   if (target.prompt_parts.size() > kMaxParts) {
     target.prompt_parts.clear();
   }
 }
 
-std::int64_t TargetRegistry::OnSent(Target& target,
-                                    const RequestMetadata& call,
-                                    Instant now) {
-  const std::int64_t tokens = UncachedTokens(target, call, now);
+SentRequest TargetRegistry::OnSent(Target& target,
+                                   const RequestMetadata& call,
+                                   Instant now) {
+  SentRequest sent;
+  sent.uncached_tokens = UncachedTokens(target, call, now);
+  sent.held_tokens = call.Tokens();
+  sent.output_tokens = call.model.empty() ? 0 : call.ExpectedOutput();
+  sent.slot_wait = target.forecast.WaitForSlot(target.Slots(), now);
+  sent.momentary = target.speed.Momentary(now);
   ++target.in_flight;
   target.AddLoad(now);
   target.rate_limit.OnSent(now);
   if (target.awaiting_first_byte++ == 0) {
     target.awaiting_since = now;
   }
-  Enqueue(target, tokens, now);
+  Enqueue(target, sent.uncached_tokens, now);
   for (const PromptPart& part : call.prompt_parts) {
     target.prompt_parts[PartDigest(call, part.id)] = now;
   }
-  return tokens;
+  sent.duration = ExpectedDuration(target, sent, now);
+  sent.forecast_id =
+      target.forecast.AddOwn(now, now + sent.duration, sent.held_tokens);
+  return sent;
 }
 
 void TargetRegistry::OnPeerDispatch(std::uint64_t target_digest,
                                     std::int64_t tokens,
                                     std::span<const std::uint64_t> parts,
-                                    Instant now) {
+                                    Instant now,
+                                    std::int64_t held_tokens,
+                                    Micros duration) {
   const auto found = by_digest_.find(target_digest);
   if (found == by_digest_.end()) {
     return;
@@ -100,6 +110,14 @@
   Target& target = *found->second;
   target.AddLoad(now);
   Enqueue(target, tokens, now);
+  if (target.uses_forecast) {
+    const Micros expected =
+        duration > 0us
+            ? duration
+            : Micros(static_cast<std::int64_t>(target.run_seconds * 1e6));
+    target.forecast.AddOther(now, now + expected,
+                             std::max(held_tokens, tokens));
+  }
   for (const std::uint64_t part : parts) {
     target.prompt_parts[part] = now;
   }
@@ -108,33 +126,41 @@
 Micros TargetRegistry::PrefillTime(const Target& target,
                                    const RequestMetadata& call,
                                    Instant now) {
-  const auto tokens = static_cast<double>(UncachedTokens(target, call, now));
-  return Micros(static_cast<std::int64_t>(tokens * target.slowdown /
-                                          kPrefillTokensPerMs * 1000));
+  return TimeOfPrefill(target, UncachedTokens(target, call, now), now);
 }
 
 void TargetRegistry::OnFirstByte(Target& target,
                                  const ResponseMetadata& response,
                                  Micros expected_prefill,
                                  Instant sent_at,
-                                 Instant now) {
+                                 Instant now,
+                                 SentRequest* sent) {
   --target.awaiting_first_byte;
   target.last_received_at = now;
   OnRateLimit(target, response, now);
   OnNotice(target, response, now);
   if (response.has_load) {
-    target.has_load = true;
-    target.reported_waiting = response.waiting;
-    target.load_reported_at = now;
-    target.load = response.running + response.waiting;
-    target.load_updated_at = now;
+    OnLoad(target, response, now);
+  }
+  if (sent != nullptr && !response.not_executed) {
+    sent->first_byte_at = now;
+    if (sent->output_tokens > 0) {
+      target.forecast.SetEnd(
+          sent->forecast_id,
+          now + OutputTime(target, sent->output_tokens, now));
+    }
   }
-  if (expected_prefill > kMinPrefillSample && !response.not_executed) {
+  // The time that a request waits for a slot says nothing about the speed.
+  const bool waited =
+      target.uses_forecast &&
+      (response.waiting > 0 || sent == nullptr || sent->slot_wait > 0us);
+  if (expected_prefill > kMinPrefillSample && !response.not_executed &&
+      !waited) {
     const double ratio = Milliseconds(now - sent_at - kNonPrefillTime) /
                          Milliseconds(expected_prefill);
-    const double slowdown =
-        std::clamp(ratio * target.slowdown, kMinSlowdown, kMaxSlowdown);
-    target.slowdown += kSlowdownWeight * (slowdown - target.slowdown);
+    const double momentary =
+        sent == nullptr ? target.speed.Momentary(now) : sent->momentary;
+    target.unsent_speed_sample = target.speed.OnMeasured(ratio, momentary, now);
   }
 }
 
@@ -142,13 +168,20 @@
                              TargetOutcome outcome,
                              bool had_first_byte,
                              Instant sent_at,
-                             Instant now) {
+                             Instant now,
+                             const SentRequest* sent) {
   --target.in_flight;
+  if (sent != nullptr) {
+    target.forecast.RemoveOwn(sent->forecast_id);
+  }
   target.awaiting_first_byte -= had_first_byte ? 0 : 1;
   if (outcome == TargetOutcome::kAnswered) {
     const double ran = std::chrono::duration<double>(now - sent_at).count();
     target.run_seconds +=
         kRunWeight * (std::clamp(ran, kMinRun, kMaxRun) - target.run_seconds);
+    if (sent != nullptr) {
+      LearnWork(target, *sent, sent_at, now);
+    }
   }
   if (outcome == TargetOutcome::kAbandoned) {
     return;
--- a/src/gateway/target_registry.h
+++ b/src/gateway/target_registry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <span>
 #include <string>
@@ -42,6 +43,8 @@
   /// All that could serve the request have named a limit, and this instance may
   /// not send to them without asking.
   kLimited,
+  /// All that could serve the request hold as much as their memory allows.
+  kFull,
 };
 
 /// Whether a target of the service may be chosen for a request, or why not.
@@ -52,6 +55,7 @@
   kExcluded,
   kAdapterNotHeld,
   kLimited,
+  kFull,
 };
 
 /// The chosen target, with the figures behind the choice.
@@ -62,8 +66,8 @@
   /// Expected time to the first byte plus penalties, in milliseconds.
   double cost_ms = 0;
   int candidates = 0;
-  /// For kResting, and for kLimited once it was asked for: time at which the
-  /// caller may come back.
+  /// For kResting and kFull, and for kLimited once it was asked for: time at
+  /// which the caller may come back.
   Instant retry_at{};
 };
 
@@ -83,6 +87,38 @@
   kAbandoned,
 };
 
+/// A request that was sent to a target, with what was expected of it.
+struct SentRequest {
+  /// Prompt tokens that are probably not in the target's prefix cache.
+  std::int64_t uncached_tokens = 0;
+  /// Tokens that the request may hold in the target's memory.
+  std::int64_t held_tokens = 0;
+  /// Expected output tokens; 0 for a plain request.
+  std::int64_t output_tokens = 0;
+  /// Expected time until a slot is free.
+  Micros slot_wait{};
+  /// Expected time to its end.
+  Micros duration{};
+  /// Id in the target's forecast.
+  std::uint32_t forecast_id = 0;
+  /// TargetSpeed::Momentary at the time of sending.
+  double momentary = 1;
+  Instant first_byte_at{};
+};
+
+/// A target's load as another instance knows it from a response.
+struct LoadReport {
+  /// See TargetDigest.
+  std::uint64_t target = 0;
+  int running = 0;
+  int waiting = 0;
+  /// Momentary ratio; 0 where the target reported none.
+  double work_ratio = 0;
+  /// Measured sample of the long-term ratio; 0 if there is none.
+  double speed_sample = 0;
+  Micros age{};
+};
+
 /// Returns the digest that identifies a target in messages between instances.
 std::uint64_t TargetDigest(std::string_view id);
 /// Returns the digest of a prompt part for the request's model and adapter. It
@@ -108,30 +144,45 @@
   TargetPick Pick(const TargetQuery& query, Instant now) const;
 
   /// Records that this instance sends a request to the target.
-  /// @returns the prompt tokens that are probably not in its prefix cache
-  std::int64_t OnSent(Target& target, const RequestMetadata& call, Instant now);
+  SentRequest OnSent(Target& target, const RequestMetadata& call, Instant now);
   /// Records that another instance has sent a request to a target.
   /// @param tokens prompt tokens that are probably not in its prefix cache
   /// @param parts digests of the prompt parts (see PartDigest)
+  /// @param held_tokens tokens that the request may hold; 0 if unknown
+  /// @param duration expected time to its end; 0 if unknown
   void OnPeerDispatch(std::uint64_t target_digest,
                       std::int64_t tokens,
                       std::span<const std::uint64_t> parts,
-                      Instant now);
+                      Instant now,
+                      std::int64_t held_tokens = 0,
+                      Micros duration = Micros(0));
   /// Records the head of a response and the load report in it.
   /// @param expected_prefill expected time from sending to the end of the
   /// prefill; 0 for a plain request
+  /// @param sent the request as OnSent returned it; null if it is not known
   void OnFirstByte(Target& target,
                    const ResponseMetadata& response,
                    Micros expected_prefill,
                    Instant sent_at,
-                   Instant now);
+                   Instant now,
+                   SentRequest* sent = nullptr);
   /// Records the end of a request.
   /// @param had_first_byte whether OnFirstByte was called for it
+  /// @param sent the request as OnSent returned it; null if it is not known
   void OnEnded(Target& target,
                TargetOutcome outcome,
                bool had_first_byte,
                Instant sent_at,
-               Instant now);
+               Instant now,
+               const SentRequest* sent = nullptr);
+  /// Returns the load reports that came with responses since the last call, the
+  /// newest of each target, for targets whose forecast is in use.
+  std::vector<LoadReport> TakeLoadReports(Instant now);
+  /// Returns the mean ratio of the speed over the targets that report theirs; 0
+  /// if none does.
+  double MeanWorkRatio(Instant now) const;
+  /// Applies what another instance knows; unknown targets are skipped.
+  void AddLoadReports(std::span<const LoadReport> reports, Instant now);
   /// Returns the estimated prefill time of the request's prompt at the target.
   static Micros PrefillTime(const Target& target,
                             const RequestMetadata& call,
@@ -170,6 +221,14 @@
   }
 
  private:
+  /// What is known of the targets of a service together.
+  struct ServiceWork {
+    /// A target has reported its speed.
+    bool reports_speed = false;
+    /// Time of an output token at a speed ratio of 1, as a moving average.
+    double token_ms = 12;
+  };
+
   /// Notice of the incarnation that was born at a time.
   struct RememberedNotice {
     std::int64_t born_ms = 0;
@@ -177,6 +236,19 @@
   };
 
   bool MaySend(const Target& target, Instant now) const;
+  void OnLoad(Target& target, const ResponseMetadata& response, Instant now);
+  void UseForecast(const std::string& service);
+  double TokenMs(const Target& target) const;
+  Micros OutputTime(const Target& target,
+                    std::int64_t tokens,
+                    Instant now) const;
+  Micros ExpectedDuration(const Target& target,
+                          const SentRequest& sent,
+                          Instant now) const;
+  void LearnWork(Target& target,
+                 const SentRequest& sent,
+                 Instant sent_at,
+                 Instant now);
   static void OnRateLimit(Target& target,
                           const ResponseMetadata& response,
                           Instant now);
@@ -191,6 +263,12 @@
                      const TargetQuery& query,
                      std::string_view adapter,
                      Instant now) const;
+  static double ForecastCost(const Target& target,
+                             const TargetQuery& query,
+                             Instant now);
+  static double EstimatedCost(const Target& target,
+                              const TargetQuery& query,
+                              Instant now);
   /// Returns the expected time to the first byte plus penalties, in
   /// milliseconds.
   double Cost(const Target& target,
@@ -199,6 +277,9 @@
 
   std::string failure_domain_;
   Instant limited_sends_until_{};
+  std::map<std::string, ServiceWork, std::less<>> work_;
+  /// Digests of targets with Target::load_unsent.
+  std::vector<std::uint64_t> unsent_loads_;
   std::unordered_map<std::string, TargetPtr> targets_;
   std::unordered_map<std::uint64_t, TargetPtr> by_digest_;
   /// Notices of targets whose entries were removed or replaced, by id.
--- a/src/gateway/target_registry_entries.cc
+++ b/src/gateway/target_registry_entries.cc
@@ -38,6 +38,8 @@
                        !SameModels(target->entry, entry);
   target->leaving = leaving;
   target->entry = entry;
+  const auto work = work_.find(entry.service);
+  target->uses_forecast = work != work_.end() && work->second.reports_speed;
   for (const HeldModel& model : entry.models) {
     for (const std::string& adapter : model.adapters) {
       target->adapters.insert(model.name + "/" + adapter);
--- a/src/gateway/target_registry_pick.cc
+++ b/src/gateway/target_registry_pick.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "gateway/target_registry.h"
+#include "gateway/token_account.h"
 
 namespace jackdaw::serving {
 namespace {
@@ -12,6 +13,10 @@
 constexpr double kWaitingCostMs = 60.0;
 // Duration of a plain request; load counts half below full use, double above.
 constexpr double kPlainRequestMs = 25.0;
+// Cost of the occupied slots of a plain target, if all are.
+constexpr double kUsedSlotsCostMs = 12.0;
+// The number of requests at a target is known up to this part of its slots.
+constexpr int kUncertainPart = 8;
 // Cost of another failure domain: longer round trip and price of the traffic.
 constexpr double kOtherDomainCostMs = 12.0;
 // Cost of a share of failed requests of 1.
@@ -31,8 +36,14 @@
   bool awake = false;
   Instant rest_until = Instant::max();
   TargetPtr limited;
+  bool full = false;
+  Instant full_until = Instant::max();
 
   void Add(Availability availability, const TargetPtr& target);
+  void AddFull(Instant until) {
+    full = true;
+    full_until = std::min(full_until, until);
+  }
   /// Returns why no target was chosen.
   TargetPick Outcome(bool needs_adapter) const;
 };
@@ -65,6 +76,9 @@
   } else if (limited != nullptr) {
     pick.outcome = PickOutcome::kLimited;
     pick.target = limited;
+  } else if (full) {
+    pick.outcome = PickOutcome::kFull;
+    pick.retry_at = full_until;
   } else {
     pick.outcome =
         needs_adapter ? PickOutcome::kNoAdapter : PickOutcome::kNoTarget;
@@ -72,16 +86,47 @@
   return pick;
 }
 
+// Returns the expected wait for a slot. The number of requests is uncertain:
+// the wait with a few slots less counts as much, so that a target is not filled
+// to its last slot while another has several.
+Micros UncertainWait(const LoadForecast& forecast, int slots, Instant now) {
+  const int fewer = std::max(1, slots - std::max(1, slots / kUncertainPart));
+  return (forecast.WaitForSlot(slots, now) + forecast.WaitForSlot(fewer, now)) /
+         2;
+}
+
 }  // namespace
 
-double TargetRegistry::Cost(const Target& target,
-                            const TargetQuery& query,
-                            Instant now) const {
-  double cost = 0;
-  const Micros stall = target.TimeWithoutBytes(now);
-  if (stall > kStallThreshold) {
-    cost += kStallCostPerMs * Milliseconds(stall);
+// Returns the expected time to the first byte at a target whose service reports
+// its speed. The wait for a slot follows from the expected ends of the requests
+// there: targets of different speed with the same number of requests differ in
+// it. Without the speed the forecast would rest on times that are not known to
+// be those of the target, so such services keep the estimate below.
+double TargetRegistry::ForecastCost(const Target& target,
+                                    const TargetQuery& query,
+                                    Instant now) {
+  const double ratio = target.speed.Ratio(now);
+  const int load = target.EstimatedLoad(now);
+  if (query.engine != nullptr) {
+    const Micros wait =
+        UncertainWait(target.forecast, query.engine->slots, now);
+    return Milliseconds(wait + PrefillTime(target, *query.call, now)) +
+           std::max(0.0, Milliseconds(target.prefill_until - now)) +
+           kRunningCostMs * ratio * load;
   }
+  const Micros wait = UncertainWait(target.forecast, target.Slots(), now);
+  const double work =
+      target.plain_work_ms > 0 ? target.plain_work_ms : kPlainRequestMs;
+  const double used_share =
+      std::min(1.0, static_cast<double>(load) / target.Slots());
+  return Milliseconds(wait) + work * ratio + kUsedSlotsCostMs * used_share;
+}
+
+// Returns the expected time to the first byte at a target without a forecast.
+double TargetRegistry::EstimatedCost(const Target& target,
+                                     const TargetQuery& query,
+                                     Instant now) {
+  double cost = 0;
   const int load = target.EstimatedLoad(now);
   const bool has_recent_report =
       target.has_load && now - target.load_reported_at < kMaxLoadReportAge;
@@ -97,6 +142,19 @@
     cost += used_share < 1 ? kPlainRequestMs * used_share / 2
                            : kPlainRequestMs * used_share * 2;
   }
+  return cost;
+}
+
+double TargetRegistry::Cost(const Target& target,
+                            const TargetQuery& query,
+                            Instant now) const {
+  double cost = 0;
+  const Micros stall = target.TimeWithoutBytes(now);
+  if (stall > kStallThreshold) {
+    cost += kStallCostPerMs * Milliseconds(stall);
+  }
+  cost += target.uses_forecast ? ForecastCost(target, query, now)
+                               : EstimatedCost(target, query, now);
   cost += kFailureCostMs * target.FailureShare(now);
   if (target.entry.failure_domain != failure_domain_) {
     cost += kOtherDomainCostMs;
@@ -126,6 +184,10 @@
   if (!adapter.empty() && !target->adapters.contains(adapter)) {
     return Availability::kAdapterNotHeld;
   }
+  if (query.engine != nullptr && target->uses_forecast &&
+      IsFull(*query.engine, target->forecast, query.call->Tokens(), now)) {
+    return Availability::kFull;
+  }
   return MaySend(*target, now) ? Availability::kUsable : Availability::kLimited;
 }
 
@@ -140,6 +202,10 @@
     }
     const Availability availability = Check(target, query, adapter, now);
     tally.Add(availability, target);
+    if (availability == Availability::kFull) {
+      tally.AddFull(TimeOfRoom(*query.engine, target->forecast,
+                               query.call->Tokens(), now));
+    }
     if (availability != Availability::kUsable) {
       continue;
     }
--- a/src/logread/request_explanation.cc
+++ b/src/logread/request_explanation.cc
@@ -36,6 +36,9 @@
     ReasonText{"targets_resting",
                "Each target that could serve the request had asked this "
                "instance to send nothing for some time."},
+    ReasonText{"targets_full",
+               "Each target that could serve the request held as many tokens "
+               "of other requests as its memory allows."},
     ReasonText{"no_target",
                "No target accepted the request: each one tried refused "
                "it or could not be reached."},
