Scale the demand on a target by its speed in placement

The plan took targets as equally fast, though they differ by 0.6 to 1.6: a slow one bore as much demand as a fast one. The demand on a target is divided by its speed relative to the mean of its service, 1 where none is reported. In the new test a slow target gets a copy of its model on the fastest one; at equal speed nothing moves.

--- a/src/fleet/model_plan.cc
+++ b/src/fleet/model_plan.cc
@@ -19,6 +19,9 @@
 // Least cost, in tokens per second, of unloading a copy while other copies of
 // the model remain.
 constexpr double kMinCopyTokensPerS = 300;
+// Least speed that counts. A target may be slow for a moment only, while a
+// move lasts.
+constexpr double kMinSpeed = 0.3;
 // Number of iterations that balance the demand between the holders of a model.
 constexpr int kBalanceRounds = 12;
 
@@ -26,7 +29,8 @@
 struct CopyStats {
   /// Number of targets that hold each model.
   std::map<std::string, int> copies;
-  /// Demand on each target, in tokens per second, if the demand for each model
+  /// Demand on each target divided by its speed, in tokens per second, if the
+  /// demand for each model
   /// is spread over its holders so that the load of the targets is as even as
   /// possible.
   std::vector<double> target_tokens;
@@ -38,7 +42,8 @@
 }
 
 // Spreads the demand for each model over its holders; holders with more demand
-// get a smaller part.
+// for their speed get a smaller part. Returns the demand on each target divided
+// by its speed, so that targets can be compared.
 std::vector<double> SpreadDemand(const std::vector<EngineView>& engines,
                                  const DemandByModel& demand) {
   std::map<std::string, std::vector<std::size_t>> holders;
@@ -56,7 +61,8 @@
     std::fill(target_tokens.begin(), target_tokens.end(), 0);
     for (const auto& [model, at] : holders) {
       for (std::size_t i = 0; i < at.size(); ++i) {
-        target_tokens[at[i]] += TokensOf(demand, model) * parts[model][i];
+        target_tokens[at[i]] += TokensOf(demand, model) * parts[model][i] /
+                                std::max(kMinSpeed, engines[at[i]].speed);
       }
     }
     for (const auto& [model, at] : holders) {
--- a/src/fleet/model_plan.h
+++ b/src/fleet/model_plan.h
@@ -21,6 +21,9 @@
   /// An order is in progress, or one that was not answered may still be
   /// executed.
   bool busy = false;
+  /// Work that the target does in a given time, relative to the mean of the
+  /// targets of its service. Demand counts for more at a slow target.
+  double speed = 1;
 
   bool Holds(const std::string& model) const;
   bool IsNear(const std::string& model) const;
--- a/src/fleet/order_dispatcher.cc
+++ b/src/fleet/order_dispatcher.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <span>
 
 #include "core/log.h"
 
@@ -29,6 +30,20 @@
 // Added to the timeout of a load, which is four times the model's load time.
 constexpr Micros kLoadTimeoutMargin = 8s;
 
+// Returns the mean ratio of the speed of the targets that report theirs.
+// Placement does not follow momentary changes, as a load takes seconds.
+double MeanLongTermRatio(std::span<const TargetPtr> targets) {
+  double sum = 0;
+  int reporting = 0;
+  for (const TargetPtr& target : targets) {
+    if (target->speed.reported()) {
+      sum += target->speed.LongTermRatio();
+      ++reporting;
+    }
+  }
+  return reporting == 0 ? 1 : sum / reporting;
+}
+
 }  // namespace
 
 OrderDispatcher::OrderDispatcher(HttpClient& http,
@@ -194,8 +209,13 @@
 std::vector<EngineView> OrderDispatcher::Views(const Service& service) const {
   std::vector<EngineView> views;
   const Instant now = clock_.Now();
-  for (const TargetPtr& target : registry_.Usable(service.name)) {
+  const std::vector<TargetPtr> usable = registry_.Usable(service.name);
+  const double mean_ratio = MeanLongTermRatio(usable);
+  for (const TargetPtr& target : usable) {
     EngineView view;
+    if (target->speed.reported()) {
+      view.speed = mean_ratio / target->speed.LongTermRatio();
+    }
     view.id = target->entry.id;
     view.near_models = target->entry.near_models;
     const auto found = tracked_targets_.find(target->entry.id);
--- a/src/fleet/tests/model_plan_test.cc
+++ b/src/fleet/tests/model_plan_test.cc
@@ -92,6 +92,23 @@
   BOOST_TEST(!move.has_value());
 }
 
+// Guards against a slow target that bears as much demand as a fast one: it gets
+// help that it would not get at the speed of the others, from the fastest one.
+BOOST_AUTO_TEST_CASE(DemandOnASlowTargetWeighsMore) {
+  std::vector<EngineView> engines = {
+      Engine("a", {"m0", "m1"}), Engine("b", {"m2", "m3"}),
+      Engine("c", {"m2", "m4"}), Engine("d", {"m3", "m4"})};
+  const DemandByModel demand = DemandOf(
+      {{"m0", 40'000}, {"m2", 28'000}, {"m3", 28'000}, {"m4", 28'000}});
+  BOOST_TEST(!PlanMove(Offer(), engines, demand, 2).has_value());
+  engines[0].speed = 0.6;
+  engines[1].speed = 1.6;
+  const auto move = PlanMove(Offer(), engines, demand, 2);
+  BOOST_REQUIRE(move.has_value());
+  BOOST_TEST(move->load == "m0");
+  BOOST_TEST(move->engine == "b");
+}
+
 BOOST_AUTO_TEST_CASE(NothingIsLoadedWithoutLoadBudget) {
   const auto move =
       PlanMove(Offer(), {Engine("a", {"m0"})}, DemandOf({{"m3", 500}}), 0);
