Bound the requests to cold targets over the fleet

Targets of services with cold-per-s crash when they get requests at the usual rate just after a start, and may become cold again without notice. RateLimit now holds the limit of a cold target beside the named one; the leader keeps both. SendWindow counts the requests of the last second by notices of all instances, so that the bound also holds before a row says that a target is cold.

--- a/src/fleet/dispatch_notifier.cc
+++ b/src/fleet/dispatch_notifier.cc
@@ -7,7 +7,8 @@
 
 // Time for which notices are collected into one datagram.
 constexpr Micros kBatchDelay = 1ms;
-// Limit of peers that a notice is sent to, in the order of the fleet view.
+// Limit of peers that a notice of a dispatch is sent to, in the order of the
+// fleet view.
 constexpr std::size_t kMaxPeers = 100;
 
 }  // namespace
@@ -32,6 +33,17 @@
   for (const PromptPart& part : call.prompt_parts) {
     dispatch.add_parts(PartDigest(call, part.id));
   }
+  ScheduleFlush();
+}
+
+void DispatchNotifier::AnnounceSend(const Target& target, bool granted) {
+  auto& send = *pending_.add_sends();
+  send.set_target(TargetDigest(target.entry.id));
+  send.set_granted(granted);
+  ScheduleFlush();
+}
+
+void DispatchNotifier::ScheduleFlush() {
   if (flush_scheduled_) {
     return;
   }
@@ -49,6 +61,9 @@
   std::size_t sent = 0;
   for (const FleetMember& peer : agent_.Peers()) {
     if (++sent > kMaxPeers) {
+      pending_.clear_dispatches();
+    }
+    if (pending_.dispatches_size() + pending_.sends_size() == 0) {
       break;
     }
     datagrams_.Send(pending_, peer.peer);
@@ -63,6 +78,9 @@
                                            dispatch.parts().end());
     registry_.OnPeerDispatch(dispatch.target(), dispatch.tokens(), parts, now);
   }
+  for (const auto& send : message.sends()) {
+    registry_.OnPeerSend(send.target(), send.granted(), now);
+  }
 }
 
 }  // namespace jackdaw::serving
--- a/src/fleet/dispatch_notifier.h
+++ b/src/fleet/dispatch_notifier.h
@@ -27,10 +27,15 @@
   void Announce(const Target& target,
                 const RequestMetadata& call,
                 std::int64_t tokens);
+  /// Announces a request that is sent to a target whose requests of each second
+  /// are bounded. All instances get this notice, as each counts all requests.
+  /// @param granted the leader was asked for it
+  void AnnounceSend(const Target& target, bool granted);
   /// Applies the notices of another instance.
   void OnMessage(const dispatch::PeerDatagram& message);
 
  private:
+  void ScheduleFlush();
   void Flush();
 
   const MonotonicClock& clock_;
--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -313,6 +313,7 @@
       store_clock_.ToLocal(heartbeat.member.sent_at, now).value_or(now);
   members_.OnReport(heartbeat.member, LifeSign::kHeartbeat, alive_at, now);
   crashes_.AddReports(heartbeat.member.crashes, now);
+  registry_.OnContact(now);
   registry_.AddRateLimits(heartbeat.member.rate_limits, now);
   registry_.AddLeavingTargets(heartbeat.member.leaving_targets, now);
   RefreshView();
--- a/src/fleet/fleet_agent_parts.cc
+++ b/src/fleet/fleet_agent_parts.cc
@@ -67,6 +67,7 @@
 // @param contact_at time at which a request was sent that the leader or the
 // store has answered since
 void FleetAgent::ExtendParts(Instant contact_at) {
+  registry_.OnContact(clock_.Now());
   quotas_.ExtendUntil(contact_at + kPartsLapseTimeout, boot_clock_.Now());
 }
 
--- a/src/fleet/fleet_agent_rows.cc
+++ b/src/fleet/fleet_agent_rows.cc
@@ -53,6 +53,8 @@
   config_ = std::make_shared<const ServingConfig>(std::move(config.value()));
   config_document_ = document;
   quotas_.OnConfig(*config_, boot_clock_.Now());
+  registry_.SetColdLimits(config_->services, settings_.cold_overshoot,
+                          settings_.cold_slack);
   Log(LogLevel::kInfo, "config_taken",
       {{"version", std::to_string(version)},
        {"from", following_ ? leadership_.lease().holder : "store"},
@@ -101,6 +103,8 @@
       target.readable = static_cast<bool>(entry);
       if (entry) {
         target.entry = std::move(entry.value());
+        target.entry.row_epoch = rows.epoch;
+        target.entry.row_version = row.version;
       } else {
         Log(LogLevel::kWarn, "target_row_skipped",
             {{"target", row.at.key}, {"error", entry.error().Line()}});
@@ -151,7 +155,9 @@
 
 void FleetAgent::OnTargetChanges(const TargetFeed::Changes& changes) {
   for (const TargetRegistration& entry : changes.updated) {
-    if (!registry_.Update(entry)) {
+    const bool changed = registry_.Update(entry);
+    registry_.OnColdRow(entry, clock_.Now());
+    if (!changed) {
       continue;
     }
     std::string models;
@@ -174,6 +180,7 @@
     registry_.Remove(id);
     Log(LogLevel::kInfo, "target_gone", {{"id", id}});
   }
+  registry_.LogCold(clock_.Now());
 }
 
 }  // namespace jackdaw::serving
--- a/src/fleet/fleet_agent_store.cc
+++ b/src/fleet/fleet_agent_store.cc
@@ -43,6 +43,7 @@
   store_clock_.OnAnswer({read.value().epoch, read.value().store_ms},
                         fleet_read_at_);
   OnFleetRows(read.value());
+  registry_.OnContact(fleet_read_at_);
   fleet_known_ = true;
 }
 
--- a/src/fleet/member.cc
+++ b/src/fleet/member.cc
@@ -21,6 +21,8 @@
 // Largest integer that is accepted in a field of a member's row, if the field
 // has no limit of its own.
 constexpr std::int64_t kMaxInteger = 1'000'000'000'000;
+// Longest time for which a target is taken to be cold.
+constexpr std::int64_t kMaxColdMs = 3'600'000;
 // Largest number of crashes in a report.
 constexpr std::int64_t kMaxCrashes = 1000;
 // Separates the digest of a request from that of the crashed target. Instances
@@ -133,6 +135,11 @@
     if (report.per_second) {
       limit["per_second"] = ToMilli(std::min(*report.per_second, kMaxRate));
     }
+    if (report.cold_remaining > Micros(0) && report.cold_version.number >= 0) {
+      limit["cold_ms"] = report.cold_remaining / 1ms;
+      limit["cold_epoch"] = report.cold_version.epoch;
+      limit["cold_version"] = report.cold_version.number;
+    }
     limits.push_back(std::move(limit));
   }
   return limits;
@@ -150,6 +157,12 @@
     if (limit.Any("per_second") != nullptr) {
       report.per_second = FromMilli(limit, "per_second");
     }
+    report.cold_remaining =
+        std::chrono::milliseconds(limit.IntegerOr("cold_ms", 0, kMaxColdMs, 0));
+    report.cold_version.epoch =
+        limit.IntegerOr("cold_epoch", 0, kMaxInteger, -1);
+    report.cold_version.number =
+        limit.IntegerOr("cold_version", 0, INT64_MAX, -1);
     BOOST_OUTCOME_TRY(limit.FinishKnown());
     reports.push_back(report);
   }
--- a/src/fleet/peer_api.h
+++ b/src/fleet/peer_api.h
@@ -44,6 +44,9 @@
   void AnnounceDispatch(const Target& target,
                         const RequestMetadata& call,
                         std::int64_t tokens) override;
+  void AnnounceSend(const Target& target, bool granted) override {
+    notifier_.AnnounceSend(target, granted);
+  }
   void LoadAdapter(std::string service,
                    std::string model,
                    std::string adapter,
--- a/src/fleet/peer_api_limits.cc
+++ b/src/fleet/peer_api_limits.cc
@@ -28,14 +28,15 @@
                                      SendPermission permission) {
         if (failure != nullptr) {
           Log(LogLevel::kError, "duty_failed", {{"duty", "send_permission"}});
-          permission = {false, clock_.Now() + kUndecidedRetryAfter};
+          permission = {false, {}, clock_.Now() + kUndecidedRetryAfter};
         }
         done(permission);
       });
 }
 
 boost::asio::awaitable<SendPermission> PeerApi::RequestSend(TargetPtr target) {
-  const SendPermission undecided{false, clock_.Now() + kUndecidedRetryAfter};
+  const SendPermission undecided{
+      false, {}, clock_.Now() + kUndecidedRetryAfter};
   if (agent_.leads()) {
     co_return DecideSend(*target);
   }
@@ -43,11 +44,12 @@
   if (!leader) {
     co_return undecided;
   }
+  const Instant asked_at = clock_.Now();
   HttpRequest request;
   request.method = "POST";
   request.target = "/peer/send";
   request.headers.push_back({"Content-Type", "application/json"});
-  // A new leader may not know the limit yet.
+  // The leader may not know the limit or the cold time yet.
   const RateLimitReport limit =
       TargetRegistry::RateLimitOf(*target, clock_.Now());
   request.body = json::serialize(
@@ -67,6 +69,7 @@
   ObjectReader reader(value.value(), "");
   SendPermission permission;
   permission.granted = reader.FlagOr("granted", false);
+  permission.use_until = asked_at + SendWindow::kSendTime;
   permission.retry_at =
       clock_.Now() + std::chrono::milliseconds(
                          reader.IntegerOr("retry_ms", 0, kMaxRetryMs, 0));
@@ -76,12 +79,12 @@
 SendPermission PeerApi::DecideSend(Target& target) {
   const Instant now = clock_.Now();
   if (!registry_.DecidesLimitedSends(now) || target.leaving) {
-    return {false, now + kUndecidedRetryAfter};
+    return {false, now, now + kUndecidedRetryAfter};
   }
   if (registry_.TryTakeSend(target, now)) {
-    return {true, now};
+    return {true, now + SendWindow::kSendTime, now};
   }
-  return {false, target.rate_limit.NextReturn(now)};
+  return {false, now, registry_.NextSend(target, now)};
 }
 
 HttpResponse PeerApi::AnswerSend(ObjectReader& reader) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -46,6 +46,8 @@
  private:
   /// No attempt is started with less time left before the deadline.
   static constexpr Micros kMinTimeLeft = 20ms;
+  /// Maximum of targets chosen per request.
+  static constexpr int kMaxTargetChoices = 4;
 
   using ResponseParser = boost::beast::http::response_parser<ResponseBody>;
 
@@ -84,6 +86,7 @@
   bool DelayOrReject(const TargetPick& pick);
   void SetWaiting(bool waiting);
   void SendTo(const TargetPtr& target, Instant at);
+  bool TakeSend(Instant now);
   void OpenConnection();
   void SendRequest();
 
@@ -152,6 +155,10 @@
   std::optional<ResponseParser> parser_;
   ResponseMetadata response_head_;
   Instant sent_at_{};
+  /// Time until which the leader's permission may be used; zero without one.
+  Instant granted_until_{};
+  /// Time by which the request must have left.
+  Instant send_until_ = Instant::max();
   /// Expected time from sending to the end of this prompt's prefill, with that
   /// of the prompts queued before it.
   Micros expected_prefill_{};
--- a/src/gateway/exchange_retry.cc
+++ b/src/gateway/exchange_retry.cc
@@ -7,8 +7,6 @@
 namespace jackdaw::serving {
 namespace {
 
-// Maximum of targets chosen per request.
-constexpr int kMaxTargetChoices = 4;
 // Time without bytes after which a repeatable request moves to another target.
 // A sound target may be silent for a second or so. A stream that the caller has
 // in part is cut if no other target continues it, so it waits longer.
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -56,7 +56,7 @@
                             });
     return;
   }
-  if (pick.outcome == PickOutcome::kLimited &&
+  if (pick.outcome == PickOutcome::kLimited && pick.target != nullptr &&
       send_requests_ < kMaxSendRequests) {
     AskToSend(pick);
     return;
@@ -80,8 +80,11 @@
 void Exchange::OnSendPermission(const TargetPick& pick,
                                 const SendPermission& permission) {
   const Instant now = deps_.clock.Now();
-  if (permission.granted && pick.target->AcceptsRequests(now)) {
+  const bool late =
+      pick.target->send_window.bounded() && now > permission.use_until;
+  if (permission.granted && !late && pick.target->AcceptsRequests(now)) {
     trace_.Add(now, "send_granted", pick.target->entry.id);
+    granted_until_ = permission.use_until;
     SendTo(pick.target, now);
     return;
   }
@@ -213,9 +216,26 @@
   });
 }
 
+// Counts the request if those that the target gets are limited. One that was
+// held back is counted now and not when its target was chosen.
+bool Exchange::TakeSend(Instant now) {
+  const bool granted = granted_until_ != Instant{};
+  send_until_ = Instant::max();
+  if (!deps_.targets.TakeSend(*target_, granted, now)) {
+    return false;
+  }
+  if (target_->send_window.bounded()) {
+    send_until_ = granted ? granted_until_ : now + SendWindow::kSendTime;
+    deps_.fleet.AnnounceSend(*target_, granted);
+  }
+  granted_until_ = Instant{};
+  return true;
+}
+
 void Exchange::OpenConnection() {
   const Instant now = deps_.clock.Now();
-  if (!target_->AcceptsRequests(now)) {
+  if (!target_->AcceptsRequests(now) || !TakeSend(now)) {
+    granted_until_ = Instant{};
     EndAttempt(TargetOutcome::kAbandoned);
     Dispatch();
     return;
@@ -249,9 +269,9 @@
 
 void Exchange::SendRequest() {
   const Instant now = deps_.clock.Now();
-  if (!target_->AcceptsRequests(now)) {
+  if (!target_->AcceptsRequests(now) || now > send_until_) {
     EndAttempt(TargetOutcome::kAbandoned);
-    Dispatch();
+    target_choices_ < kMaxTargetChoices ? Dispatch() : OnNoTarget({});
     return;
   }
   // The request may have waited since it was admitted.
--- a/src/gateway/fleet_client.h
+++ b/src/gateway/fleet_client.h
@@ -12,6 +12,9 @@
 /// Whether a request may be sent to a target that has named a limit.
 struct SendPermission {
   bool granted = false;
+  /// Time by which the request must have left if it is; applies to targets
+  /// whose requests of each second are bounded.
+  Instant use_until = Instant::max();
   /// Time at which the caller may come back if it is not.
   Instant retry_at{};
 };
@@ -33,6 +36,10 @@
   virtual void AnnounceDispatch(const Target& target,
                                 const RequestMetadata& call,
                                 std::int64_t tokens) = 0;
+  /// Notifies the other instances of a request that is sent to a target whose
+  /// requests of each second are bounded.
+  /// @param granted the leader was asked for it
+  virtual void AnnounceSend(const Target& target, bool granted) = 0;
   /// Sends the next heartbeat to the leader now instead of at the next
   /// interval: a model that no target holds has come into demand, or a target
   /// has announced that it leaves.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -245,6 +245,7 @@
     state.targets_suspected += now < target->backoff_until ? 1 : 0;
     state.targets_resting += target->notice.Rests(now) ? 1 : 0;
     state.targets_limited += target->rate_limit.limited() ? 1 : 0;
+    state.targets_cold += target->rate_limit.cold(now) ? 1 : 0;
   }
   state.crash_requests = crashes_.tracked_requests();
   state.crash_blocked = crashes_.BlockedRequests(now).size();
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -88,6 +88,7 @@
   set("targets_leaving", static_cast<double>(state.targets_leaving));
   set("targets_suspected", static_cast<double>(state.targets_suspected));
   set("targets_limited", static_cast<double>(state.targets_limited));
+  set("targets_cold", static_cast<double>(state.targets_cold));
   set("limited_refusals", static_cast<double>(state.limited_refusals));
   set("requests_without_end", static_cast<double>(state.without_end));
   set("targets_resting", static_cast<double>(state.targets_resting));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -40,7 +40,9 @@
   std::uint64_t targets_suspected = 0;
   /// Targets that name a limit of requests a second.
   std::uint64_t targets_limited = 0;
-  /// Requests that were refused because all their targets name one.
+  /// Targets that are cold.
+  std::uint64_t targets_cold = 0;
+  /// Requests that were refused because all their targets have a limit.
   std::uint64_t limited_refusals = 0;
   /// Requests that ended without an outcome.
   std::uint64_t without_end = 0;
--- a/src/gateway/rate_limit.cc
+++ b/src/gateway/rate_limit.cc
@@ -13,9 +13,15 @@
 
 }  // namespace
 
-Micros RateLimit::Interval() const {
+// Without a limit it is the one of a cold target: it spreads the callers that
+// come back to a target that has got all that it may get for now.
+Micros RateLimit::Interval(Instant now) const {
+  if (!limited() && cold_interval_ > Micros(0)) {
+    return cold_interval_;
+  }
   const double rate = std::max(kMinRate, per_second_.value_or(kMinRate));
-  return Micros(static_cast<std::int64_t>(1e6 / rate));
+  const Micros named(static_cast<std::int64_t>(1e6 / rate));
+  return cold(now) ? std::max(named, cold_interval_) : named;
 }
 
 void RateLimit::Learn(std::optional<double> per_second,
@@ -41,19 +47,49 @@
   Learn(report.per_second, now - report.age, now);
 }
 
+void RateLimit::OnCold(const ColdVersion& version, Instant until, Instant now) {
+  if (version < cold_version_) {
+    return;
+  }
+  const bool was_cold = cold(now);
+  if (version == cold_version_) {
+    cold_until_ = std::min(cold_until_, until);
+  } else {
+    cold_version_ = version;
+    cold_until_ = until;
+    marked_until_ = Instant{};
+  }
+  if (cold(now) && !was_cold) {
+    Restart(now);
+  }
+}
+
+void RateLimit::MarkCold(Instant until, Instant now) {
+  const bool was_cold = cold(now);
+  marked_until_ = std::max(marked_until_, until);
+  if (cold(now) && !was_cold) {
+    Restart(now);
+  }
+}
+
+// To a cold target, a request may follow earlier by as much as the one before
+// it was late: requests come at random times, and the bound of a second, which
+// SendWindow keeps, would else be used to three quarters.
 void RateLimit::OnSent(Instant now) {
-  if (limited()) {
-    next_send_at_ = std::max(now, next_send_at_) + Interval();
+  if (!Applies(now)) {
+    return;
   }
+  const Micros late = limited() ? Micros(0) : Interval(now);
+  next_send_at_ = std::max(now - late, next_send_at_) + Interval(now);
 }
 
 void RateLimit::Restart(Instant now) {
-  next_send_at_ = std::max(next_send_at_, now + Interval());
+  next_send_at_ = std::max(next_send_at_, now + Interval(now));
 }
 
 Instant RateLimit::NextReturn(Instant now) {
   const Instant next =
-      std::max({now, next_send_at_, last_return_at_ + Interval()});
+      std::max({now, next_send_at_, last_return_at_ + Interval(now)});
   last_return_at_ = std::min(next, now + kMaxReturnDelay);
   return last_return_at_;
 }
--- a/src/gateway/target.h
+++ b/src/gateway/target.h
@@ -9,6 +9,7 @@
 
 #include "gateway/rate_limit.h"
 #include "gateway/recent_ids.h"
+#include "gateway/send_window.h"
 #include "gateway/target_notice.h"
 #include "serving/target_registration.h"
 
@@ -42,6 +43,11 @@
   /// Ratio of the measured to the nominal prefill time, as a moving average.
   double slowdown = 1;
   RateLimit rate_limit;
+  SendWindow send_window;
+  /// Another incarnation had the id before, which this instance saw.
+  bool restarted = false;
+  /// Whether the log says that the target is cold.
+  bool logged_cold = false;
   TargetNotice notice;
   /// Load report, received with a response.
   bool has_load = false;
--- a/src/gateway/target_registry.cc
+++ b/src/gateway/target_registry.cc
@@ -78,7 +78,6 @@
   const std::int64_t tokens = UncachedTokens(target, call, now);
   ++target.in_flight;
   target.AddLoad(now);
-  target.rate_limit.OnSent(now);
   if (target.awaiting_first_byte++ == 0) {
     target.awaiting_since = now;
   }
--- a/src/gateway/target_registry.h
+++ b/src/gateway/target_registry.h
@@ -57,7 +57,8 @@
 /// The chosen target, with the figures behind the choice.
 struct TargetPick {
   PickOutcome outcome = PickOutcome::kNoTarget;
-  /// The chosen target; for kLimited the one to ask for.
+  /// The chosen target; for kLimited the one to ask for, null if asking does
+  /// not help.
   TargetPtr target;
   /// Expected time to the first byte plus penalties, in milliseconds.
   double cost_ms = 0;
@@ -146,7 +147,36 @@
   }
   /// Counts a request to a limited target that another instance asks for.
   /// @returns false if the target must not get it now
-  bool TryTakeSend(Target& target, Instant now) const;
+  bool TryTakeSend(Target& target, Instant now);
+  /// Counts a request that this instance is about to send.
+  /// @param granted the leader was asked for it
+  /// @returns false if the target must not get it now
+  bool TakeSend(Target& target, bool granted, Instant now);
+  /// Counts a request that another instance has sent to a target whose requests
+  /// of each second are bounded.
+  /// @param granted the leader was asked for it
+  void OnPeerSend(std::uint64_t target_digest, bool granted, Instant now);
+  /// Returns the time at which a caller that must not send to the target now
+  /// may come back.
+  Instant NextSend(Target& target, Instant now) const;
+  /// The leader or the store has answered, or a follower has reported to this
+  /// instance.
+  void OnContact(Instant now) { contact_at_ = now; }
+  /// Sets the limits of cold targets.
+  /// @param overshoot factor of what a cold target sustains in a second
+  /// @param slack requests that it may get in a second above that
+  void SetColdLimits(std::span<const Service> services,
+                     double overshoot,
+                     double slack);
+  /// Applies what a target's row says of its cold time.
+  /// @param entry the row, after Update
+  void OnColdRow(const TargetRegistration& entry, Instant now);
+  /// Takes a target for cold until a time, or until its row says otherwise.
+  void MarkCold(Target& target, Instant until, Instant now);
+  /// Returns the time for which targets of a service are cold after a start.
+  Micros ColdTime(std::string_view service) const;
+  /// Logs which targets are cold, and which not any more.
+  void LogCold(Instant now);
   /// This instance begins to decide on requests to limited targets.
   void RestartRateLimits(Instant now);
   /// Returns what is known of the limits of targets.
@@ -176,7 +206,20 @@
     TargetNotice notice;
   };
 
+  /// Limits of the cold targets of a service.
+  struct ColdLimits {
+    Micros time{};
+    /// Time between two requests to one of them.
+    Micros interval{};
+    /// Requests in a second.
+    int bound = 0;
+  };
+
   bool MaySend(const Target& target, Instant now) const;
+  SendKnowledge Knowledge(Instant now) const;
+  /// Notes that events are handled at this time.
+  void Observe(Instant now) const;
+  void ApplyColdLimits(Target& target) const;
   static void OnRateLimit(Target& target,
                           const ResponseMetadata& response,
                           Instant now);
@@ -199,6 +242,12 @@
 
   std::string failure_domain_;
   Instant limited_sends_until_{};
+  Instant contact_at_{};
+  /// Time of the last event, and time from which on the notices that arrived
+  /// during the last pause have been read.
+  mutable Instant observed_at_{};
+  mutable Instant caught_up_at_{};
+  std::unordered_map<std::string, ColdLimits> cold_limits_;
   std::unordered_map<std::string, TargetPtr> targets_;
   std::unordered_map<std::uint64_t, TargetPtr> by_digest_;
   /// Notices of targets whose entries were removed or replaced, by id.
--- a/src/gateway/target_registry_entries.cc
+++ b/src/gateway/target_registry_entries.cc
@@ -29,6 +29,7 @@
       RememberNotice(*target);
     }
     target = std::make_shared<Target>();
+    target->restarted = restarted;
     RestoreNotice(*target, entry);
     by_digest_[TargetDigest(entry.id)] = target;
   }
@@ -38,6 +39,7 @@
                        !SameModels(target->entry, entry);
   target->leaving = leaving;
   target->entry = entry;
+  ApplyColdLimits(*target);
   for (const HeldModel& model : entry.models) {
     for (const std::string& adapter : model.adapters) {
       target->adapters.insert(model.name + "/" + adapter);
--- a/src/gateway/target_registry_limits.cc
+++ b/src/gateway/target_registry_limits.cc
@@ -1,4 +1,6 @@
 // Limits that targets name in their responses.
+#include <algorithm>
+
 #include "core/log.h"
 #include "gateway/target_registry.h"
 
@@ -16,18 +18,36 @@
 }  // namespace
 
 bool TargetRegistry::MaySend(const Target& target, Instant now) const {
-  return !target.rate_limit.limited() ||
-         (DecidesLimitedSends(now) && target.rate_limit.Admits(now));
+  const bool admitted =
+      !target.rate_limit.Applies(now) ||
+      (DecidesLimitedSends(now) && target.rate_limit.Admits(now));
+  return admitted && (!target.send_window.bounded() ||
+                      target.send_window.HasRoom(Knowledge(now), now));
+}
+
+bool TargetRegistry::TryTakeSend(Target& target, Instant now) {
+  return TakeSend(target, false, now);
 }
 
-bool TargetRegistry::TryTakeSend(Target& target, Instant now) const {
-  if (!MaySend(target, now)) {
+// A request for which the leader was asked was counted there when it answered.
+bool TargetRegistry::TakeSend(Target& target, bool granted, Instant now) {
+  if (granted && DecidesLimitedSends(now)) {
+    return true;
+  }
+  if (!granted && !MaySend(target, now)) {
     return false;
   }
   target.rate_limit.OnSent(now);
+  const bool by_notices = !granted && Knowledge(now) != SendKnowledge::kLeader;
+  target.send_window.OnSent(now, by_notices);
   return true;
 }
 
+Instant TargetRegistry::NextSend(Target& target, Instant now) const {
+  const Instant next = target.rate_limit.NextReturn(now);
+  return std::max(next, target.send_window.NextRoom(Knowledge(now), now));
+}
+
 void TargetRegistry::RestartRateLimits(Instant now) {
   for (const auto& [id, target] : targets_) {
     target->rate_limit.Restart(now);
@@ -61,8 +81,12 @@
 
 RateLimitReport TargetRegistry::RateLimitOf(const Target& target, Instant now) {
   const RateLimit& limit = target.rate_limit;
-  return {TargetDigest(target.entry.id), target.entry.born_ms,
-          limit.per_second(), now - limit.learned_at()};
+  return {TargetDigest(target.entry.id),
+          target.entry.born_ms,
+          limit.per_second(),
+          now - limit.learned_at(),
+          limit.cold(now) ? limit.cold_until() - now : Micros(0),
+          limit.cold_version()};
 }
 
 void TargetRegistry::AddRateLimits(std::span<const RateLimitReport> reports,
@@ -76,6 +100,10 @@
     Target& target = *found->second;
     const std::optional<double> before = target.rate_limit.per_second();
     target.rate_limit.OnReport(report, now);
+    if (report.cold_remaining > Micros(0)) {
+      target.rate_limit.OnCold(report.cold_version, now + report.cold_remaining,
+                               now);
+    }
     if (target.rate_limit.per_second() != before) {
       LogLimit(target, "instance");
     }
--- a/src/gateway/target_registry_pick.cc
+++ b/src/gateway/target_registry_pick.cc
@@ -30,14 +30,21 @@
   bool model_held = false;
   bool awake = false;
   Instant rest_until = Instant::max();
+  /// The limited target with the fewest requests to ask for, and its count.
   TargetPtr limited;
+  int limited_count = 0;
+  bool any_limited = false;
+  Instant room_at = Instant::max();
 
-  void Add(Availability availability, const TargetPtr& target);
+  void Add(Availability availability, const TargetPtr& target, Instant now);
+  void AddLimited(const TargetPtr& target, Instant now);
   /// Returns why no target was chosen.
   TargetPick Outcome(bool needs_adapter) const;
 };
 
-void PickTally::Add(Availability availability, const TargetPtr& target) {
+void PickTally::Add(Availability availability,
+                    const TargetPtr& target,
+                    Instant now) {
   any = true;
   if (availability == Availability::kModelNotHeld) {
     return;
@@ -49,7 +56,23 @@
   }
   awake = true;
   if (availability == Availability::kLimited) {
+    AddLimited(target, now);
+  }
+}
+
+// Not even the leader lets a request through to a target that has got all that
+// it may get within a second.
+void PickTally::AddLimited(const TargetPtr& target, Instant now) {
+  any_limited = true;
+  const SendWindow& window = target->send_window;
+  if (!window.HasRoom(SendKnowledge::kLeader, now)) {
+    room_at = std::min(room_at, window.NextRoom(SendKnowledge::kLeader, now));
+    return;
+  }
+  const int count = window.Count(now);
+  if (limited == nullptr || count < limited_count) {
     limited = target;
+    limited_count = count;
   }
 }
 
@@ -62,9 +85,10 @@
   } else if (!awake) {
     pick.outcome = PickOutcome::kResting;
     pick.retry_at = rest_until;
-  } else if (limited != nullptr) {
+  } else if (any_limited) {
     pick.outcome = PickOutcome::kLimited;
     pick.target = limited;
+    pick.retry_at = limited == nullptr ? room_at : Instant{};
   } else {
     pick.outcome =
         needs_adapter ? PickOutcome::kNoAdapter : PickOutcome::kNoTarget;
@@ -132,6 +156,7 @@
 TargetPick TargetRegistry::Pick(const TargetQuery& query, Instant now) const {
   const std::string adapter =
       query.call->adapter.empty() ? std::string() : query.call->ModelName();
+  Observe(now);
   TargetPick pick;
   PickTally tally;
   for (const auto& [id, target] : targets_) {
@@ -139,7 +164,7 @@
       continue;
     }
     const Availability availability = Check(target, query, adapter, now);
-    tally.Add(availability, target);
+    tally.Add(availability, target, now);
     if (availability != Availability::kUsable) {
       continue;
     }
--- a/src/gateway/tests/rate_limit_test.cc
+++ b/src/gateway/tests/rate_limit_test.cc
@@ -58,5 +58,61 @@
   }
 }
 
+constexpr Micros kColdInterval = 50ms;
+
+BOOST_AUTO_TEST_CASE(ColdTargetGetsItsRateWithoutABurst) {
+  RateLimit limit;
+  limit.SetColdInterval(kColdInterval);
+  BOOST_TEST(limit.Admits(kStart));
+  limit.OnCold({0, 7}, kStart + 3s, kStart);
+  BOOST_TEST(!limit.Admits(kStart));
+  const int sent = SentWithin(limit, kStart, 3s);
+  BOOST_TEST(sent <= 60);
+  BOOST_TEST(sent >= 58);
+  BOOST_TEST(limit.Admits(kStart + 3s));
+  limit.OnCold({0, 8}, kStart + 70s, kStart + 60s);
+  BOOST_TEST(SentWithin(limit, kStart + 60s, 1s) <= 20);
+}
+
+BOOST_AUTO_TEST_CASE(RowThatIsReadAgainDoesNotProlongTheColdTime) {
+  RateLimit limit;
+  limit.SetColdInterval(kColdInterval);
+  limit.OnCold({0, 7}, kStart + 3s, kStart);
+  limit.OnCold({0, 7}, kStart + 5s, kStart + 2s);
+  limit.OnCold({0, 6}, kStart + 9s, kStart + 2s);
+  BOOST_TEST(!limit.cold(kStart + 3s));
+  limit.OnCold({1, 2}, kStart + 9s, kStart + 4s);
+  BOOST_TEST(limit.cold(kStart + 8s));
+  limit.OnCold({1, 3}, kStart + 8s, kStart + 8s);
+  BOOST_TEST(!limit.cold(kStart + 8s));
+}
+
+BOOST_AUTO_TEST_CASE(LaterRowEndsAColdTimeThatNoRowNamed) {
+  RateLimit limit;
+  limit.SetColdInterval(kColdInterval);
+  limit.OnCold({0, 7}, kStart, kStart);
+  limit.MarkCold(kStart + 3s, kStart);
+  BOOST_TEST(limit.cold(kStart + 1s));
+  limit.OnCold({0, 7}, kStart + 1s, kStart + 1s);
+  BOOST_TEST(limit.cold(kStart + 2s));
+  limit.OnCold({0, 8}, kStart + 2s, kStart + 2s);
+  BOOST_TEST(!limit.cold(kStart + 2s));
+}
+
+BOOST_AUTO_TEST_CASE(ColdTimeOfAServiceWithoutABoundLimitsNothing) {
+  RateLimit limit;
+  limit.OnCold({0, 7}, kStart + 3s, kStart);
+  BOOST_TEST(limit.Admits(kStart));
+  BOOST_TEST(!limit.Applies(kStart));
+}
+
+BOOST_AUTO_TEST_CASE(LowerOfTwoLimitsHoldsWhileATargetIsCold) {
+  RateLimit limit;
+  limit.SetColdInterval(kColdInterval);
+  limit.OnCold({0, 7}, kStart + 60s, kStart);
+  limit.OnResponse(1, kStart);
+  BOOST_TEST(SentWithin(limit, kStart, 10s) <= 10);
+}
+
 }  // namespace
 }  // namespace jackdaw::serving
--- a/src/logread/request_explanation.cc
+++ b/src/logread/request_explanation.cc
@@ -30,9 +30,10 @@
     ReasonText{"adapter_not_held",
                "No target had the adapter loaded, and the leader could "
                "not get it loaded in time."},
-    ReasonText{"target_limited",
-               "Each target that could serve the request had named a limit of "
-               "requests a second, which was used up."},
+    ReasonText{
+        "target_limited",
+        "Each target that could serve the request had a limit of requests "
+        "a second, named or from being cold, which was used up."},
     ReasonText{"targets_resting",
                "Each target that could serve the request had asked this "
                "instance to send nothing for some time."},
--- a/src/serving/config.h
+++ b/src/serving/config.h
@@ -77,6 +77,10 @@
   std::string name;
   std::string health_path;
   int max_connections = 0;
+  /// Time for which a target is cold after its start.
+  Micros cold_time{};
+  /// Requests a second that a cold target sustains; 0 if there is no bound.
+  double cold_per_second = 0;
   std::optional<EngineSpec> engine;
 };
 
--- a/src/serving/target_registration.h
+++ b/src/serving/target_registration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,12 @@
   std::vector<std::string> near_models;
   /// Orders that the target has accepted since its start.
   std::int64_t orders_accepted = 0;
+  /// Time for which the target goes on to be cold, from the time at which this
+  /// version of the row was first read; nothing if the row does not say it.
+  std::optional<Micros> cold_remaining;
+  /// Epoch of the store, and version of the row in it.
+  std::int64_t row_epoch = 0;
+  std::int64_t row_version = 0;
 };
 
 }  // namespace jackdaw::serving
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -12,6 +12,8 @@
 constexpr std::int64_t kMostMs = 3600'000;
 // Ratios are written in thousandths.
 constexpr double kMilli = 1000;
+// Largest slack of the bound of a cold target, in requests.
+constexpr double kMaxSlack = 1e6;
 
 Endpoint ReadEndpoint(ObjectReader& reader, std::string_view key) {
   const auto endpoint = ParseEndpoint(reader.Text(key));
@@ -40,6 +42,13 @@
   return ratio;
 }
 
+double ReadRatioOr(ObjectReader& reader,
+                   std::string_view key,
+                   double most,
+                   double fallback) {
+  return reader.Any(key) == nullptr ? fallback : ReadRatio(reader, key, most);
+}
+
 }  // namespace
 
 bool IsGatewaySettings(std::string_view document) {
@@ -69,6 +78,10 @@
   settings.retries.window = ReadMs(reader, "retry_window_ms");
   settings.quotas.overshoot = ReadRatio(reader, "quota_overshoot", kMilli);
   settings.quotas.slack = ReadRatio(reader, "quota_slack", 1e12);
+  settings.cold_overshoot =
+      ReadRatioOr(reader, "cold_overshoot", kMilli, settings.cold_overshoot);
+  settings.cold_slack =
+      ReadRatioOr(reader, "cold_slack", kMaxSlack, settings.cold_slack);
   BOOST_OUTCOME_TRY(reader.Finish());
   return settings;
 }
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -36,6 +36,10 @@
   Micros directory_time{};
   RetryLimits retries;
   QuotaTolerance quotas;
+  /// Bound of the requests that a cold target gets in a second: the factor of
+  /// what it sustains, and what is added.
+  double cold_overshoot = 1;
+  double cold_slack = 0;
 };
 
 /// Reads the settings document.
