--- a/src/fleet/dispatch_notifier.cc
+++ b/src/fleet/dispatch_notifier.cc
@@ -7,7 +7,8 @@
 
 // Time for which notices are collected into one datagram.
 constexpr Micros kBatchDelay = 1ms;
-// Limit of peers that a notice is sent to, in the order of the fleet view.
+// Limit of peers that a notice of a dispatch is sent to, in the order of the
+// fleet view.
 constexpr std::size_t kMaxPeers = 100;
 
 }  // namespace
@@ -27,6 +28,17 @@
                                 const RequestMetadata& call,
                                 const SentRequest& sent) {
   EncodeDispatch(target, call, sent, *pending_.add_dispatches());
+  ScheduleFlush();
+}
+
+void DispatchNotifier::AnnounceSend(const Target& target, bool granted) {
+  auto& send = *pending_.add_sends();
+  send.set_target(TargetDigest(target.entry.id));
+  send.set_granted(granted);
+  ScheduleFlush();
+}
+
+void DispatchNotifier::ScheduleFlush() {
   if (flush_scheduled_) {
     return;
   }
@@ -47,6 +59,9 @@
   std::size_t sent = 0;
   for (const FleetMember& peer : agent_.Peers()) {
     if (++sent > kMaxPeers) {
+      pending_.clear_dispatches();
+    }
+    if (pending_.dispatches_size() + pending_.sends_size() == 0) {
       break;
     }
     datagrams_.Send(pending_, peer.peer);
@@ -60,6 +75,9 @@
     ApplyDispatch(dispatch, registry_, now);
   }
   registry_.AddLoadReports(DecodeLoadReports(message), now);
+  for (const auto& send : message.sends()) {
+    registry_.OnPeerSend(send.target(), send.granted(), now);
+  }
 }
 
 }  // namespace jackdaw::serving
--- a/src/gateway/target.h
+++ b/src/gateway/target.h
@@ -10,6 +10,7 @@
 #include "gateway/load_forecast.h"
 #include "gateway/rate_limit.h"
 #include "gateway/recent_ids.h"
+#include "gateway/send_window.h"
 #include "gateway/target_notice.h"
 #include "gateway/target_speed.h"
 #include "serving/target_registration.h"
@@ -52,6 +53,11 @@
   /// the ratio of the speed; 0 before the first one.
   double plain_work_ms = 0;
   RateLimit rate_limit;
+  SendWindow send_window;
+  /// Another incarnation had the id before, which this instance saw.
+  bool restarted = false;
+  /// Whether the log says that the target is cold.
+  bool logged_cold = false;
   TargetNotice notice;
   /// Load report, received with a response.
   bool has_load = false;
--- a/src/gateway/target_registry.cc
+++ b/src/gateway/target_registry.cc
@@ -83,7 +83,6 @@
   sent.momentary = target.speed.Momentary(now);
   ++target.in_flight;
   target.AddLoad(now);
-  target.rate_limit.OnSent(now);
   if (target.awaiting_first_byte++ == 0) {
     target.awaiting_since = now;
   }
--- a/src/gateway/target_registry_entries.cc
+++ b/src/gateway/target_registry_entries.cc
@@ -29,6 +29,7 @@
       RememberNotice(*target);
     }
     target = std::make_shared<Target>();
+    target->restarted = restarted;
     RestoreNotice(*target, entry);
     by_digest_[TargetDigest(entry.id)] = target;
   }
@@ -40,6 +41,7 @@
   target->entry = entry;
   const auto work = work_.find(entry.service);
   target->uses_forecast = work != work_.end() && work->second.reports_speed;
+  ApplyColdLimits(*target);
   for (const HeldModel& model : entry.models) {
     for (const std::string& adapter : model.adapters) {
       target->adapters.insert(model.name + "/" + adapter);
