Wait longer between store watch calls without the lease

Many instances that watched the store each made a call 40 ms after every change. An instance that does not lead now waits 400 to 600 ms after changes and spreads the first call of a watch over 600 ms, so that a lost leader causes no surge; a watch that is stopped in that time makes no call. A leader waits 100 ms. The calls are counted by reason.

--- a/src/fleet/store_watch.cc
+++ b/src/fleet/store_watch.cc
@@ -2,23 +2,17 @@
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "core/log.h"
 #include "fleet/table_read.h"
+#include "fleet/watch_delay.h"
 
 namespace jackdaw::serving {
 namespace {
 
 // Timeout of a read of one page of the store.
 constexpr Micros kReadTimeout = 1500ms;
-// The delay before the next call grows by the step with each failure in a row,
-// up to the maximum.
-constexpr Micros kBackoffStep = 60ms;
-constexpr Micros kMaxBackoff = 500ms;
-// Delay after changes, so that changes in quick succession take one call.
-constexpr Micros kBatchDelay = 40ms;
 
 }  // namespace
 
@@ -26,17 +20,19 @@
                        platform::StoreClient& store,
                        const MonotonicClock& clock,
                        std::string table,
-                       Sink sink)
+                       Sink sink,
+                       std::uint64_t seed)
     : wake_(context),
       store_(store),
       clock_(clock),
       table_(std::move(table)),
-      sink_(std::move(sink)) {}
+      sink_(std::move(sink)),
+      random_(seed) {}
 
+// Ends early if the watch is started or the instance begins to lead.
 boost::asio::awaitable<void> StoreWatch::Pause(Micros span) {
-  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
-  timer.expires_after(span);
-  co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+  wake_.expires_after(span);
+  co_await wake_.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
 }
 
 void StoreWatch::OnFailure(const Error& error) {
@@ -62,8 +58,8 @@
 }
 
 boost::asio::awaitable<bool> StoreWatch::ReadSnapshot() {
-  const Result<platform::RowSet> read =
-      co_await ReadTable(store_, table_, clock_, kReadTimeout);
+  const Result<platform::RowSet> read = co_await ReadTable(
+      store_, table_, clock_, kReadTimeout, &calls_.snapshot);
   if (!read) {
     OnFailure(read.error());
     co_return false;
@@ -88,6 +84,7 @@
 }
 
 boost::asio::awaitable<bool> StoreWatch::ReadChanges() {
+  ++(leads_ ? calls_.as_leader : calls_.as_follower);
   const Result<platform::RowChanges> changes =
       co_await store_.Watch(table_, version_.number, kWatchWait,
                             clock_.Now() + kWatchWait + kWatchMargin);
@@ -108,7 +105,7 @@
   version_.number = std::max(version_.number, set.version);
   sink_.on_changes(set);
   if (!set.rows.empty()) {
-    co_await Pause(kBatchDelay);
+    co_await Pause(DelayAfterChanges(leads_, random_.Unit()));
   }
   co_return true;
 }
@@ -120,6 +117,17 @@
   }
 }
 
+void StoreWatch::RequestSnapshot() {
+  snapshot_requested_ = true;
+}
+
+void StoreWatch::SetLeads(bool leads) {
+  if (leads && !leads_) {
+    wake_.cancel();
+  }
+  leads_ = leads;
+}
+
 void StoreWatch::SetActive(bool active) {
   if (active_ == active) {
     return;
@@ -137,19 +145,29 @@
       // again.
       lost_ = false;
       failures_ = 0;
+      first_call_due_ = true;
       wake_.expires_at(boost::asio::steady_timer::time_point::max());
       co_await wake_.async_wait(
           boost::asio::as_tuple(boost::asio::use_awaitable));
     }
+    if (first_call_due_) {
+      // A watch that is stopped during the delay makes no call.
+      first_call_due_ = false;
+      co_await Pause(DelayOfFirstCall(leads_, random_.Unit()));
+      continue;
+    }
     bool succeeded = false;
-    if (!has_snapshot_) {
-      has_snapshot_ = co_await ReadSnapshot();
-      succeeded = has_snapshot_;
+    if (!has_snapshot_ || snapshot_requested_) {
+      succeeded = co_await ReadSnapshot();
+      if (succeeded) {
+        has_snapshot_ = true;
+        snapshot_requested_ = false;
+      }
     } else {
       succeeded = co_await ReadChanges();
     }
     if (!succeeded) {
-      co_await Pause(std::min(kMaxBackoff, kBackoffStep * (1 + failures_)));
+      co_await Pause(DelayAfterFailure(failures_, random_.Unit()));
     }
   }
 }
--- a/src/fleet/store_watch.h
+++ b/src/fleet/store_watch.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "core/clock.h"
+#include "core/random.h"
 #include "fleet/table_version.h"
 #include "platform/store_client.h"
 
@@ -19,6 +20,16 @@
 inline constexpr Micros kWatchWait = 1500ms;
 inline constexpr Micros kWatchMargin = 700ms;
 
+/// Calls that a watch has made to the store, by reason.
+struct WatchCalls {
+  /// Calls that waited for changes while the instance led.
+  std::uint64_t as_leader = 0;
+  /// The same while it did not lead.
+  std::uint64_t as_follower = 0;
+  /// Pages of snapshots.
+  std::uint64_t snapshot = 0;
+};
+
 /// Watches one table of the store: reads a snapshot, then the changes. If the
 /// store no longer has the history of changes, or came back from an older copy,
 /// a new snapshot is read.
@@ -35,20 +46,28 @@
     std::function<void()> on_reconnected;
   };
 
+  /// @param seed seed of the delays
   StoreWatch(boost::asio::io_context& context,
              platform::StoreClient& store,
              const MonotonicClock& clock,
              std::string table,
-             Sink sink);
+             Sink sink,
+             std::uint64_t seed = 0);
 
   /// Starts or stops the watch. It is stopped at first; while it is stopped, no
   /// call is made to the store.
   void SetActive(bool active);
+  /// States whether the instance leads, and others depend on this watch. The
+  /// delays between the calls are then short.
+  void SetLeads(bool leads);
+  /// Makes the next call read a snapshot, although the version is known.
+  void RequestSnapshot();
   /// The caller knows the table up to `version` from another source; the watch
   /// continues with later changes and skips the snapshot.
   void ResumeFrom(const TableVersion& version);
   /// Whether the last call to the store failed.
   bool lost() const { return lost_; }
+  const WatchCalls& calls() const { return calls_; }
 
   /// Runs the watch and never returns; to be spawned once.
   boost::asio::awaitable<void> Run();
@@ -66,11 +85,17 @@
   const MonotonicClock& clock_;
   std::string table_;
   Sink sink_;
+  Random random_;
   bool active_ = false;
+  bool leads_ = false;
+  /// The watch was started and has not made its first call.
+  bool first_call_due_ = false;
+  bool snapshot_requested_ = false;
   bool has_snapshot_ = false;
   bool lost_ = false;
   TableVersion version_;
   int failures_ = 0;
+  WatchCalls calls_;
 };
 
 }  // namespace jackdaw::serving
--- a/src/fleet/table_read.cc
+++ b/src/fleet/table_read.cc
@@ -6,10 +6,14 @@
     platform::StoreClient& store,
     std::string table,
     const MonotonicClock& clock,
-    Micros page_timeout) {
+    Micros page_timeout,
+    std::uint64_t* calls) {
   platform::RowSet all;
   std::string from;
   for (;;) {
+    if (calls != nullptr) {
+      ++*calls;
+    }
     Result<platform::RowSet> page = co_await store.Read(
         table, std::string(), from, std::string(), clock.Now() + page_timeout);
     if (!page) {
--- /dev/null
+++ b/src/fleet/watch_delay.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "core/time.h"
+
+namespace jackdaw::serving {
+
+/// Largest delay of an instance that does not lead, before the first call of a
+/// watch. When a leader is lost, all its followers start their watches; the
+/// calls are spread over this time.
+inline constexpr Micros kActivationSpread = 600ms;
+
+/// Returns the delay before the first call of a watch that was started.
+/// @param leads whether the instance leads
+/// @param unit random number from 0 to 1
+Micros DelayOfFirstCall(bool leads, double unit);
+
+/// Returns the delay after a call that returned changes, so that changes in
+/// quick succession take one call. It is longer for an instance that does not
+/// lead, as many of them may watch at the same time.
+Micros DelayAfterChanges(bool leads, double unit);
+
+/// Returns the delay after failed calls.
+/// @param failures number of failed calls in a row
+Micros DelayAfterFailure(int failures, double unit);
+
+}  // namespace jackdaw::serving
