Let instances with large links take a free lease first

The leader relays rows to the whole fleet, so its link bounds what it can relay. An instance whose setting link_mbps is below 100 leaves a free lease to others for at most 450 ms, counted once from when it first saw the lease free. Without the setting nothing waits. The setting is optional.

--- a/src/fleet/leadership.cc
+++ b/src/fleet/leadership.cc
@@ -13,16 +13,35 @@
 // instances can read it.
 constexpr Micros kWriteDelayMargin = 300ms;
 
+// An instance waits one step if its link is below the ample one, and two if it
+// is below the small one, so that a leader with a large link is more likely.
+// The jitter separates the writes of instances with equal links.
+constexpr double kAmpleLinkMbps = 100;
+constexpr double kSmallLinkMbps = 30;
+constexpr Micros kLeaseWaitStep = 150ms;
+
 }  // namespace
 
+Micros LeaseWait(std::optional<double> link_mbps, double unit) {
+  const double link = link_mbps.value_or(kAmpleLinkMbps);
+  if (link >= kAmpleLinkMbps) {
+    return Micros(0);
+  }
+  const double steps = (link < kSmallLinkMbps ? 2 : 1) + unit;
+  return Micros(static_cast<std::int64_t>(
+      steps * static_cast<double>(kLeaseWaitStep.count())));
+}
+
 Leadership::Leadership(std::string self,
                        std::string address,
                        std::string boot_id,
-                       Micros lease_time)
+                       Micros lease_time,
+                       Micros free_wait)
     : self_(std::move(self)),
       address_(std::move(address)),
       boot_id_(std::move(boot_id)),
-      lease_time_(lease_time) {}
+      lease_time_(lease_time),
+      free_wait_(free_wait) {}
 
 bool Leadership::IsOwn(const LeaderLease& lease) const {
   return lease.holder == self_ && lease.boot_id == boot_id_ &&
@@ -42,6 +61,7 @@
     lease_known_ = true;
     lease_ = {};
     seen_at_ = now;
+    vacant_since_ = vacant_since_.value_or(now);
     return;
   }
   if (lease_known_ && !restored && lease->row_version <= lease_.row_version) {
@@ -50,6 +70,30 @@
   lease_known_ = true;
   lease_ = *lease;
   seen_at_ = now;
+  if (!lease_.holder.empty() && !lease_.released) {
+    vacant_since_.reset();
+  } else {
+    vacant_since_ = vacant_since_.value_or(now);
+  }
+}
+
+// Returns since when another instance than the holder may acquire the lease, or
+// nothing if it may not yet.
+std::optional<Instant> Leadership::FreeSince(Instant now) const {
+  if (lease_.holder.empty() || lease_.released) {
+    return vacant_since_.value_or(seen_at_);
+  }
+  const Instant end = seen_at_ + lease_time_ + kWriteDelayMargin;
+  return now > end ? std::optional(end) : std::nullopt;
+}
+
+std::optional<Instant> Leadership::WaitsUntil(Instant now) const {
+  if (!lease_known_ || lease_.holder == self_) {
+    return std::nullopt;
+  }
+  const std::optional<Instant> free_since = FreeSince(now);
+  const bool waits = free_since && now < *free_since + free_wait_;
+  return waits ? std::optional(*free_since + free_wait_) : std::nullopt;
 }
 
 LeaseStep Leadership::NextStep(Instant now) const {
@@ -60,10 +104,11 @@
     return now - renewed_at_ >= kRenewInterval ? LeaseStep::kRenew
                                                : LeaseStep::kNone;
   }
-  const bool vacant =
-      lease_.holder.empty() || lease_.released || lease_.holder == self_;
-  const bool expired = now - seen_at_ > lease_time_ + kWriteDelayMargin;
-  return vacant || expired ? LeaseStep::kAcquire : LeaseStep::kNone;
+  // Nobody else can acquire the lease of this instance's previous run earlier,
+  // so there is nothing to wait for.
+  const bool own = lease_.holder == self_;
+  const bool free = FreeSince(now) && !WaitsUntil(now);
+  return own || free ? LeaseStep::kAcquire : LeaseStep::kNone;
 }
 
 LeaderLease Leadership::Proposal(LeaseStep step) const {
@@ -106,6 +151,10 @@
     store_restored_ = false;
   }
   lease_ = lease;
+  vacant_since_.reset();
+  if (lease_.released) {
+    vacant_since_ = sent_at;
+  }
   seen_at_ = sent_at;
   renewed_at_ = sent_at;
   orders_until_ = sent_at + lease_time_ / 2;
--- a/src/fleet/leadership.h
+++ b/src/fleet/leadership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,12 @@
 /// The next action of an instance on the lease.
 enum class LeaseStep : std::uint8_t { kNone, kAcquire, kRenew };
 
+/// Returns the time for which an instance leaves a free lease to instances with
+/// larger links; at most 450 ms. The leader relays rows to the whole fleet.
+/// @param link_mbps the instance's link; if it is unknown, there is no wait
+/// @param unit random number from 0 to 1
+Micros LeaseWait(std::optional<double> link_mbps, double unit);
+
 /// State machine of the leader's lease in one instance. The holder sends orders
 /// only in the first half of the lease after each renewal, so that they arrive
 /// before the lease can expire. After a change of holder the new leader waits
@@ -49,10 +56,13 @@
  public:
   /// @param lease_time time without a renewal after which another instance may
   /// acquire the lease
+  /// @param free_wait time for which the lease must have been free before this
+  /// instance acquires it; see LeaseWait
   Leadership(std::string self,
              std::string address,
              std::string boot_id,
-             Micros lease_time);
+             Micros lease_time,
+             Micros free_wait = Micros(0));
 
   /// Applies the lease row that was read.
   /// @param lease null if there is no row
@@ -63,6 +73,9 @@
   /// Returns whether to acquire or to renew the lease now. It is kNone until
   /// the row has been read for the first time.
   LeaseStep NextStep(Instant now) const;
+  /// Returns the time from which on this instance may acquire the lease, if the
+  /// lease is free now and the instance still waits.
+  std::optional<Instant> WaitsUntil(Instant now) const;
   /// Returns the row to be written for a step other than kNone.
   LeaderLease Proposal(LeaseStep step) const;
   /// The store has applied the proposal.
@@ -80,11 +93,13 @@
  private:
   bool IsOwn(const LeaderLease& lease) const;
   bool MayHaveLastOrdersOfOther() const;
+  std::optional<Instant> FreeSince(Instant now) const;
 
   std::string self_;
   std::string address_;
   std::string boot_id_;
   Micros lease_time_;
+  Micros free_wait_;
   bool lease_known_ = false;
   LeaderLease lease_;
   std::int64_t store_epoch_ = 0;
@@ -93,6 +108,8 @@
   /// Start of the lease as this instance measures it: the time at which a new
   /// version of the row was read, or was sent by this instance.
   Instant seen_at_{};
+  /// Time at which this instance first read that the lease has no holder.
+  std::optional<Instant> vacant_since_;
   /// Sending time of the last own write of the lease.
   Instant renewed_at_{};
   /// Interval in which orders may be sent.
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -40,6 +40,20 @@
   return ratio;
 }
 
+// The platform's template writes null for a limit that the machine lacks.
+std::optional<double> ReadLink(ObjectReader& reader, std::string_view key) {
+  constexpr double kMaxLinkMbps = 1e6;
+  const auto* value = reader.Any(key);
+  if (value == nullptr || value->is_null()) {
+    return std::nullopt;
+  }
+  const double link = ReadRatio(reader, key, kMaxLinkMbps);
+  if (link <= 0) {
+    reader.Fail(key, "is out of range");
+  }
+  return link;
+}
+
 }  // namespace
 
 bool IsGatewaySettings(std::string_view document) {
@@ -69,6 +83,7 @@
   settings.retries.window = ReadMs(reader, "retry_window_ms");
   settings.quotas.overshoot = ReadRatio(reader, "quota_overshoot", kMilli);
   settings.quotas.slack = ReadRatio(reader, "quota_slack", 1e12);
+  settings.link_mbps = ReadLink(reader, "link_mbps");
   BOOST_OUTCOME_TRY(reader.Finish());
   return settings;
 }
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -36,6 +37,9 @@
   Micros directory_time{};
   RetryLimits retries;
   QuotaTolerance quotas;
+  /// Link of the instance in Mbit/s, if known. A leader bounds by it what it
+  /// relays to the fleet.
+  std::optional<double> link_mbps;
 };
 
 /// Reads the settings document.
