Relay compact rows to followers that understand them

The former limit of 400 KB a round, divided by the members, sent each follower of a large fleet to the store for a few changed rows. The heartbeat now names the form that its sender understands; the leader encodes a row once a version and sends only the version if followers need nothing else of it. Rows of an unknown form are read from the store.

--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -7,7 +7,9 @@
 
 #include "core/digest.h"
 #include "core/log.h"
+#include "fleet/relayed_target.h"
 #include "platform/tables.h"
+#include "platform/target_row.h"
 
 namespace jackdaw::serving {
 namespace {
@@ -18,6 +20,17 @@
 constexpr std::size_t kMaxIdleConnections = 3;
 // Number of random bytes in the boot id.
 constexpr std::size_t kBootIdBytes = 8;
+// Link of an instance whose settings do not name it, in Mbit/s.
+constexpr double kDefaultLinkMbps = 10;
+
+// Rows that name no target are not relayed, so that each decodes.
+std::string EncodeTargetText(const platform::StoredRow& row) {
+  if (IsRelayedTarget(row.value)) {
+    return row.value;
+  }
+  const auto entry = platform::DecodeTarget(row.at.key, row.value);
+  return entry ? EncodeRelayedTarget(entry.value()) : PackValue(row.value);
+}
 
 }  // namespace
 
@@ -50,19 +63,24 @@
           clock,
           std::string(platform::kConfigTable),
           {[this](const auto& rows) { OnConfigRows(rows, true); },
-           [this](const auto& rows) { OnConfigRows(rows, false); }, [] {}}),
-      target_watch_(
-          context,
-          store_,
-          clock,
-          std::string(platform::kTargetTable),
-          {[this](const auto& rows) { OnTargetRows(rows, true); },
-           [this](const auto& rows) { OnTargetRows(rows, false); },
-           [this] { target_feed_.OnStoreReconnected(clock_.Now()); }}),
+           [this](const auto& rows) { OnConfigRows(rows, false); }, [] {}},
+          std::hash<std::string>{}("config" + boot_id_)),
+      target_watch_(context,
+                    store_,
+                    clock,
+                    std::string(platform::kTargetTable),
+                    {[this](const auto& rows) { OnTargetRows(rows, true); },
+                     [this](const auto& rows) { OnTargetRows(rows, false); },
+                     [this] { target_feed_.OnStoreReconnected(clock_.Now()); }},
+                    std::hash<std::string>{}("targets" + boot_id_)),
+      target_replica_({EncodeTargetText, IsRelayedTarget}),
+      relay_budget_(settings.link_mbps.value_or(kDefaultLinkMbps)),
+      random_(std::hash<std::string>{}(boot_id_)),
       leadership_(settings.name,
                   ToText(settings.peer),
                   boot_id_,
-                  settings.lease_time),
+                  settings.lease_time,
+                  LeaseWait(settings.link_mbps, random_.Unit())),
       order_dispatcher_(http_,
                         registry,
                         leadership_,
@@ -75,8 +93,7 @@
               members_,
               demand,
               settings.name),
-      heartbeat_timer_(context),
-      random_(std::hash<std::string>{}(boot_id_)) {}
+      heartbeat_timer_(context) {}
 
 void FleetAgent::Spawn(boost::asio::awaitable<void> work, std::string name) {
   boost::asio::co_spawn(
@@ -160,7 +177,9 @@
 boost::asio::awaitable<void> FleetAgent::RunPlacement() {
   for (;;) {
     co_await Pause(kPlanInterval);
-    if (config_ != nullptr && leadership_.MaySendOrders(boot_clock_.Now())) {
+    // Relayed rows do not say which models a target has near.
+    if (config_ != nullptr && leadership_.MaySendOrders(boot_clock_.Now()) &&
+        !target_replica_.HasCompactRows()) {
       placer_.Plan(*config_, clock_.Now());
     }
   }
--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -19,6 +19,8 @@
 #include "fleet/model_placer.h"
 #include "fleet/order_dispatcher.h"
 #include "fleet/part_plan.h"
+#include "fleet/relay_budget.h"
+#include "fleet/relay_counters.h"
 #include "fleet/store_clock.h"
 #include "fleet/store_watch.h"
 #include "fleet/table_replica.h"
@@ -90,6 +92,8 @@
   const OrderDispatcher& order_dispatcher() const { return order_dispatcher_; }
   /// Returns the calls made to the store since startup.
   std::uint64_t store_calls() const { return store_.calls(); }
+  /// Returns the calls by reason, and the bytes relayed.
+  RelayCounters relay_counters() const;
   /// Whether this instance watches the store and the store does not answer.
   bool store_lost() const {
     return config_watch_.lost() || target_watch_.lost();
@@ -113,11 +117,20 @@
                         Instant sent_at,
                         Instant asked_at);
   void SetFollowing(bool following);
-  static void ConfigureWatch(StoreWatch& watch,
-                             const TableReplica& replica,
-                             bool active);
   bool IsFreshLeader() const;
   Micros HeartbeatInterval() const;
+  Micros FollowerInterval() const;
+  Micros NextHeartbeatDelay();
+
+  // Rows relayed by the leader.
+  void RelayRows(const HeartbeatRequest& heartbeat, HeartbeatReply& reply);
+  void OnRelayedConfig(const RowDelta& delta);
+  void OnRelayedTargets(const RowDelta& delta);
+  void LogReferral(std::string_view table, std::string_view reason);
+  void UpdateWatches();
+  void ConfigureWatch(StoreWatch& watch,
+                      const TableReplica& replica,
+                      bool active) const;
 
   // Rows of the fleet table in the store.
   boost::asio::awaitable<void> ReadFleetTable();
@@ -150,9 +163,12 @@
   ConfigOutcome TakeConfig(std::string_view document);
   std::string ConfigLostByStore(std::int64_t known_version) const;
   void LogQuotas(const ServingConfig& config) const;
-  void OnTargetRows(const platform::RowSet& rows, bool whole);
+  void OnTargetRows(const platform::RowSet& rows,
+                    bool whole,
+                    bool from_leader = false);
   void OnTargetChanges(const TargetFeed::Changes& changes);
-  std::vector<TargetRow> DecodeTargets(const platform::RowSet& rows) const;
+  std::vector<TargetRow> DecodeTargets(const platform::RowSet& rows,
+                                       bool from_leader) const;
   static platform::RowSet RelayedRows(platform::RowSet rows,
                                       std::span<const TargetRow> targets);
 
@@ -177,6 +193,10 @@
   StoreWatch target_watch_;
   TableReplica config_replica_;
   TableReplica target_replica_;
+  RelayBudget relay_budget_;
+  RelayCounters relayed_;
+  /// Time of the last log line that this instance was told to read the store.
+  Instant referral_logged_at_{};
   TargetFeed target_feed_;
   StoreClock store_clock_;
   MemberTable members_;
@@ -186,11 +206,11 @@
   std::optional<FleetView> stored_view_;
   /// Latest local time at which `view_` certainly held at a leader.
   Instant view_confirmed_at_{};
+  Random random_;
   Leadership leadership_;
   OrderDispatcher order_dispatcher_;
   ModelPlacer placer_;
   boost::asio::steady_timer heartbeat_timer_;
-  Random random_;
   ConfigPtr config_;
   /// Document of the configuration in force, as it was read.
   std::string config_document_;
--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -27,10 +27,6 @@
 constexpr Micros kMinExpediteInterval = 150ms;
 // Timeout of a heartbeat to the leader.
 constexpr Micros kHeartbeatTimeout = 400ms;
-// Limit of the bytes of a table's rows that a leader relays to all members
-// together in one round of heartbeats. The link of the leader may have only 10
-// Mbit/s.
-constexpr std::size_t kMaxRelayedBytes = 400UL * 1024;
 // A member of which nothing was learned for this time is forgotten.
 constexpr Micros kMemberRetention = 120s;
 // Longest reply of a leader that is read: the relayed rows, as JSON text in
@@ -67,20 +63,33 @@
   if (!following_) {
     return quotas_.epoch() == 0 ? kStartupInterval : kStoreSyncInterval;
   }
+  return FollowerInterval();
+}
+
+// Returns the interval at which each follower of the fleet sends heartbeats.
+Micros FleetAgent::FollowerInterval() const {
   const auto members = static_cast<std::int64_t>(view_.members.size());
   return std::clamp(kHeartbeatIntervalPerMember * members,
                     kMinHeartbeatInterval, kMaxHeartbeatInterval);
 }
 
+// An instance that leaves a free lease to others looks again when it may
+// acquire the lease.
+Micros FleetAgent::NextHeartbeatDelay() {
+  const Micros span = HeartbeatInterval();
+  const auto jitter = Micros(static_cast<std::int64_t>(
+      random_.Below(static_cast<std::uint64_t>(span.count() / 8))));
+  const Instant now = boot_clock_.Now();
+  const std::optional<Instant> until = leadership_.WaitsUntil(now);
+  return until ? std::min(span - jitter, *until - now) : span - jitter;
+}
+
 boost::asio::awaitable<void> FleetAgent::HeartbeatLoop() {
   co_await Pause(Micros(static_cast<std::int64_t>(
       random_.Below(static_cast<std::uint64_t>(kStartupSpread.count())))));
   for (;;) {
     co_await RunHeartbeat();
-    const Micros span = HeartbeatInterval();
-    const auto jitter = Micros(static_cast<std::int64_t>(
-        random_.Below(static_cast<std::uint64_t>(span.count() / 8))));
-    heartbeat_timer_.expires_after(span - jitter);
+    heartbeat_timer_.expires_after(NextHeartbeatDelay());
     co_await heartbeat_timer_.async_wait(
         boost::asio::as_tuple(boost::asio::use_awaitable));
   }
@@ -170,6 +179,7 @@
   heartbeat.config_after = config_replica_.version();
   heartbeat.config_version = config_ == nullptr ? 0 : config_->version;
   heartbeat.targets_after = target_replica_.version();
+  heartbeat.row_form = kRowForm;
   HttpRequest request;
   request.method = "POST";
   request.target = "/peer/beat";
@@ -228,28 +238,17 @@
     OnPartsGranted(*reply.parts, sent_at);
   }
   fleet_known_ = true;
-  read_config_ = reply.config.read_store;
-  read_targets_ = reply.targets.read_store;
-  OnConfigRows(reply.config.Rows(), reply.config.whole);
+  OnRelayedConfig(reply.config);
   if (!reply.lost_config.empty()) {
     TakeConfig(reply.lost_config);
     store_lost_config_ = true;
   }
-  OnTargetRows(reply.targets.Rows(), reply.targets.whole);
+  OnRelayedTargets(reply.targets);
   crashes_.AddReports(reply.crashes, now);
   registry_.AddRateLimits(reply.rate_limits, now);
   registry_.AddLeavingTargets(reply.leaving_targets, now);
 }
 
-void FleetAgent::ConfigureWatch(StoreWatch& watch,
-                                const TableReplica& replica,
-                                bool active) {
-  if (active) {
-    watch.ResumeFrom(replica.version());
-  }
-  watch.SetActive(active);
-}
-
 // The store is watched only while no leader supplies recent data.
 void FleetAgent::SetFollowing(bool following) {
   if (following_ != following) {
@@ -257,8 +256,7 @@
         {{"leader", leadership_.lease().holder}});
   }
   following_ = following;
-  ConfigureWatch(config_watch_, config_replica_, !following || read_config_);
-  ConfigureWatch(target_watch_, target_replica_, !following || read_targets_);
+  UpdateWatches();
 }
 
 bool FleetAgent::IsFreshLeader() const {
@@ -333,12 +331,8 @@
        heartbeat.member.parts != usable)) {
     reply.parts = PartGrant{part_table_.epoch, usable};
   }
-  const std::size_t max_bytes =
-      kMaxRelayedBytes / std::max<std::size_t>(1, view_.members.size());
-  reply.config = config_replica_.DeltaSince(heartbeat.config_after, max_bytes);
+  RelayRows(heartbeat, reply);
   reply.lost_config = ConfigLostByStore(heartbeat.config_version);
-  reply.targets =
-      target_replica_.DeltaSince(heartbeat.targets_after, max_bytes);
   reply.crashes = crashes_.BlockedRequests(now);
   reply.rate_limits = registry_.RateLimits(now);
   reply.leaving_targets = registry_.LeavingTargets();
--- a/src/fleet/fleet_agent_rows.cc
+++ b/src/fleet/fleet_agent_rows.cc
@@ -1,6 +1,7 @@
 // Rows of configuration and targets, from the store or relayed by the leader.
 #include "core/log.h"
 #include "fleet/fleet_agent.h"
+#include "fleet/relayed_target.h"
 #include "platform/config_row.h"
 #include "platform/tables.h"
 #include "platform/target_row.h"
@@ -89,15 +90,19 @@
   }
 }
 
-std::vector<TargetRow> FleetAgent::DecodeTargets(
-    const platform::RowSet& rows) const {
+// @param from_leader the rows were relayed and may be compact
+std::vector<TargetRow> FleetAgent::DecodeTargets(const platform::RowSet& rows,
+                                                 bool from_leader) const {
   std::vector<TargetRow> targets;
   for (const platform::StoredRow& row : rows.rows) {
     TargetRow target;
     target.id = row.at.key;
     target.version = row.version;
     if (!row.dropped) {
-      auto entry = platform::DecodeTarget(row.at.key, row.value);
+      target.complete = !from_leader || !IsRelayedTarget(row.value);
+      auto entry = target.complete
+                       ? platform::DecodeTarget(row.at.key, row.value)
+                       : DecodeRelayedTarget(row.at.key, row.value);
       target.readable = static_cast<bool>(entry);
       if (entry) {
         target.entry = std::move(entry.value());
@@ -129,7 +134,10 @@
 
 // Applies rows of the targets to the replica and to the registry.
 // @param whole the rows are a snapshot of the table
-void FleetAgent::OnTargetRows(const platform::RowSet& rows, bool whole) {
+// @param from_leader the rows were relayed
+void FleetAgent::OnTargetRows(const platform::RowSet& rows,
+                              bool whole,
+                              bool from_leader) {
   const Instant now = clock_.Now();
   const std::int64_t known_epoch = target_replica_.version().epoch;
   if (rows.epoch < known_epoch) {
@@ -138,7 +146,7 @@
   if (rows.epoch > known_epoch) {
     target_feed_.OnStoreRestored(now);
   }
-  const std::vector<TargetRow> targets = DecodeTargets(rows);
+  const std::vector<TargetRow> targets = DecodeTargets(rows, from_leader);
   const platform::RowSet relayed = RelayedRows(rows, targets);
   if (whole) {
     target_replica_.OnSnapshot(relayed, now);
--- a/src/fleet/fleet_agent_store.cc
+++ b/src/fleet/fleet_agent_store.cc
@@ -167,6 +167,10 @@
     holder.state = MemberState::kStarting;
     members_.AddExpected(holder, now);
   }
+  if (target_replica_.HasCompactRows()) {
+    target_watch_.RequestSnapshot();
+  }
+  UpdateWatches();
   order_dispatcher_.OnLeaseAcquired(now);
   registry_.RestartRateLimits(now);
   RefreshView();
--- a/src/fleet/heartbeat.cc
+++ b/src/fleet/heartbeat.cc
@@ -17,11 +17,32 @@
                     {"version", row.version},
                     {"dropped", row.dropped}});
   }
-  return {{"whole", delta.whole},
-          {"read_store", delta.read_store},
-          {"epoch", delta.version.epoch},
-          {"version", delta.version.number},
-          {"rows", std::move(rows)}};
+  json::object object{{"whole", delta.whole},
+                      {"read_store", delta.read_store},
+                      {"epoch", delta.version.epoch},
+                      {"version", delta.version.number},
+                      {"rows", std::move(rows)}};
+  if (!delta.relayed.empty()) {
+    json::array relayed;
+    for (const RelayedRow& row : delta.relayed) {
+      relayed.push_back(EncodeRelayedRow(row));
+    }
+    object["compact"] = std::move(relayed);
+  }
+  return object;
+}
+
+// A row of an unknown form makes the receiver read the table from the store.
+void DecodeRelayedRows(ObjectReader& reader, RowDelta& delta) {
+  for (const auto& item : reader.ItemsOr("compact")) {
+    auto row = DecodeRelayedRow(item);
+    if (!row) {
+      delta = {};
+      delta.read_store = true;
+      return;
+    }
+    delta.relayed.push_back(std::move(row.value()));
+  }
 }
 
 Result<RowDelta> DecodeDelta(const json::value& value) {
@@ -41,6 +62,7 @@
     BOOST_OUTCOME_TRY(fields.FinishKnown());
     delta.rows.push_back(std::move(row));
   }
+  DecodeRelayedRows(reader, delta);
   BOOST_OUTCOME_TRY(reader.FinishKnown());
   return delta;
 }
@@ -103,6 +125,7 @@
                   {"config_epoch", heartbeat.config_after.epoch},
                   {"config_after", heartbeat.config_after.number},
                   {"config_version", heartbeat.config_version},
+                  {"row_form", heartbeat.row_form},
                   {"targets_epoch", heartbeat.targets_after.epoch},
                   {"targets_after", heartbeat.targets_after.number}});
 }
@@ -118,6 +141,7 @@
   heartbeat.config_after.number = reader.Integer("config_after", 0, INT64_MAX);
   heartbeat.config_version =
       reader.IntegerOr("config_version", -1, INT64_MAX, -1);
+  heartbeat.row_form = reader.IntegerOr("row_form", 0, INT64_MAX, 0);
   heartbeat.targets_after.epoch =
       reader.IntegerOr("targets_epoch", 0, INT64_MAX, 0);
   heartbeat.targets_after.number =
--- a/src/fleet/heartbeat.h
+++ b/src/fleet/heartbeat.h
@@ -26,6 +26,8 @@
   /// Version of the configuration in force at the sender; 0 if there is none,
   /// -1 if unknown.
   std::int64_t config_version = -1;
+  /// Compact form of relayed rows that the sender understands; see kRowForm.
+  std::int64_t row_form = 0;
 };
 
 /// The leader's answer to a heartbeat: everything that has changed since the
--- a/src/fleet/table_replica.cc
+++ b/src/fleet/table_replica.cc
@@ -8,22 +8,42 @@
 
 // Time for which the tombstone of a deleted row is kept.
 constexpr Micros kTombstoneLifetime = 30s;
+// Bytes of a full row in a message besides key and value.
+constexpr std::size_t kRowOverhead = 60;
+
+// Returns a delta that refers an instance to the store.
+RowDelta Referral(const TableVersion& after) {
+  RowDelta delta;
+  delta.read_store = true;
+  delta.version = after;
+  return delta;
+}
 
 }  // namespace
 
-platform::RowSet RowDelta::Rows() const {
-  platform::RowSet set;
-  set.epoch = version.epoch;
-  set.version = version.number;
-  set.rows = rows;
-  return set;
+TableReplica::TableReplica(RowForm form) : form_(std::move(form)) {}
+
+bool TableReplica::IsCompact(const platform::StoredRow& row) const {
+  return !row.dropped && form_.is_compact && form_.is_compact(row.value);
 }
 
+bool TableReplica::HasCompactRows() const {
+  return std::ranges::any_of(
+      rows_, [&](const auto& item) { return IsCompact(item.second.row); });
+}
+
+// A row that is known in full is not replaced by its own compact text.
 void TableReplica::Apply(const platform::StoredRow& row, Instant now) {
   CachedRow& cached = rows_[row.at.key];
-  if (cached.row.version <= row.version) {
-    cached.row = row;
-    cached.at = now;
+  const bool known = cached.row.version == row.version && row.version > 0 &&
+                     !IsCompact(cached.row) && IsCompact(row);
+  if (cached.row.version > row.version || known) {
+    return;
+  }
+  cached.row = row;
+  cached.at = now;
+  if (row.dropped) {
+    cached.text.clear();
   }
 }
 
@@ -80,25 +100,111 @@
   PruneTombstones(now);
 }
 
+bool TableReplica::NeedsWhole(const TableVersion& after) const {
+  return after.epoch != version_.epoch || after.number < tombstones_from_;
+}
+
 RowDelta TableReplica::DeltaSince(const TableVersion& after,
                                   std::size_t max_bytes) const {
   RowDelta delta;
   delta.version = version_;
-  delta.whole =
-      after.epoch != version_.epoch || after.number < tombstones_from_;
-  std::size_t bytes = 0;
+  delta.whole = NeedsWhole(after);
+  bool incomplete = false;
   for (const auto& [key, cached] : rows_) {
     if (delta.whole ? !cached.row.dropped : cached.row.version > after.number) {
       delta.rows.push_back(cached.row);
-      bytes += cached.row.value.size();
+      delta.bytes += JsonSize(key) + JsonSize(cached.row.value) + kRowOverhead;
+      incomplete = incomplete || IsCompact(cached.row);
+    }
+  }
+  return incomplete || delta.bytes > max_bytes ? Referral(after) : delta;
+}
+
+const std::string& TableReplica::TextOf(CachedRow& cached) const {
+  const platform::StoredRow& row = cached.row;
+  if (cached.text.empty() || cached.text_version != row.version) {
+    std::string text = form_.encode ? form_.encode(row) : PackValue(row.value);
+    if (text != cached.text) {
+      cached.text = std::move(text);
+      cached.same_since = row.version;
     }
+    cached.text_version = row.version;
   }
-  if (bytes > max_bytes) {
-    delta = {};
-    delta.read_store = true;
-    delta.version = after;
+  return cached.text;
+}
+
+// @param after version from which on the receiver needs changes
+RelayedRow TableReplica::Relay(CachedRow& cached, std::int64_t after) const {
+  RelayedRow relayed;
+  relayed.key = cached.row.at.key;
+  relayed.version = cached.row.version;
+  if (cached.row.dropped) {
+    relayed.kind = RelayedRow::Kind::kDeleted;
+    return relayed;
   }
-  return delta;
+  const std::string& text = TextOf(cached);
+  if (cached.same_since <= after) {
+    relayed.kind = RelayedRow::Kind::kUnchanged;
+    relayed.digest = TextDigest(text);
+  } else {
+    relayed.text = text;
+  }
+  return relayed;
+}
+
+RowDelta TableReplica::CompactDeltaSince(const TableVersion& after,
+                                         std::size_t max_bytes) {
+  RowDelta delta;
+  delta.version = version_;
+  delta.whole = NeedsWhole(after);
+  for (auto& [key, cached] : rows_) {
+    if (delta.whole ? !cached.row.dropped : cached.row.version > after.number) {
+      delta.relayed.push_back(Relay(cached, delta.whole ? -1 : after.number));
+      delta.bytes += SizeOf(delta.relayed.back());
+    }
+  }
+  return delta.bytes > max_bytes ? Referral(after) : delta;
+}
+
+// A row that is said to be unchanged may have had another content between the
+// versions that the leader read, which an instance that watched the store
+// itself then has. The digest tells.
+Result<platform::StoredRow> TableReplica::ExpandRow(const RelayedRow& relayed) {
+  platform::StoredRow row;
+  row.at.key = relayed.key;
+  row.version = relayed.version;
+  row.dropped = relayed.kind == RelayedRow::Kind::kDeleted;
+  if (relayed.kind == RelayedRow::Kind::kUnchanged) {
+    const auto found = rows_.find(relayed.key);
+    if (found != rows_.end() && found->second.row.version >= row.version) {
+      return found->second.row;
+    }
+    if (found == rows_.end() || found->second.row.dropped ||
+        TextDigest(TextOf(found->second)) != relayed.digest) {
+      return Error{ErrorKind::kMalformed,
+                   "relayed row " + relayed.key + ": not the one known here",
+                   "the rows are read from the store"};
+    }
+    row.value = found->second.row.value;
+  } else if (relayed.kind == RelayedRow::Kind::kText) {
+    row.value = relayed.text;
+    if (!IsCompact(row)) {
+      BOOST_OUTCOME_TRY(row.value, UnpackValue(relayed.text));
+    }
+  }
+  return row;
+}
+
+Result<platform::RowSet> TableReplica::Expand(const RowDelta& delta) {
+  platform::RowSet set;
+  set.epoch = delta.version.epoch;
+  set.version = delta.version.number;
+  set.rows = delta.rows;
+  for (const RelayedRow& relayed : delta.relayed) {
+    BOOST_OUTCOME_TRY(platform::StoredRow row, ExpandRow(relayed));
+    set.rows.push_back(std::move(row));
+  }
+  return set;
 }
 
 }  // namespace jackdaw::serving
--- a/src/fleet/target_feed.cc
+++ b/src/fleet/target_feed.cc
@@ -47,12 +47,19 @@
   Remove(id, now, changes);
 }
 
-// Returns whether the row was read before in this epoch of the store.
+// Returns whether the row was read before in this epoch of the store. A
+// complete row is new if only the relayed one of the same version was read.
 bool TargetFeed::IsKnown(const TargetRow& row) const {
+  const auto covers = [&](std::int64_t version, bool complete) {
+    return version > row.version ||
+           (version == row.version && (complete || !row.complete));
+  };
   const auto known = known_.find(row.id);
   const auto doubt = in_doubt_.find(row.id);
-  return (known != known_.end() && known->second.version >= row.version) ||
-         (doubt != in_doubt_.end() && doubt->second.row.version >= row.version);
+  return (known != known_.end() &&
+          covers(known->second.version, known->second.complete)) ||
+         (doubt != in_doubt_.end() &&
+          covers(doubt->second.row.version, doubt->second.row.complete));
 }
 
 void TargetFeed::Apply(const TargetRow& row, Instant now, Changes& changes) {
@@ -84,6 +91,7 @@
                         Changes& changes) {
   KnownTarget& known = known_[row.id];
   known.version = row.version;
+  known.complete = row.complete;
   known.highest_version = std::max(known.highest_version, row.version);
   known.born_ms = std::max(known.born_ms, row.entry.born_ms);
   missing_until_.erase(row.id);
--- a/src/fleet/target_feed.h
+++ b/src/fleet/target_feed.h
@@ -45,6 +45,7 @@
     /// Highest version of the row in any epoch.
     std::int64_t highest_version = 0;
     std::int64_t born_ms = 0;
+    bool complete = true;
   };
   struct EntryInDoubt {
     TargetRow row;
--- a/src/fleet/target_row.h
+++ b/src/fleet/target_row.h
@@ -13,6 +13,9 @@
   std::string id;
   std::int64_t version = 0;
   bool readable = false;
+  /// The entry has all that the row says; one that a leader relayed lacks what
+  /// only a leader needs.
+  bool complete = true;
   TargetRegistration entry;
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -233,6 +233,7 @@
   state.retries = counters_.retries;
   state.retries_denied = retries_.denied();
   state.store_calls = agent_.store_calls();
+  state.relay = agent_.relay_counters();
   state.store_lost = agent_.store_lost();
   state.orders_sent = agent_.order_dispatcher().orders_sent();
   state.model_loads = agent_.order_dispatcher().loads_started();
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -103,6 +103,16 @@
   set("units_short", static_cast<double>(state.units.short_served));
   set("units_refused", static_cast<double>(state.units.refused));
   set("store_calls", static_cast<double>(state.store_calls));
+  set("store_calls_watch_leader",
+      static_cast<double>(state.relay.watch_as_leader));
+  set("store_calls_watch_follower",
+      static_cast<double>(state.relay.watch_as_follower));
+  set("store_calls_snapshot", static_cast<double>(state.relay.snapshot));
+  set("store_calls_rows", static_cast<double>(state.relay.rows));
+  set("relayed_bytes", static_cast<double>(state.relay.relayed_bytes));
+  set("store_referrals_sent", static_cast<double>(state.relay.referrals_sent));
+  set("store_referrals_received",
+      static_cast<double>(state.relay.referrals_received));
   set("store_lost", state.store_lost ? 1 : 0);
   set("replies_unreadable", static_cast<double>(state.replies_unreadable));
   set("heartbeats_unreadable",
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "core/time.h"
+#include "fleet/relay_counters.h"
 #include "quota/unit_exchange_counters.h"
 #include "serving/config.h"
 
@@ -59,6 +60,8 @@
   double quota_share = 0;
   UnitExchangeCounters units;
   std::uint64_t store_calls = 0;
+  /// Those calls by reason, and what was relayed.
+  RelayCounters relay;
   /// Replies of the leader to heartbeats that could not be decoded.
   std::uint64_t replies_unreadable = 0;
   /// Heartbeats of followers that could not be decoded.
