--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -49,6 +49,20 @@
   return reader.Any(key) == nullptr ? fallback : ReadRatio(reader, key, most);
 }
 
+// The platform's template writes null for a limit that the machine lacks.
+std::optional<double> ReadLink(ObjectReader& reader, std::string_view key) {
+  constexpr double kMaxLinkMbps = 1e6;
+  const auto* value = reader.Any(key);
+  if (value == nullptr || value->is_null()) {
+    return std::nullopt;
+  }
+  const double link = ReadRatio(reader, key, kMaxLinkMbps);
+  if (link <= 0) {
+    reader.Fail(key, "is out of range");
+  }
+  return link;
+}
+
 }  // namespace
 
 bool IsGatewaySettings(std::string_view document) {
@@ -82,6 +96,7 @@
       ReadRatioOr(reader, "cold_overshoot", kMilli, settings.cold_overshoot);
   settings.cold_slack =
       ReadRatioOr(reader, "cold_slack", kMaxSlack, settings.cold_slack);
+  settings.link_mbps = ReadLink(reader, "link_mbps");
   BOOST_OUTCOME_TRY(reader.Finish());
   return settings;
 }
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -40,6 +41,9 @@
   /// what it sustains, and what is added.
   double cold_overshoot = 1;
   double cold_slack = 0;
+  /// Link of the instance in Mbit/s, if known. A leader bounds by it what it
+  /// relays to the fleet.
+  std::optional<double> link_mbps;
 };
 
 /// Reads the settings document.
