Let requests leave their failure domain by decision

The choice keeps the best target of the own domain and of the others apart and asks DomainPreference, where targets report their speed and the setting domain_preference is present; elsewhere the constant cost stays. Counters by reason. The cold time of relayed rows uses the same field as that of full rows.

--- a/src/fleet/relayed_target.cc
+++ b/src/fleet/relayed_target.cc
@@ -195,7 +195,11 @@
   } else if (name == "n") {
     return ReadNumber(text, entry.slots);
   } else if (name == "c") {
-    return ReadNumber(text, entry.cold_remaining_ms);
+    const auto ms = ParseNumber(text);
+    if (ms) {
+      entry.cold_remaining = std::chrono::milliseconds(*ms);
+    }
+    return ms.has_value();
   } else if (name == "m") {
     return ReadModel(text, entry.models);
   }
@@ -215,8 +219,8 @@
   }
   out += " b=" + std::to_string(entry.born_ms);
   out += " n=" + std::to_string(entry.slots);
-  if (entry.cold_remaining_ms != 0) {
-    out += " c=" + std::to_string(entry.cold_remaining_ms);
+  if (entry.cold_remaining) {
+    out += " c=" + std::to_string(*entry.cold_remaining / 1ms);
   }
   for (const HeldModel& model : entry.models) {
     out += " m=";
--- a/src/fleet/tests/relayed_target_test.cc
+++ b/src/fleet/tests/relayed_target_test.cc
@@ -28,7 +28,7 @@
   BOOST_TEST((read.state == as.state));
   BOOST_TEST(read.born_ms == as.born_ms);
   BOOST_TEST(read.slots == as.slots);
-  BOOST_TEST(read.cold_remaining_ms == as.cold_remaining_ms);
+  BOOST_TEST((read.cold_remaining == as.cold_remaining));
   BOOST_TEST_REQUIRE(read.models.size() == as.models.size());
   for (std::size_t i = 0; i < as.models.size(); ++i) {
     BOOST_TEST(read.models[i].name == as.models[i].name);
@@ -55,7 +55,9 @@
                           {"m3", -1, {"a9", "a10", "a11"}}}));
   TargetRegistration entry = EntryOf({});
   entry.state = TargetState::kDraining;
-  entry.cold_remaining_ms = -5;
+  entry.cold_remaining = 0ms;
+  CheckReadsBack(entry);
+  entry.cold_remaining = 2750ms;
   CheckReadsBack(entry);
   entry.address = ParseEndpoint("[::1]:80").value();
   CheckReadsBack(entry);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -77,6 +77,7 @@
   std::vector<TargetPtr> AllTriedTargets() const;
   TargetPick PickTarget() const;
   void OnAdapterLoaded(const TargetPtr& target);
+  void CountDomain(DomainReason reason);
   void AskToSend(const TargetPick& pick);
   void OnSendPermission(const TargetPick& pick,
                         const SendPermission& permission);
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -41,6 +41,7 @@
     if (DelayOrReject(pick)) {
       return;
     }
+    CountDomain(pick.domain);
     SendTo(pick.target, now);
     return;
   }
@@ -65,6 +66,14 @@
   OnNoTarget(pick);
 }
 
+void Exchange::CountDomain(DomainReason reason) {
+  deps_.counters.left_domain_late += reason == DomainReason::kHomeLate ? 1 : 0;
+  deps_.counters.left_domain_spillover +=
+      reason == DomainReason::kSpillover ? 1 : 0;
+  deps_.counters.left_domain_no_target +=
+      reason == DomainReason::kNoTargetAtHome ? 1 : 0;
+}
+
 // All targets that could serve the request have named a limit, which the leader
 // keeps.
 void Exchange::AskToSend(const TargetPick& pick) {
@@ -104,7 +113,14 @@
   query.call = &call_;
   query.engine = service_->engine ? &*service_->engine : nullptr;
   query.excluded = excluded;
-  return deps_.targets.Pick(query, deps_.clock.Now());
+  const Instant now = deps_.clock.Now();
+  const Micros objective = route_->latency_objective > Micros(0)
+                               ? route_->latency_objective
+                               : route_->time_limit;
+  query.objective = std::max(
+      Micros(0),
+      Micros(std::min(trace_.started_at() + objective, deadline_) - now));
+  return deps_.targets.Pick(query, now);
 }
 
 std::vector<TargetPtr> Exchange::AllTriedTargets() const {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -50,7 +50,7 @@
       settings_path_(std::move(settings_path)),
       signals_(context_, SIGTERM, SIGINT, SIGHUP),
       timers_(context_, clock_),
-      targets_(settings.failure_domain),
+      targets_(settings.failure_domain, settings.domain_preference),
       target_connections_(context_, clock_),
       quotas_(settings.quotas),
       retries_(settings.retries, clock_.Now()),
@@ -239,6 +239,10 @@
   state.model_loads = agent_.order_dispatcher().loads_started();
   state.resumed = counters_.resumed;
   state.limited_refusals = counters_.limited_refusals;
+  state.left_domain_late = counters_.left_domain_late;
+  state.left_domain_spillover = counters_.left_domain_spillover;
+  state.left_domain_no_target = counters_.left_domain_no_target;
+  state.spillover_share = targets_.spillover_share();
   state.without_end = counters_.without_end;
   state.resting_refusals = counters_.resting_refusals;
   state.full_refusals = counters_.full_refusals;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -90,6 +90,12 @@
   set("targets_limited", static_cast<double>(state.targets_limited));
   set("targets_cold", static_cast<double>(state.targets_cold));
   set("limited_refusals", static_cast<double>(state.limited_refusals));
+  set("left_domain_late", static_cast<double>(state.left_domain_late));
+  set("left_domain_spillover",
+      static_cast<double>(state.left_domain_spillover));
+  set("left_domain_no_target",
+      static_cast<double>(state.left_domain_no_target));
+  set("spillover_share", state.spillover_share);
   set("requests_without_end", static_cast<double>(state.without_end));
   set("targets_resting", static_cast<double>(state.targets_resting));
   set("resting_refusals", static_cast<double>(state.resting_refusals));
--- a/src/gateway/target_registry.h
+++ b/src/gateway/target_registry.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "gateway/domain_preference.h"
 #include "gateway/target.h"
 #include "serving/config.h"
 #include "serving/request_metadata.h"
@@ -26,6 +27,8 @@
   const EngineSpec* engine = nullptr;
   /// Targets that must not be chosen.
   std::span<const TargetPtr> excluded;
+  /// Time left to the latency objective of the request.
+  Micros objective{};
 };
 
 /// Whether a target was chosen, or why not.
@@ -67,6 +70,8 @@
   /// Expected time to the first byte plus penalties, in milliseconds.
   double cost_ms = 0;
   int candidates = 0;
+  /// Why the request stays in the failure domain or leaves it.
+  DomainReason domain = DomainReason::kHome;
   /// For kResting and kFull, and for kLimited once it was asked for: time at
   /// which the caller may come back.
   Instant retry_at{};
@@ -132,7 +137,9 @@
 class TargetRegistry {
  public:
   /// @param failure_domain the instance's own failure domain
-  explicit TargetRegistry(std::string failure_domain);
+  /// @param preference when requests leave the failure domain
+  explicit TargetRegistry(std::string failure_domain,
+                          const DomainPreferenceSettings& preference = {});
 
   /// Adds or updates a target. An entry of an earlier incarnation is ignored.
   /// @returns true if the target is new, is a new incarnation, or changed its
@@ -243,6 +250,10 @@
   /// Records whether the target holds an adapter, named `model/adapter`.
   void SetAdapter(Target& target, std::string_view adapter, bool held);
 
+  /// Part of the requests that leaves the failure domain while it is short of
+  /// capacity, from 0 to 1.
+  double spillover_share() const { return domain_preference_.share(); }
+
   TargetPtr Find(std::string_view id) const;
   /// Returns the targets of a service that accept requests.
   std::vector<TargetPtr> Usable(std::string_view service) const;
@@ -302,6 +313,9 @@
   void RestoreNotice(Target& target, const TargetRegistration& entry) const;
   /// Adds the prefill of a prompt to the target's queue.
   static void Enqueue(Target& target, std::int64_t tokens, Instant now);
+  TargetPick ChooseDomain(const TargetPick& home,
+                          const TargetPick& away,
+                          const TargetQuery& query) const;
   Availability Check(const TargetPtr& target,
                      const TargetQuery& query,
                      std::string_view adapter,
@@ -319,6 +333,8 @@
               Instant now) const;
 
   std::string failure_domain_;
+  /// Changes with each choice.
+  mutable DomainPreference domain_preference_;
   Instant limited_sends_until_{};
   std::map<std::string, ServiceWork, std::less<>> work_;
   /// Digests of targets with Target::load_unsent.
--- a/src/gateway/target_registry_pick.cc
+++ b/src/gateway/target_registry_pick.cc
@@ -1,5 +1,8 @@
 // Choice of a target.
+#include <xxhash.h>
+
 #include <algorithm>
+#include <limits>
 
 #include "gateway/target_registry.h"
 #include "gateway/token_account.h"
@@ -110,6 +113,19 @@
   return pick;
 }
 
+// Ids decide between equal costs, so that the order of the table does not.
+bool IsBetter(const TargetPick& a, const TargetPick& b) {
+  return a.cost_ms < b.cost_ms ||
+         (a.cost_ms == b.cost_ms && a.target->entry.id < b.target->entry.id);
+}
+
+// Returns a number from 0 to 1 that is the same for each choice of a request.
+double Draw(std::string_view request_id) {
+  return static_cast<double>(
+             XXH3_64bits(request_id.data(), request_id.size())) /
+         static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
 // Returns the expected wait for a slot. The number of requests is uncertain:
 // the wait with a few slots less counts as much, so that a target is not filled
 // to its last slot while another has several.
@@ -180,9 +196,6 @@
   cost += target.uses_forecast ? ForecastCost(target, query, now)
                                : EstimatedCost(target, query, now);
   cost += kFailureCostMs * target.FailureShare(now);
-  if (target.entry.failure_domain != failure_domain_) {
-    cost += kOtherDomainCostMs;
-  }
   if (now < target.backoff_until) {
     cost += kBackoffCostMs;
   }
@@ -215,12 +228,43 @@
   return MaySend(*target, now) ? Availability::kUsable : Availability::kLimited;
 }
 
+// Chooses between the best targets of the own failure domain and of the others.
+// The decision rests on expected times, which are close enough only where
+// targets report their speed. Elsewhere another domain has a constant cost.
+TargetPick TargetRegistry::ChooseDomain(const TargetPick& home,
+                                        const TargetPick& away,
+                                        const TargetQuery& query) const {
+  if (away.target == nullptr) {
+    return home;
+  }
+  TargetPick other = away;
+  if (!domain_preference_.enabled() || !away.target->uses_forecast) {
+    other.cost_ms += kOtherDomainCostMs;
+    return home.target == nullptr || IsBetter(other, home) ? other : home;
+  }
+  DomainChoice choice;
+  choice.home_ms = home.target == nullptr
+                       ? std::numeric_limits<double>::infinity()
+                       : home.cost_ms;
+  choice.away_ms = away.cost_ms;
+  choice.objective_ms = Milliseconds(query.objective);
+  other.domain = domain_preference_.Decide(choice, Draw(query.call->id));
+  if (Leaves(other.domain)) {
+    return other;
+  }
+  TargetPick stays = home;
+  stays.domain = other.domain;
+  return stays;
+}
+
 TargetPick TargetRegistry::Pick(const TargetQuery& query, Instant now) const {
   const std::string adapter =
       query.call->adapter.empty() ? std::string() : query.call->ModelName();
   Observe(now);
-  TargetPick pick;
+  TargetPick home;
+  TargetPick away;
   PickTally tally;
+  int candidates = 0;
   for (const auto& [id, target] : targets_) {
     if (target->leaving || target->entry.service != query.service) {
       continue;
@@ -234,18 +278,22 @@
     if (availability != Availability::kUsable) {
       continue;
     }
-    ++pick.candidates;
-    const double cost = Cost(*target, query, now);
-    if (pick.target == nullptr || cost < pick.cost_ms ||
-        (cost == pick.cost_ms && id < pick.target->entry.id)) {
-      pick.target = target;
-      pick.cost_ms = cost;
+    ++candidates;
+    TargetPick candidate;
+    candidate.outcome = PickOutcome::kChosen;
+    candidate.target = target;
+    candidate.cost_ms = Cost(*target, query, now);
+    TargetPick& best =
+        target->entry.failure_domain == failure_domain_ ? home : away;
+    if (best.target == nullptr || IsBetter(candidate, best)) {
+      best = std::move(candidate);
     }
   }
-  if (pick.target == nullptr) {
+  if (candidates == 0) {
     return tally.Outcome(!adapter.empty());
   }
-  pick.outcome = PickOutcome::kChosen;
+  TargetPick pick = ChooseDomain(home, away, query);
+  pick.candidates = candidates;
   return pick;
 }
 
--- a/src/serving/target_registration.h
+++ b/src/serving/target_registration.h
@@ -30,8 +30,6 @@
   /// Start time in Unix milliseconds; distinguishes incarnations of one id.
   std::int64_t born_ms = 0;
   int slots = 0;
-  /// Time for which the target stays cold, in milliseconds, as of the row.
-  std::int64_t cold_remaining_ms = 0;
   std::vector<HeldModel> models;
   /// Models whose weights are on the target's disk or in its host memory, so
   /// that loading them uses no shared resource such as the weight store.
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -97,6 +97,15 @@
   settings.cold_slack =
       ReadRatioOr(reader, "cold_slack", kMaxSlack, settings.cold_slack);
   settings.link_mbps = ReadLink(reader, "link_mbps");
+  if (const auto* value = reader.Any("domain_preference")) {
+    ObjectReader preference(*value, "domain_preference");
+    settings.domain_preference.enabled = true;
+    settings.domain_preference.stay_share = ReadRatioOr(
+        preference, "stay_share", 1, settings.domain_preference.stay_share);
+    settings.domain_preference.cost_ms = ReadRatioOr(
+        preference, "cost_ms", kMostMs, settings.domain_preference.cost_ms);
+    BOOST_OUTCOME_TRY(preference.Finish());
+  }
   BOOST_OUTCOME_TRY(reader.Finish());
   return settings;
 }
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -6,6 +6,7 @@
 
 #include "core/error.h"
 #include "core/time.h"
+#include "gateway/domain_preference.h"
 #include "gateway/retry_limiter.h"
 #include "http/endpoint.h"
 #include "quota/local_quotas.h"
@@ -41,6 +42,8 @@
   /// what it sustains, and what is added.
   double cold_overshoot = 1;
   double cold_slack = 0;
+  /// When requests leave the failure domain.
+  DomainPreferenceSettings domain_preference;
   /// Link of the instance in Mbit/s, if known. A leader bounds by it what it
   /// relays to the fleet.
   std::optional<double> link_mbps;
