--- a/src/gateway/target_registry.cc
+++ b/src/gateway/target_registry.cc
@@ -62,8 +62,10 @@
 }
 
 TargetRegistry::TargetRegistry(std::string failure_domain,
-                               const DomainPreferenceSettings& preference)
+                               const DomainPreferenceSettings& preference,
+                               bool forecast_load)
     : failure_domain_(std::move(failure_domain)),
+      forecast_load_(forecast_load),
       domain_preference_(preference) {}
 
 void TargetRegistry::Enqueue(Target& target, std::int64_t tokens, Instant now) {
--- a/src/gateway/target_registry.h
+++ b/src/gateway/target_registry.h
@@ -138,8 +138,11 @@
  public:
   /// @param failure_domain the instance's own failure domain
   /// @param preference when requests leave the failure domain
+  /// @param forecast_load whether the load of all targets is forecast; else
+  /// only that of services whose targets report their speed
   explicit TargetRegistry(std::string failure_domain,
-                          const DomainPreferenceSettings& preference = {});
+                          const DomainPreferenceSettings& preference = {},
+                          bool forecast_load = false);
 
   /// Adds or updates a target. An entry of an earlier incarnation is ignored.
   /// @returns true if the target is new, is a new incarnation, or changed its
@@ -333,6 +336,7 @@
               Instant now) const;
 
   std::string failure_domain_;
+  bool forecast_load_ = false;
   /// Changes with each choice.
   mutable DomainPreference domain_preference_;
   Instant limited_sends_until_{};
--- a/src/gateway/target_registry_entries.cc
+++ b/src/gateway/target_registry_entries.cc
@@ -40,7 +40,8 @@
   target->leaving = leaving;
   target->entry = entry;
   const auto work = work_.find(entry.service);
-  target->uses_forecast = work != work_.end() && work->second.reports_speed;
+  target->uses_forecast =
+      forecast_load_ || (work != work_.end() && work->second.reports_speed);
   ApplyColdLimits(*target);
   for (const HeldModel& model : entry.models) {
     for (const std::string& adapter : model.adapters) {
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -4,6 +4,7 @@
 #include <boost/json.hpp>
 
 #include "core/object_reader.h"
+#include "platform/contracts.h"
 
 namespace jackdaw::serving {
 namespace {
@@ -97,6 +98,8 @@
   settings.cold_slack =
       ReadRatioOr(reader, "cold_slack", kMaxSlack, settings.cold_slack);
   settings.link_mbps = ReadLink(reader, "link_mbps");
+  settings.forecast_load =
+      platform::TargetsBoundMemory(reader.TextsOr("contracts"));
   if (const auto* value = reader.Any("domain_preference")) {
     ObjectReader preference(*value, "domain_preference");
     settings.domain_preference.enabled = true;
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -42,6 +42,9 @@
   /// what it sustains, and what is added.
   double cold_overshoot = 1;
   double cold_slack = 0;
+  /// Targets end if the requests that they hold exceed their memory, so the
+  /// load of all targets is forecast request by request.
+  bool forecast_load = false;
   /// When requests leave the failure domain.
   DomainPreferenceSettings domain_preference;
   /// Link of the instance in Mbit/s, if known. A leader bounds by it what it
