--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -10,6 +10,13 @@
 
 // Largest time that a setting may name.
 constexpr std::int64_t kMostMs = 3600'000;
+// Bounds of the memory and the descriptors that settings may name. Below the
+// lower ones an instance could not serve one request of the largest size beside
+// its own state.
+constexpr std::int64_t kLeastMemoryMb = 48;
+constexpr std::int64_t kMostMemoryMb = 1024 * 1024;
+constexpr std::int64_t kLeastDescriptors = 128;
+constexpr std::int64_t kMostDescriptors = 1'000'000;
 // Ratios are written in thousandths.
 constexpr double kMilli = 1000;
 
@@ -69,6 +76,11 @@
   settings.retries.window = ReadMs(reader, "retry_window_ms");
   settings.quotas.overshoot = ReadRatio(reader, "quota_overshoot", kMilli);
   settings.quotas.slack = ReadRatio(reader, "quota_slack", 1e12);
+  settings.memory_mb = reader.IntegerOr("memory_mb", kLeastMemoryMb,
+                                        kMostMemoryMb, settings.memory_mb);
+  settings.max_descriptors =
+      reader.IntegerOr("max_descriptors", kLeastDescriptors, kMostDescriptors,
+                       settings.max_descriptors);
   BOOST_OUTCOME_TRY(reader.Finish());
   return settings;
 }
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -34,6 +35,10 @@
   Micros lease_time{};
   /// Time for which callers may keep the answer of the directory.
   Micros directory_time{};
+  /// Memory of the machine that the instance may use.
+  std::int64_t memory_mb = 256;
+  /// Descriptors that the process may have open.
+  std::int64_t max_descriptors = 4096;
   RetryLimits retries;
   QuotaTolerance quotas;
 };
