--- a/src/daemons/jackdawd.cc
+++ b/src/daemons/jackdawd.cc
@@ -1,3 +1,4 @@
+#include <malloc.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <cstdio>
@@ -78,7 +79,14 @@
 
 }  // namespace
 
+// Buffers of this size and above are returned to the system when they are
+// freed. The allocator would otherwise raise the size with the first large
+// body, and keep the memory of later ones.
+constexpr int kReturnedBytes = 128 * 1024;
+
 int main(int argc, char** argv) {
+  ::mallopt(M_MMAP_THRESHOLD, kReturnedBytes);
+  ::mallopt(M_TRIM_THRESHOLD, kReturnedBytes);
   cxxopts::Options options(
       "jackdawd", "Serves callers and runs the control tasks it leads.");
   options.add_options()("settings", "JSON file of settings",
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -15,6 +15,14 @@
 constexpr std::size_t kReadBytes = 16UL * 1024;
 // Unparsed bytes that are read, of pipelined requests too.
 constexpr std::size_t kMaxReadAhead = 64UL * 1024;
+// Bounds of the kernel's buffers of a connection; without them each may grow to
+// several megabytes for a caller that does not read, or is not read.
+constexpr int kSocketBytes = 64 * 1024;
+// Memory of a header field besides its bytes. Short fields take many times
+// their size.
+constexpr std::size_t kFieldBytes = 96;
+// The fields of an incomplete head are counted once for so many bytes.
+constexpr std::size_t kHeadCountBytes = 512;
 
 // Returns whether the framing or host of the request is ambiguous: several Host
 // fields, both Content-Length and Transfer-Encoding, several of either, or a
@@ -47,12 +55,19 @@
 CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket,
                                    CallerHandler& handler,
                                    TimerQueue& timers,
-                                   const MonotonicClock& clock)
+                                   const MonotonicClock& clock,
+                                   std::shared_ptr<CallerResources> resources)
     : socket_(std::move(socket)),
       handler_(handler),
       timers_(timers),
-      clock_(clock) {
+      clock_(clock),
+      resources_(std::move(resources)),
+      id_(resources_->budget.Open(clock.Now())) {
   boost::system::error_code ignored;
+  socket_.set_option(
+      boost::asio::socket_base::receive_buffer_size(kSocketBytes), ignored);
+  socket_.set_option(boost::asio::socket_base::send_buffer_size(kSocketBytes),
+                     ignored);
   socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
 }
@@ -60,6 +75,7 @@
 CallerConnection::~CallerConnection() {
   timers_.Clear(read_deadline_);
   timers_.Clear(write_deadline_);
+  resources_->budget.Close(id_);
 }
 
 std::string CallerConnection::peer() const {
@@ -79,6 +95,12 @@
   continue_sent_ = false;
   started_at_ = Instant{};
   idle_since_ = clock_.Now();
+  request_bytes_ = 0;
+  head_parsed_ = 0;
+  head_counted_ = 0;
+  head_counted_complete_ = false;
+  head_bytes_ = 0;
+  resources_->budget.OnIdle(id_, idle_since_);
   SetIdleDeadline();
 }
 
@@ -109,9 +131,11 @@
   if (awaiting_input_ || closed_ || input_.size() > kMaxReadAhead) {
     return;
   }
-  if (input_.size() == 0) {
-    input_.shrink_to_fit();  // An idle connection holds no buffer.
+  // A connection that waits holds no larger buffer than it needs.
+  if (input_.size() * 2 < input_.capacity()) {
+    input_.shrink_to_fit();
   }
+  Account();
   awaiting_input_ = true;
   socket_.async_wait(
       boost::asio::socket_base::wait_read,
@@ -128,8 +152,24 @@
       });
 }
 
+// Returns whether the memory budget permits a read. If not, the connection is
+// paused until the listener resumes it.
+bool CallerConnection::MayRead() {
+  if (lingering_ || resources_->budget.MayRead(id_, clock_.Now())) {
+    return true;
+  }
+  resources_->on_short();
+  return false;
+}
+
+void CallerConnection::Resume() {
+  if (!closed_ && !awaiting_input_ && MayRead()) {
+    AwaitInput();
+  }
+}
+
 void CallerConnection::OnReadable() {
-  if (!ReadAvailable()) {
+  if (!MayRead() || !ReadAvailable()) {
     return;
   }
   if (lingering_) {
@@ -146,6 +186,7 @@
   const std::size_t size =
       socket_.read_some(input_.prepare(kReadBytes), failure);
   input_.commit(size);
+  resources_->budget.OnProgress(id_, size, clock_.Now());
   if (!failure || failure == boost::asio::error::would_block) {
     return true;
   }
@@ -162,6 +203,7 @@
     parser_->header_limit(limits.header_bytes);
     parser_->body_limit(limits.body_bytes);
     started_at_ = clock_.Now();
+    resources_->budget.OnRequestBegun(id_, started_at_);
     timers_.Set(read_deadline_, started_at_ + limits.header_time,
                 [this] { Reject(408, "header_timeout"); });
   }
@@ -169,6 +211,8 @@
   while (input_.size() > 0 && !parser_->is_done()) {
     const std::size_t used = ParseSome(*parser_, input_.data(), failure);
     input_.consume(used);
+    head_parsed_ += used;
+    CountHead();
     if (failure == http::error::need_more) {
       break;
     }
@@ -206,9 +250,50 @@
   }
 }
 
+// Counts the memory of the head's fields.
+void CallerConnection::CountHead() {
+  const bool complete = parser_->is_header_done();
+  if (head_counted_complete_ ||
+      (!complete && head_parsed_ < head_counted_ + kHeadCountBytes)) {
+    return;
+  }
+  head_counted_complete_ = complete;
+  head_counted_ = head_parsed_;
+  head_bytes_ = 0;
+  for (const auto& field : parser_->get()) {
+    head_bytes_ +=
+        kFieldBytes + field.name_string().size() + field.value().size();
+  }
+}
+
+// Tells the memory budget what the connection holds, by capacity.
+void CallerConnection::Account() {
+  const std::size_t body = parser_ ? parser_->get().body().capacity() : 0;
+  resources_->budget.SetBytes(id_, input_.capacity() + head_bytes_ + body +
+                                       request_bytes_ + response_bytes_ +
+                                       output_.capacity() +
+                                       pending_output_.capacity());
+  if (resources_->budget.short_of_memory()) {
+    resources_->on_short();
+  }
+}
+
+void CallerConnection::SetResponseBytes(std::size_t bytes) {
+  response_bytes_ = bytes;
+  Account();
+}
+
 void CallerConnection::OnRequest() {
   timers_.Clear(read_deadline_);
+  resources_->budget.OnRequestComplete(id_);
+  if (!resources_->make_room()) {
+    Reject(503, "descriptors_short");
+    return;
+  }
   CallerRequest request = parser_->release();
+  parser_.reset();
+  request_bytes_ = request.body().capacity();
+  Account();
   keep_open_ = request.keep_alive();
   auto task =
       handler_.StartTask(shared_from_this(), std::move(request), started_at_);
@@ -224,8 +309,15 @@
        {"reason", std::string(kind)}});
   timers_.Clear(read_deadline_);
   keep_open_ = false;
+  // The connection stays open for a moment, but needs the request no more.
+  parser_.reset();
+  head_bytes_ = 0;
+  resources_->budget.OnEnding(id_);
   std::string response = "HTTP/1.1 " + std::to_string(status) + " ";
   response += ReasonPhrase(status);
+  if (status == 503) {
+    response += "\r\nRetry-After: 1";
+  }
   response += "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
   Write(std::move(response));
   EndResponse(false);
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -3,22 +3,37 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include "core/clock.h"
+#include "gateway/memory_budget.h"
 #include "gateway/timer_queue.h"
+#include "http/request_body.h"
 #include "serving/config.h"
 
 namespace jackdaw::serving {
 
 class CallerConnection;
 
-using CallerRequest =
-    boost::beast::http::request<boost::beast::http::string_body>;
+using CallerRequest = boost::beast::http::request<RequestBody>;
+
+/// Memory and descriptors of all callers' connections.
+struct CallerResources {
+  explicit CallerResources(const MemoryLimits& limits) : budget(limits) {}
+
+  MemoryBudget budget;
+  /// Called when a connection is paused or more is held than the bound.
+  std::function<void()> on_short;
+  /// Makes room for the descriptors of one more request. Returns false if there
+  /// is none.
+  std::function<bool()> make_room;
+  std::uint64_t requests_dropped = 0;
+  std::uint64_t connections_closed = 0;
+  std::uint64_t unread_dropped = 0;
+};
 
 /// A request in progress on a caller's connection.
 class CallerTask {
@@ -47,6 +62,8 @@
   virtual CallerLimits limits() const = 0;
   /// Whether connections are closed after their next response.
   virtual bool closing() const = 0;
+  /// Descriptors that are open besides those of the callers' connections.
+  virtual std::size_t other_descriptors() const { return 0; }
 };
 
 /// A caller's connection. It handles one request at a time and reads each one
@@ -62,7 +79,8 @@
   CallerConnection(boost::asio::ip::tcp::socket socket,
                    CallerHandler& handler,
                    TimerQueue& timers,
-                   const MonotonicClock& clock);
+                   const MonotonicClock& clock,
+                   std::shared_ptr<CallerResources> resources);
   ~CallerConnection();
 
   void Start();
@@ -83,6 +101,20 @@
   void EndTask();
   /// Closes the connection if no request is in progress.
   void CloseIfIdle();
+  /// Gives up an incomplete request, or a response that the caller does not
+  /// read, because memory is short. A request whose head was read is refused
+  /// with 503: it has not run.
+  void GiveUp();
+  /// Closes a connection without a running request, because descriptors or
+  /// memory are short.
+  void Evict();
+  /// Reads what has arrived, if the memory budget permits it now.
+  void Resume();
+  /// Sets the bytes of the response that the task holds.
+  void SetResponseBytes(std::size_t bytes);
+  /// Returns the bytes of responses that were written since the start.
+  std::uint64_t written_bytes() const { return written_total_; }
+  MemoryBudget::Id id() const { return id_; }
 
   /// Whether a request is in progress, or its response has not yet reached the
   /// caller.
@@ -99,8 +131,7 @@
   static constexpr std::string_view kCallerFailed =
       "the caller's connection failed";
 
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::request_parser<RequestBody>;
 
   void BeginRequest();
   void AwaitInput();
@@ -109,6 +140,10 @@
   void Parse();
   void OnRequest();
   void Reject(int status, std::string_view kind);
+  bool MayRead();
+  void CountHead();
+  void Account();
+  void WriteSome();
   void SetIdleDeadline();
   void OnIdle();
   void WritePending();
@@ -123,11 +158,25 @@
   CallerHandler& handler_;
   TimerQueue& timers_;
   const MonotonicClock& clock_;
+  std::shared_ptr<CallerResources> resources_;
+  MemoryBudget::Id id_;
+  /// Bytes of the complete request.
+  std::size_t request_bytes_ = 0;
+  std::size_t response_bytes_ = 0;
+  /// Bytes of the head that were parsed, those at the last count of its memory,
+  /// and that memory.
+  std::size_t head_parsed_ = 0;
+  std::size_t head_counted_ = 0;
+  std::size_t head_bytes_ = 0;
+  bool head_counted_complete_ = false;
   boost::beast::flat_buffer input_;
   std::optional<Parser> parser_;
   std::shared_ptr<CallerTask> task_;
   /// Bytes of the write in progress.
   std::string output_;
+  /// Bytes of output_ that were written.
+  std::size_t written_ = 0;
+  std::uint64_t written_total_ = 0;
   /// Bytes to write after those.
   std::string pending_output_;
   /// Deadline of the connection's wait for bytes of the caller.
--- a/src/gateway/caller_connection_end.cc
+++ b/src/gateway/caller_connection_end.cc
@@ -1,5 +1,5 @@
 // Responses on a caller's connection, and the connection's end.
-#include <boost/asio/write.hpp>
+#include <boost/asio/buffer.hpp>
 
 #include "core/log.h"
 #include "gateway/caller_connection.h"
@@ -33,15 +33,35 @@
   if (writing_) {
     return;
   }
-  output_.swap(pending_output_);
-  pending_output_.clear();
+  output_ = std::exchange(pending_output_, {});
+  written_ = 0;
   writing_ = true;
+  Account();
   timers_.Set(write_deadline_, clock_.Now() + kWriteTimeout,
               [this] { Close("caller reads too slowly"); });
-  boost::asio::async_write(
-      socket_, boost::asio::buffer(output_),
-      [self = shared_from_this()](const auto& failure, std::size_t) {
-        self->OnWritten(failure);
+  WriteSome();
+}
+
+// Writes until all of output_ is written. A caller that leaves a part of it
+// unread is known to the memory budget.
+void CallerConnection::WriteSome() {
+  socket_.async_write_some(
+      boost::asio::buffer(output_) + written_,
+      [self = shared_from_this()](const boost::system::error_code& failure,
+                                  std::size_t size) {
+        self->written_ += size;
+        self->written_total_ += size;
+        const bool rest =
+            !failure && !self->closed_ && self->written_ < self->output_.size();
+        MemoryBudget& budget = self->resources_->budget;
+        const Instant now = self->clock_.Now();
+        budget.OnProgress(self->id_, size, now);
+        budget.SetWriteBlocked(self->id_, rest, now);
+        if (rest) {
+          self->WriteSome();
+        } else {
+          self->OnWritten(failure);
+        }
       });
 }
 
@@ -51,6 +71,8 @@
     return;
   }
   timers_.Clear(write_deadline_);
+  output_ = {};
+  Account();
   if (failure) {
     Close(kCallerFailed);
   } else if (!pending_output_.empty()) {
@@ -81,6 +103,10 @@
   keep_open_ = keep_open_ && keep_open;
   response_ended_ = true;
   task_.reset();
+  request_bytes_ = 0;
+  head_bytes_ = 0;
+  response_bytes_ = 0;
+  Account();
   if (!writing_) {
     PrepareNextRequest();
   }
@@ -116,6 +142,7 @@
          {"reason", "the connection ends with the response before"}});
   }
   lingering_ = true;
+  resources_->budget.OnEnding(id_);
   boost::system::error_code failure;
   socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, failure);
   if (failure) {
@@ -160,6 +187,39 @@
   }
 }
 
+void CallerConnection::GiveUp() {
+  if (closed_) {
+    return;
+  }
+  if (task_ == nullptr && !response_ended_ && !writing_ && parser_ &&
+      parser_->is_header_done()) {
+    ++resources_->requests_dropped;
+    Reject(503, "memory_short");
+    return;
+  }
+  if (task_ == nullptr && !response_ended_) {
+    ++resources_->requests_dropped;
+  } else {
+    ++resources_->unread_dropped;
+  }
+  Close("memory is short");
+}
+
+void CallerConnection::Evict() {
+  if (closed_ || task_ != nullptr || writing_) {
+    return;
+  }
+  ++resources_->connections_closed;
+  if (started_at_ != Instant{} || lingering_ || !ReadAvailable()) {
+    Close("descriptors are short");
+  } else if (has_read_ahead()) {
+    Parse();
+    AwaitInput();
+  } else {
+    Close("descriptors are short");
+  }
+}
+
 void CallerConnection::Close(std::string_view why) {
   if (closed_) {
     return;
@@ -177,6 +237,7 @@
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
   }
   socket_.close(ignored);
+  resources_->budget.Close(id_);
   if (const auto task = std::move(task_)) {
     task->OnCallerDisconnected(why);
   }
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -11,18 +11,38 @@
 constexpr int kBacklog = 1024;
 // Closed connections are removed from the list once per this many accepts.
 constexpr std::size_t kAcceptsPerCleanup = 128;
+// Interval of checks while memory or descriptors are short.
+constexpr Micros kCheckInterval = 50ms;
+// Connections that are closed in favor of one new connection or request.
+constexpr std::size_t kMaxEvictions = 64;
+// Interval of log lines about a shortage.
+constexpr Micros kLogInterval = 1s;
 
 }  // namespace
 
 CallerListener::CallerListener(boost::asio::io_context& context,
                                CallerHandler& handler,
                                TimerQueue& timers,
-                               const MonotonicClock& clock)
+                               const MonotonicClock& clock,
+                               const MemoryLimits& limits)
     : context_(context),
       handler_(handler),
       timers_(timers),
       clock_(clock),
-      acceptor_(context) {}
+      acceptor_(context),
+      resources_(std::make_shared<CallerResources>(limits)) {
+  resources_->on_short = [this] { ScheduleCheck(); };
+  resources_->make_room = [this] {
+    return MakeRoom(resources_->budget.limits().descriptors);
+  };
+}
+
+CallerListener::~CallerListener() {
+  timers_.Clear(check_timer_);
+  timers_.Clear(accept_timer_);
+  resources_->on_short = [] {};
+  resources_->make_room = [] { return true; };
+}
 
 Result<Endpoint> CallerListener::Listen(const Endpoint& endpoint) {
   boost::system::error_code failure;
@@ -33,6 +53,7 @@
     acceptor_.bind(endpoint, failure);
   }
   if (!failure) {
+    acceptor_.non_blocking(true, failure);
     acceptor_.listen(kBacklog, failure);
   }
   if (failure) {
@@ -45,43 +66,141 @@
   return acceptor_.local_endpoint();
 }
 
+// Accepts the next connection, unless all descriptors for callers carry running
+// requests. It waits in the listener's queue then.
 void CallerListener::Accept() {
-  acceptor_.async_accept(context_, [this](const auto& failure,
-                                          boost::asio::ip::tcp::socket socket) {
-    if (failure == boost::asio::error::operation_aborted) {
-      return;
+  acceptor_.async_wait(
+      boost::asio::socket_base::wait_read, [this](const auto& failure) {
+        if (failure == boost::asio::error::operation_aborted) {
+          return;
+        }
+        if (AcceptOne()) {
+          Accept();
+        } else {
+          timers_.Set(accept_timer_, clock_.Now() + kCheckInterval,
+                      [this] { Accept(); });
+        }
+      });
+}
+
+// @returns false if there is no descriptor for the connection now
+bool CallerListener::AcceptOne() {
+  if (!MakeRoom(resources_->budget.limits().callers)) {
+    return false;
+  }
+  boost::system::error_code failure;
+  boost::asio::ip::tcp::socket socket(context_);
+  acceptor_.accept(socket, failure);
+  if (!failure) {
+    OnAccepted(std::move(socket));
+    return true;
+  }
+  if (failure == boost::asio::error::would_block) {
+    return true;
+  }
+  Log(LogLevel::kWarn, "accept_failed", {{"error", failure.message()}});
+  return false;
+}
+
+void CallerListener::OnAccepted(boost::asio::ip::tcp::socket socket) {
+  auto connection = std::make_shared<CallerConnection>(
+      std::move(socket), handler_, timers_, clock_, resources_);
+  connections_.emplace(connection->id(), connection);
+  connection->Start();
+  if (++accepted_ % kAcceptsPerCleanup == 0) {
+    RemoveClosed();
+  }
+}
+
+void CallerListener::RemoveClosed() {
+  std::erase_if(connections_,
+                [](const auto& item) { return item.second.expired(); });
+}
+
+CallerListener::ConnectionPtr CallerListener::Find(MemoryBudget::Id id) const {
+  const auto found = connections_.find(id);
+  return found == connections_.end() ? nullptr : found->second.lock();
+}
+
+std::size_t CallerListener::Descriptors() const {
+  return resources_->budget.connections() + handler_.other_descriptors();
+}
+
+// Closes connections without a running request until fewer than so many
+// descriptors are open. @returns false if not enough could be closed
+bool CallerListener::MakeRoom(std::size_t descriptors) {
+  std::size_t tries = kMaxEvictions;
+  while (Descriptors() >= descriptors && tries-- > 0) {
+    const auto oldest = resources_->budget.Oldest();
+    const ConnectionPtr connection = oldest ? Find(*oldest) : nullptr;
+    if (connection == nullptr) {
+      return false;
     }
-    if (failure) {
-      Log(LogLevel::kWarn, "accept_failed", {{"error", failure.message()}});
-    } else {
-      auto connection = std::make_shared<CallerConnection>(
-          std::move(socket), handler_, timers_, clock_);
-      connections_.push_back(connection);
-      connection->Start();
+    connection->Evict();
+  }
+  return Descriptors() < descriptors;
+}
+
+void CallerListener::ScheduleCheck() {
+  if (!check_scheduled_) {
+    check_scheduled_ = true;
+    timers_.Set(check_timer_, clock_.Now() + kCheckInterval,
+                [this] { CheckMemory(); });
+  }
+}
+
+// Gives up what the budget names, then lets the paused connections read on as
+// far as there is room.
+void CallerListener::CheckMemory() {
+  check_scheduled_ = false;
+  const Instant now = clock_.Now();
+  MemoryBudget& budget = resources_->budget;
+  LogShortage(now);
+  while (const auto victim = budget.Victim(now)) {
+    const ConnectionPtr connection = Find(*victim);
+    if (connection == nullptr) {
+      budget.Close(*victim);
+      continue;
     }
-    if (++accepted_ % kAcceptsPerCleanup == 0) {
-      RemoveClosed();
+    connection->GiveUp();
+  }
+  for (const MemoryBudget::Id id : budget.Paused()) {
+    if (const ConnectionPtr connection = Find(id)) {
+      connection->Resume();
     }
-    Accept();
-  });
+  }
+  if (budget.short_of_memory()) {
+    ScheduleCheck();
+  }
 }
 
-void CallerListener::RemoveClosed() {
-  connections_.remove_if([](const auto& weak) { return weak.expired(); });
+void CallerListener::LogShortage(Instant now) {
+  if (now - shortage_logged_at_ < kLogInterval) {
+    return;
+  }
+  shortage_logged_at_ = now;
+  const MemoryBudget& budget = resources_->budget;
+  Log(LogLevel::kWarn, "memory_short",
+      {{"held_bytes", std::to_string(budget.bytes())},
+       {"bound_bytes", std::to_string(budget.limits().bytes)},
+       {"connections", std::to_string(budget.connections())},
+       {"paused", std::to_string(budget.paused())},
+       {"requests_dropped", std::to_string(resources_->requests_dropped)},
+       {"unread_dropped", std::to_string(resources_->unread_dropped)}});
 }
 
 std::size_t CallerListener::busy() {
   RemoveClosed();
   return static_cast<std::size_t>(std::count_if(
-      connections_.begin(), connections_.end(), [](const auto& weak) {
-        const auto connection = weak.lock();
+      connections_.begin(), connections_.end(), [](const auto& item) {
+        const auto connection = item.second.lock();
         return connection != nullptr && connection->busy();
       }));
 }
 
 void CallerListener::EndTasks() {
   const auto connections = connections_;
-  for (const auto& weak : connections) {
+  for (const auto& [id, weak] : connections) {
     if (const auto connection = weak.lock()) {
       connection->EndTask();
     }
@@ -89,9 +208,11 @@
 }
 
 void CallerListener::StopAccepting() {
+  timers_.Clear(accept_timer_);
   boost::system::error_code ignored;
   acceptor_.close(ignored);
-  for (const auto& weak : connections_) {
+  const auto connections = connections_;
+  for (const auto& [id, weak] : connections) {
     if (const auto connection = weak.lock()) {
       connection->CloseIfIdle();
     }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -117,6 +117,9 @@
   void AppendBody(std::string_view bytes);
   void EndBody();
   void Flush();
+  void AccountResponse();
+  void PauseReading();
+  void OnReadingPaused();
   std::string ResponseHeadText(std::string_view framing) const;
   void Reject(const Rejection& rejection);
   void AbortResponse(std::string_view why);
@@ -125,7 +128,10 @@
   void Close();
 
   std::shared_ptr<CallerConnection> caller_;
+  /// The request without its body.
   CallerRequest request_;
+  /// Shared with the connection that sends it.
+  std::shared_ptr<const std::string> body_;
   ConfigPtr config_;
   ExchangeDependencies& deps_;
   RequestTrace trace_;
@@ -145,6 +151,7 @@
   Instant deadline_{};
   TimerQueue::Handle deadline_timer_;
   TimerQueue::Handle attempt_timer_;
+  TimerQueue::Handle pause_timer_;
 
   // The attempt in progress.
   TargetPtr target_;
@@ -196,6 +203,8 @@
   bool response_ended_ = false;
   bool caller_writing_ = false;
   bool reading_paused_ = false;
+  /// Bytes that the caller's connection had written when the pause began.
+  std::uint64_t written_at_pause_ = 0;
   std::string pending_output_;
   /// Time at which the first bytes were queued for the caller.
   Instant first_forwarded_at_{};
--- a/src/gateway/exchange_admit.cc
+++ b/src/gateway/exchange_admit.cc
@@ -1,6 +1,7 @@
 // Admission of a request: route, key, service and quota.
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 #include "core/log.h"
 #include "gateway/exchange.h"
@@ -24,6 +25,8 @@
                    bool closing)
     : caller_(std::move(caller)),
       request_(std::move(request)),
+      body_(std::make_shared<const std::string>(
+          std::exchange(request_.body(), {}))),
       config_(std::move(config)),
       deps_(deps),
       trace_(started_at),
@@ -36,6 +39,7 @@
 Exchange::~Exchange() {
   deps_.timers.Clear(deadline_timer_);
   deps_.timers.Clear(attempt_timer_);
+  deps_.timers.Clear(pause_timer_);
   --deps_.counters.in_progress;
   SetWaiting(false);
   if (!end_recorded_) {
@@ -60,7 +64,7 @@
   // A workspace's keys may change while its callers repeat a request.
   const std::string_view caller =
       workspace_ == nullptr ? call_.key : workspace_->name;
-  causes_.request = RequestDigest(call_.target, caller, request_.body());
+  causes_.request = RequestDigest(call_.target, caller, *body_);
   for (const PromptPart& part : call_.SharedParts()) {
     causes_.parts.push_back(part.id);
   }
--- a/src/gateway/exchange_forward.cc
+++ b/src/gateway/exchange_forward.cc
@@ -12,6 +12,10 @@
 
 // Bytes buffered for a slow caller before reading from the target is paused.
 constexpr std::size_t kMaxPendingBytes = 64UL * 1024;
+// Longest pause of reading from a target, and bytes that are buffered for a
+// caller that reads, but more slowly than the target writes.
+constexpr Micros kMaxReadingPause = 2s;
+constexpr std::size_t kMostPendingBytes = 256UL * 1024;
 // Version of HTTP from which on callers read chunks.
 constexpr unsigned kHttp11 = 11;
 constexpr std::string_view kChunkedField = "Transfer-Encoding: chunked\r\n";
@@ -184,14 +188,54 @@
   }
   if (pending_output_.size() > kMaxPendingBytes && connection_ != nullptr &&
       !reading_paused_) {
-    reading_paused_ = true;
-    connection_->PauseReading();
+    PauseReading();
   }
+  AccountResponse();
+}
+
+// A target breaks off a response that stays unread for some seconds, so reading
+// is paused for a short time only.
+void Exchange::PauseReading() {
+  reading_paused_ = true;
+  written_at_pause_ = caller_->written_bytes();
+  connection_->PauseReading();
+  deps_.timers.Set(pause_timer_, deps_.clock.Now() + kMaxReadingPause, [this] {
+    const auto self = shared_from_this();
+    OnReadingPaused();
+  });
+}
+
+// Reads on for a caller that is slow. One that reads nothing, or lets too much
+// gather, loses its connection.
+void Exchange::OnReadingPaused() {
+  if (!reading_paused_ || done_ || connection_ == nullptr) {
+    return;
+  }
+  if (caller_->written_bytes() == written_at_pause_ ||
+      pending_output_.size() > kMostPendingBytes) {
+    AbortResponse("caller reads too slowly");
+    return;
+  }
+  reading_paused_ = false;
+  connection_->ResumeReading();
+}
+
+// Tells the caller's connection what is held of the response.
+void Exchange::AccountResponse() {
+  std::size_t bytes = pending_output_.capacity() + events_.partial_bytes();
+  if (parser_) {
+    bytes += parser_->get().body().capacity();
+  }
+  if (connection_ != nullptr) {
+    bytes += connection_->input().capacity();
+  }
+  caller_->SetResponseBytes(bytes);
 }
 
 void Exchange::OnWriteComplete() {
   const auto self = shared_from_this();
   caller_writing_ = false;
+  deps_.timers.Clear(pause_timer_);
   if (reading_paused_ && connection_ != nullptr) {
     reading_paused_ = false;
     connection_->ResumeReading();
--- a/src/gateway/exchange_parse.cc
+++ b/src/gateway/exchange_parse.cc
@@ -35,6 +35,9 @@
   if (head_parsed_) {
     OnResponseProgress();
   }
+  if (!done_) {
+    AccountResponse();
+  }
 }
 
 void Exchange::RecordProgress() {
@@ -90,7 +93,12 @@
 // to another request.
 // @returns false if the attempt has ended
 bool Exchange::SkipOtherResponse() {
-  if (parser_->get().result_int() < 200) {
+  const auto& head = parser_->get();
+  if (!IsValidStatusLine(head.result_int(), head.version())) {
+    OnAttemptBroken("invalid status line");
+    return false;
+  }
+  if (IsInformational(head.result_int())) {
     if (++informational_responses_ > kMaxInformational) {
       OnAttemptBroken("endless answer");
       return false;
@@ -98,7 +106,7 @@
     StartParser();
     return true;
   }
-  const auto id = parser_->get()[platform::AttemptHeaderName()];
+  const auto id = head[platform::AttemptHeaderName()];
   return id.empty() || id == call_.id || SkipForeignResponse();
 }
 
--- a/src/gateway/exchange_retry.cc
+++ b/src/gateway/exchange_retry.cc
@@ -118,6 +118,7 @@
   }
   target_.reset();
   reading_paused_ = false;
+  deps_.timers.Clear(pause_timer_);
 }
 
 void Exchange::OnConnectionEnd(ConnectionEnd end) {
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -270,9 +270,8 @@
   }
   head.last_event =
       events_.last_event() ? events_.last_event() : call_.last_event;
-  head.body_bytes = request_.body().size();
+  head.body_bytes = body_->size();
   std::string text = platform::EncodeForwarded(request_, head);
-  text += request_.body();
   sent_ = true;
   ++attempts_;
   sent_at_ = now;
@@ -285,7 +284,7 @@
                            static_cast<double>(call_.Tokens()), false);
   }
   connection_->request_ids().Add(call_.id);
-  connection_->Send(std::move(text));
+  connection_->Send(std::move(text), body_);
   ArmStallTimer();
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,5 +1,8 @@
 #include "gateway/gateway.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -36,13 +39,42 @@
     "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.05\r\n"
     "Content-Length: 0\r\nConnection: close\r\n\r\n";
 
-// Limits of the servers for control requests.
-HttpLimits ControlLimits() {
+// Limits of the server for other instances. Each of them keeps a connection to
+// the leader. The total bounds incomplete requests; those of instances arrive
+// within milliseconds.
+HttpLimits PeerLimits(const GatewaySettings& settings) {
   HttpLimits limits;
-  limits.connections = 512;
+  limits.connections = static_cast<std::uint32_t>(
+      std::min<std::int64_t>(settings.max_descriptors / 8, 512));
+  limits.request_ms = 10'000;
+  limits.write_ms = 10'000;
+  limits.total_bytes = 4UL * 1024 * 1024;
+  limits.socket_bytes = 64 * 1024;
   return limits;
 }
 
+// Limits of the servers for the directory, readiness and metrics, whose
+// requests have no body.
+HttpLimits ControlLimits(const GatewaySettings& settings) {
+  HttpLimits limits = PeerLimits(settings);
+  limits.connections = static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(settings.max_descriptors / 64, 16, 64));
+  limits.body_bytes = 4096;
+  limits.total_bytes = 1024UL * 1024;
+  limits.socket_bytes = 16 * 1024;
+  return limits;
+}
+
+// Returns the descriptors that the process may have open.
+std::int64_t UsableDescriptors(std::int64_t setting) {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+      limit.rlim_cur == RLIM_INFINITY) {
+    return setting;
+  }
+  return std::min(setting, static_cast<std::int64_t>(limit.rlim_cur));
+}
+
 }  // namespace
 
 Gateway::Gateway(const GatewaySettings& settings, std::string settings_path)
@@ -74,22 +106,27 @@
       deps_{clock_,    timers_,  targets_, target_connections_,
             retries_,  crashes_, demand_,  missing_models_,
             counters_, metrics_, peers_},
-      listener_(context_, *this, timers_, clock_),
+      listener_(context_,
+                *this,
+                timers_,
+                clock_,
+                LimitsOf(settings.memory_mb,
+                         UsableDescriptors(settings.max_descriptors))),
       ready_server_(
           context_,
-          ControlLimits(),
+          ControlLimits(settings),
           [this](HttpExchange& exchange) { return ServeReady(exchange); }),
       directory_server_(
           context_,
-          ControlLimits(),
+          ControlLimits(settings),
           [this](HttpExchange& exchange) { return ServeDirectory(exchange); }),
       peer_server_(
           context_,
-          ControlLimits(),
+          PeerLimits(settings),
           [this](HttpExchange& exchange) { return peers_.Serve(exchange); }),
       metrics_server_(
           context_,
-          ControlLimits(),
+          ControlLimits(settings),
           [this](HttpExchange& exchange) { return ServeMetrics(exchange); }) {}
 
 // Pending operations refer to the members, so they end first.
@@ -196,6 +233,12 @@
   context_.stop();
 }
 
+std::size_t Gateway::other_descriptors() const {
+  return target_connections_.open() + ready_server_.connections() +
+         directory_server_.connections() + peer_server_.connections() +
+         metrics_server_.connections();
+}
+
 CallerLimits Gateway::limits() const {
   const ConfigPtr config = agent_.config();
   return config == nullptr ? CallerLimits{} : config->limits;
@@ -257,6 +300,15 @@
   state.ready = agent_.ready();
   state.leads = agent_.leads();
   state.following = agent_.following();
+  const CallerResources& callers = listener_.resources();
+  state.memory_held = callers.budget.bytes();
+  state.memory_bound = callers.budget.limits().bytes;
+  state.callers_connected = callers.budget.connections();
+  state.callers_paused = callers.budget.paused();
+  state.requests_dropped = callers.requests_dropped;
+  state.unread_dropped = callers.unread_dropped;
+  state.connections_closed = callers.connections_closed;
+  state.target_connections = target_connections_.open();
   state.heartbeats_unreadable = peers_.heartbeats_unreadable();
   state.replies_unreadable = agent_.replies_unreadable();
   return state;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -37,6 +37,7 @@
       Instant started_at) override;
   CallerLimits limits() const override;
   bool closing() const override { return agent_.draining(); }
+  std::size_t other_descriptors() const override;
 
  private:
   Result<void> Listen();
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -102,6 +102,14 @@
   set("units_served", static_cast<double>(state.units.served));
   set("units_short", static_cast<double>(state.units.short_served));
   set("units_refused", static_cast<double>(state.units.refused));
+  set("memory_held_bytes", static_cast<double>(state.memory_held));
+  set("memory_bound_bytes", static_cast<double>(state.memory_bound));
+  set("callers_connected", static_cast<double>(state.callers_connected));
+  set("callers_paused", static_cast<double>(state.callers_paused));
+  set("requests_dropped", static_cast<double>(state.requests_dropped));
+  set("unread_dropped", static_cast<double>(state.unread_dropped));
+  set("connections_evicted", static_cast<double>(state.connections_closed));
+  set("target_connections", static_cast<double>(state.target_connections));
   set("store_calls", static_cast<double>(state.store_calls));
   set("store_lost", state.store_lost ? 1 : 0);
   set("replies_unreadable", static_cast<double>(state.replies_unreadable));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -58,6 +58,19 @@
   /// Share of the parts of all quotas that this instance holds, from 0 to 1.
   double quota_share = 0;
   UnitExchangeCounters units;
+  /// Bytes held for callers and targets, and their bound.
+  std::uint64_t memory_held = 0;
+  std::uint64_t memory_bound = 0;
+  /// Connections of callers, and those that are not read for lack of memory.
+  std::uint64_t callers_connected = 0;
+  std::uint64_t callers_paused = 0;
+  /// Incomplete requests and unread responses that were given up for lack of
+  /// memory, and connections that were closed for lack of descriptors.
+  std::uint64_t requests_dropped = 0;
+  std::uint64_t unread_dropped = 0;
+  std::uint64_t connections_closed = 0;
+  /// Connections to targets, in use or idle.
+  std::uint64_t target_connections = 0;
   std::uint64_t store_calls = 0;
   /// Replies of the leader to heartbeats that could not be decoded.
   std::uint64_t replies_unreadable = 0;
--- a/src/gateway/target_connection.cc
+++ b/src/gateway/target_connection.cc
@@ -1,5 +1,6 @@
 #include "gateway/target_connection.h"
 
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -10,6 +11,9 @@
 
 // Bytes read from a connection at once.
 constexpr std::size_t kReadBytes = 16UL * 1024;
+// Bounds of the kernel's buffers of a connection; without them each may grow to
+// several megabytes for a target that does not read, or is not read.
+constexpr int kSocketBytes = 64 * 1024;
 
 ConnectionEnd EndOf(const boost::system::error_code& failure) {
   if (failure == boost::asio::error::eof) {
@@ -21,70 +25,107 @@
 
 }  // namespace
 
-TargetConnection::TargetConnection(boost::asio::io_context& context)
-    : socket_(context) {}
+TargetConnection::TargetConnection(boost::asio::io_context& context,
+                                   std::shared_ptr<std::size_t> open_count)
+    : open_count_(std::move(open_count)), socket_(context) {
+  ++*open_count_;
+}
+
+TargetConnection::~TargetConnection() {
+  --*open_count_;
+}
 
 void TargetConnection::Open(const Endpoint& address,
                             TargetConnectionUser& user) {
   user_ = &user;
-  socket_.async_connect(address,
-                        [self = shared_from_this()](const auto& failure) {
-                          if (self->closed_) {
-                            return;
-                          }
-                          if (failure) {
-                            self->OnFailure(failure);
-                            return;
-                          }
-                          self->open_ = true;
-                          WatchConnection(self->socket_);
-                          self->Read();
-                          self->user_->OnConnected();
-                        });
+  socket_.async_connect(
+      address, [self = shared_from_this()](const auto& failure) {
+        if (self->closed_) {
+          return;
+        }
+        if (failure) {
+          self->OnFailure(failure);
+          return;
+        }
+        self->open_ = true;
+        WatchConnection(self->socket_);
+        using boost::asio::socket_base;
+        boost::system::error_code ignored;
+        self->socket_.set_option(socket_base::receive_buffer_size(kSocketBytes),
+                                 ignored);
+        self->socket_.set_option(socket_base::send_buffer_size(kSocketBytes),
+                                 ignored);
+        self->socket_.non_blocking(true, ignored);
+        self->Read();
+        self->user_->OnConnected();
+      });
 }
 
-void TargetConnection::Send(std::string bytes) {
-  output_ = std::move(bytes);
+void TargetConnection::Send(std::string head,
+                            std::shared_ptr<const std::string> body) {
+  output_ = std::move(head);
+  output_body_ = std::move(body);
   sending_ = true;
   used_ = true;
+  const std::array<boost::asio::const_buffer, 2> buffers = {
+      boost::asio::buffer(output_), boost::asio::buffer(*output_body_)};
   boost::asio::async_write(
-      socket_, boost::asio::buffer(output_),
+      socket_, buffers,
       [self = shared_from_this()](const auto& failure, std::size_t) {
         self->sending_ = false;
+        self->output_ = {};
+        self->output_body_.reset();
         if (failure && !self->closed_) {
           self->OnFailure(failure);
         }
       });
 }
 
+// Waits until the socket has bytes, so that an idle connection holds no buffer.
 void TargetConnection::Read() {
   if (reading_ || closed_) {
     return;
   }
+  if (input_.size() == 0) {
+    input_.shrink_to_fit();
+  }
   reading_ = true;
-  socket_.async_read_some(
-      input_.prepare(kReadBytes),
-      [self = shared_from_this()](const auto& failure, std::size_t size) {
+  socket_.async_wait(
+      boost::asio::socket_base::wait_read,
+      [self = shared_from_this()](const boost::system::error_code& failure) {
         self->reading_ = false;
         if (self->closed_) {
           return;
         }
         if (failure) {
           self->OnFailure(failure);
-          return;
-        }
-        self->input_.commit(size);
-        if (self->user_ == nullptr) {
-          self->Close();
-          return;
-        }
-        self->user_->OnDataReceived();
-        if (!self->reading_paused_) {
-          self->Read();
+        } else {
+          self->OnReadable();
         }
       });
 }
 
+void TargetConnection::OnReadable() {
+  boost::system::error_code failure;
+  const std::size_t size =
+      socket_.read_some(input_.prepare(kReadBytes), failure);
+  input_.commit(size);
+  if (failure && failure != boost::asio::error::would_block) {
+    OnFailure(failure);
+    return;
+  }
+  if (size > 0 && user_ == nullptr) {
+    Close();
+    return;
+  }
+  if (size > 0) {
+    user_->OnDataReceived();
+  }
+  if (!reading_paused_) {
+    Read();
+  }
+}
+
 void TargetConnection::ResumeReading() {
   if (reading_paused_) {
     reading_paused_ = false;
--- a/src/gateway/target_connection.h
+++ b/src/gateway/target_connection.h
@@ -38,7 +38,12 @@
 /// noticed before the next request is sent.
 class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
  public:
-  explicit TargetConnection(boost::asio::io_context& context);
+  /// @param open_count number of open connections, which this one is added to
+  TargetConnection(boost::asio::io_context& context,
+                   std::shared_ptr<std::size_t> open_count);
+  ~TargetConnection();
+  TargetConnection(const TargetConnection&) = delete;
+  TargetConnection& operator=(const TargetConnection&) = delete;
 
   /// Opens the connection and then calls OnConnected or OnConnectionEnd.
   void Open(const Endpoint& address, TargetConnectionUser& user);
@@ -48,7 +53,8 @@
   /// it.
   void Detach() { user_ = nullptr; }
   /// Sends a request. Only one send may be in progress.
-  void Send(std::string bytes);
+  /// @param body shared with the request, which may be sent again
+  void Send(std::string head, std::shared_ptr<const std::string> body);
   /// Pauses and resumes reading, for a caller that is slower than the target.
   void PauseReading() { reading_paused_ = true; }
   void ResumeReading();
@@ -73,11 +79,14 @@
 
  private:
   void Read();
+  void OnReadable();
   void OnFailure(const boost::system::error_code& failure);
 
+  std::shared_ptr<std::size_t> open_count_;
   boost::asio::ip::tcp::socket socket_;
   boost::beast::flat_buffer input_;
   std::string output_;
+  std::shared_ptr<const std::string> output_body_;
   TargetConnectionUser* user_ = nullptr;
   bool open_ = false;
   bool closed_ = false;
--- a/src/gateway/target_connection_pool.h
+++ b/src/gateway/target_connection_pool.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -33,8 +34,10 @@
                               std::string_view request_id);
   /// Creates a connection that is not open yet.
   TargetConnectionPtr Create() {
-    return std::make_shared<TargetConnection>(context_);
+    return std::make_shared<TargetConnection>(context_, open_);
   }
+  /// Returns the number of connections that exist, in use or idle.
+  std::size_t open() const { return *open_; }
   /// Returns a connection to the pool after its response was read up to an
   /// explicit end.
   /// @param keep_seconds how long the target keeps it open; 0 if unknown
@@ -56,6 +59,7 @@
 
   boost::asio::io_context& context_;
   const MonotonicClock& clock_;
+  std::shared_ptr<std::size_t> open_ = std::make_shared<std::size_t>(0);
   std::map<Key, std::vector<TargetConnectionPtr>> idle_;
 };
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "http/connection_watch.h"
+#include "http/parse.h"
 
 namespace jackdaw {
 namespace {
@@ -26,6 +27,8 @@
 // Bytes read ahead of the parser, at most. An answer whose head, chunk size or
 // trailer does not end within them fails. The parser throws at longer fields.
 constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
+// Informational responses before the final one, at most.
+constexpr int kMaxInformational = 8;
 // Body bytes taken from a connection in one read.
 constexpr std::size_t kReadBytes = 16UL * 1024;
 // Time to connect; a server's system accepts at once also when it is slow.
@@ -191,12 +194,24 @@
     if (write_failure) {
       co_return write_failure;
     }
-    parser_.emplace();
-    parser_->body_limit(kAnswerBodyLimit);
-    Arm();
-    auto [failure, size] =
-        co_await http::async_read_header(*stream_, buffer_, *parser_, kAwait);
-    co_return failure;
+    for (int i = 0; i <= kMaxInformational; ++i) {
+      parser_.emplace();
+      parser_->body_limit(kAnswerBodyLimit);
+      Arm();
+      auto [failure, size] =
+          co_await http::async_read_header(*stream_, buffer_, *parser_, kAwait);
+      if (failure) {
+        co_return failure;
+      }
+      const auto& head = parser_->get();
+      if (!IsValidStatusLine(head.result_int(), head.version())) {
+        break;
+      }
+      if (!IsInformational(head.result_int())) {
+        co_return beast::error_code();
+      }
+    }
+    co_return http::error::bad_status;
   }
 
   HttpResponse Head() const {
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -9,6 +9,9 @@
 #include <boost/beast/http.hpp>
 #include <list>
 
+#include "http/request_body.h"
+#include "http/server_exchange.h"
+
 namespace jackdaw {
 namespace {
 
@@ -19,110 +22,12 @@
 
 // Bytes taken in the read that waits for a request to begin.
 constexpr std::size_t kFirstRead = 4096;
+// Memory of a header field besides its bytes.
+constexpr std::size_t kFieldBytes = 96;
 // Bytes read ahead of the parser, at most. The parser throws at longer fields.
 constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
 
-using Parser = http::request_parser<http::string_body>;
-
-HttpRequest ToPlain(http::request<http::string_body>&& message) {
-  HttpRequest request;
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
-  for (const auto& field : message) {
-    request.headers.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
-  }
-  request.body = std::move(message.body());
-  return request;
-}
-
-class BeastExchange final : public HttpExchange {
- public:
-  BeastExchange(beast::tcp_stream& stream,
-                const HttpLimits& limits,
-                http::request<http::string_body>&& message)
-      : stream_(stream),
-        write_limit_(limits.write_ms),
-        version_(message.version()),
-        keep_alive_(message.keep_alive()),
-        request_(ToPlain(std::move(message))) {}
-
-  const HttpRequest& request() const override { return request_; }
-  bool reusable() const { return ended_ && keep_alive_; }
-  bool begun() const { return begun_; }
-  void CloseAfter() override { keep_alive_ = false; }
-
-  bool CallerGone() const override {
-    char probe = 0;
-    beast::error_code failure;
-    auto& socket = stream_.socket();
-    socket.non_blocking(true, failure);
-    const std::size_t size = socket.receive(
-        asio::buffer(&probe, 1), asio::socket_base::message_peek, failure);
-    return failure ? failure != asio::error::would_block : size == 0;
-  }
-
-  asio::awaitable<bool> Respond(HttpResponse plain) override {
-    http::response<http::string_body> message;
-    FillHead(message, plain);
-    message.body() = std::move(plain.body);
-    message.prepare_payload();
-    begun_ = true;
-    stream_.expires_after(write_limit_);
-    auto [failure, size] = co_await http::async_write(stream_, message, kAwait);
-    ended_ = !failure;
-    co_return !failure;
-  }
-
-  asio::awaitable<bool> BeginStream(HttpResponse head) override {
-    http::response<http::empty_body> message;
-    FillHead(message, head);
-    message.chunked(true);
-    http::response_serializer<http::empty_body> serializer(message);
-    begun_ = true;
-    stream_.expires_after(write_limit_);
-    auto [failure, size] =
-        co_await http::async_write_header(stream_, serializer, kAwait);
-    co_return !failure;
-  }
-
-  asio::awaitable<bool> WriteChunk(std::string_view bytes) override {
-    if (bytes.empty()) {
-      co_return true;
-    }
-    stream_.expires_after(write_limit_);
-    auto chunk = http::make_chunk(asio::buffer(bytes.data(), bytes.size()));
-    auto [failure, size] = co_await asio::async_write(stream_, chunk, kAwait);
-    co_return !failure;
-  }
-
-  asio::awaitable<bool> EndStream() override {
-    stream_.expires_after(write_limit_);
-    auto last = http::make_chunk_last();
-    auto [failure, size] = co_await asio::async_write(stream_, last, kAwait);
-    ended_ = !failure;
-    co_return !failure;
-  }
-
- private:
-  template <typename Message>
-  void FillHead(Message& message, const HttpResponse& plain) {
-    message.version(version_);
-    message.result(static_cast<unsigned>(plain.status));
-    for (const auto& header : plain.headers) {
-      message.insert(header.name, header.value);
-    }
-    message.keep_alive(keep_alive_);
-  }
-
-  beast::tcp_stream& stream_;
-  std::chrono::milliseconds write_limit_;
-  unsigned version_;
-  bool keep_alive_;
-  bool begun_ = false;
-  bool ended_ = false;
-  HttpRequest request_;
-};
+using Parser = http::request_parser<RequestBody>;
 
 // Answer to bytes that do not form an acceptable request. Such a request was
 // read by nobody, so "ran" is always "no".
@@ -167,10 +72,21 @@
       if (failure == asio::error::operation_aborted) {
         co_return;
       }
-      if (failure || connections >= limits.connections) {
+      if (failure) {
+        continue;
+      }
+      MakeRoom();
+      if (connections >= limits.connections) {
         continue;
       }
       beast::error_code ignored;
+      if (limits.socket_bytes > 0) {
+        socket.set_option(
+            asio::socket_base::receive_buffer_size(limits.socket_bytes),
+            ignored);
+        socket.set_option(
+            asio::socket_base::send_buffer_size(limits.socket_bytes), ignored);
+      }
       socket.set_option(asio::ip::tcp::no_delay(true), ignored);
       socket.set_option(asio::socket_base::keep_alive(true), ignored);
       asio::co_spawn(acceptor.get_executor(), Serve(std::move(socket)),
@@ -178,56 +94,135 @@
     }
   }
 
+  // An open connection. It is in `idle` or `reading` while it waits for bytes.
+  struct Connection {
+    explicit Connection(asio::ip::tcp::socket socket)
+        : stream(std::move(socket)) {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer{kMaxUnparsedBytes};
+    // Bytes held of an incomplete request.
+    std::size_t bytes = 0;
+    bool closed = false;
+  };
+  using Connections = std::list<Connection*>;
+
+  // Closes the connection that waits the longest for a request, or else for the
+  // rest of one, if there is no room for another connection.
+  void MakeRoom() {
+    Connections& waiting = idle.empty() ? reading : idle;
+    if (connections >= limits.connections && !waiting.empty()) {
+      CloseOldest(waiting);
+    }
+  }
+
+  // The connection's own coroutine ends later.
+  void CloseOldest(Connections& waiting) {
+    Connection& connection = *waiting.front();
+    waiting.pop_front();
+    connection.closed = true;
+    connection.stream.close();
+    SetBytes(connection, 0);
+    --connections;
+  }
+
+  void SetBytes(Connection& connection, std::size_t bytes) {
+    total_bytes += bytes;
+    total_bytes -= connection.bytes;
+    connection.bytes = bytes;
+  }
+
   asio::awaitable<void> Serve(asio::ip::tcp::socket socket) {
     auto self = shared_from_this();
     ++connections;
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer{kMaxUnparsedBytes};
+    Connection connection(std::move(socket));
     bool go_on = true;
     while (go_on) {
-      go_on = co_await AwaitFirstByte(stream, buffer);
+      go_on = co_await AwaitFirstByte(connection);
       if (go_on) {
         ++active;
-        go_on = co_await ServeOne(stream, buffer);
+        go_on = co_await ServeOne(connection);
         --active;
       }
     }
-    beast::error_code ignored;
-    stream.socket().shutdown(asio::socket_base::shutdown_send, ignored);
-    --connections;
+    if (!connection.closed) {
+      beast::error_code ignored;
+      connection.stream.socket().shutdown(asio::socket_base::shutdown_send,
+                                          ignored);
+      --connections;
+    }
   }
 
   // Waits until a request begins. @returns false when the connection ends
-  asio::awaitable<bool> AwaitFirstByte(beast::tcp_stream& stream,
-                                       beast::flat_buffer& buffer) {
-    if (buffer.size() > 0) {
+  asio::awaitable<bool> AwaitFirstByte(Connection& connection) {
+    if (connection.buffer.size() > 0) {
       co_return true;
     }
     if (closing) {
       co_return false;
     }
-    const auto place = idle.insert(idle.end(), &stream);
-    stream.expires_after(std::chrono::milliseconds(limits.idle_ms));
-    auto [failure, size] =
-        co_await stream.async_read_some(buffer.prepare(kFirstRead), kAwait);
+    connection.buffer.shrink_to_fit();
+    const auto place = idle.insert(idle.end(), &connection);
+    connection.stream.expires_after(std::chrono::milliseconds(limits.idle_ms));
+    auto [failure, size] = co_await connection.stream.async_read_some(
+        connection.buffer.prepare(kFirstRead), kAwait);
+    if (connection.closed) {
+      co_return false;
+    }
     idle.erase(place);
-    buffer.commit(size);
+    connection.buffer.commit(size);
     co_return !failure;
   }
 
-  // Reads one request and answers it. @returns whether to read another
-  asio::awaitable<bool> ServeOne(beast::tcp_stream& stream,
-                                 beast::flat_buffer& buffer) {
-    Parser parser;
+  // Reads a request. While more is held of incomplete requests than the bound,
+  // the oldest of them is given up.
+  asio::awaitable<beast::error_code> Read(Connection& connection,
+                                          Parser& parser) {
+    parser.eager(true);
     parser.header_limit(limits.header_bytes);
     parser.body_limit(limits.body_bytes);
-    stream.expires_after(std::chrono::milliseconds(limits.idle_ms));
-    auto [failure, size] =
-        co_await http::async_read(stream, buffer, parser, kAwait);
+    connection.stream.expires_after(std::chrono::milliseconds(
+        limits.request_ms > 0 ? limits.request_ms : limits.idle_ms));
+    const auto place = reading.insert(reading.end(), &connection);
+    beast::error_code failure;
+    while (!failure && !parser.is_done() && !connection.closed) {
+      auto [read_failure, size] = co_await http::async_read_some(
+          connection.stream, connection.buffer, parser, kAwait);
+      failure = read_failure;
+      if (!connection.closed) {
+        SetBytes(connection, HeldBytes(connection, parser));
+      }
+      while (limits.total_bytes > 0 && total_bytes > limits.total_bytes &&
+             !reading.empty()) {
+        CloseOldest(reading);
+      }
+    }
+    if (connection.closed) {
+      co_return asio::error::operation_aborted;
+    }
+    SetBytes(connection, 0);
+    reading.erase(place);
+    co_return failure;
+  }
+
+  static std::size_t HeldBytes(const Connection& connection,
+                               const Parser& parser) {
+    std::size_t bytes =
+        connection.buffer.capacity() + parser.get().body().capacity();
+    for (const auto& field : parser.get()) {
+      bytes += kFieldBytes + field.name_string().size() + field.value().size();
+    }
+    return bytes;
+  }
+
+  // Reads one request and answers it. @returns whether to read another
+  asio::awaitable<bool> ServeOne(Connection& connection) {
+    Parser parser;
+    const beast::error_code failure = co_await Read(connection, parser);
     if (failure && !IsParseFailure(failure)) {
       co_return false;
     }
-    BeastExchange exchange(stream, limits, parser.release());
+    ServerExchange exchange(connection.stream, limits, parser.release());
     if (failure) {
       exchange.CloseAfter();
       co_await exchange.Respond(ParseFailure(failure));
@@ -248,8 +243,11 @@
   HttpLimits limits;
   Handler handler;
   std::uint32_t connections = 0;
-  // Connections on which no request has begun.
-  std::list<beast::tcp_stream*> idle;
+  // Connections on which no request has begun, and those whose request is
+  // incomplete; those that wait longest come first.
+  Connections idle;
+  Connections reading;
+  std::size_t total_bytes = 0;
   bool closing = false;
   std::atomic<std::uint64_t> active{0};
 };
@@ -290,11 +288,15 @@
 
 void HttpServer::CloseIdle() {
   state_->closing = true;
-  for (auto* stream : state_->idle) {
-    stream->cancel();
+  for (auto* connection : state_->idle) {
+    connection->stream.cancel();
   }
 }
 
+std::uint32_t HttpServer::connections() const {
+  return state_->connections;
+}
+
 std::uint64_t HttpServer::active() const {
   return state_->active.load();
 }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -18,7 +18,16 @@
   std::uint64_t body_bytes = 1024ULL * 1024;
   std::uint32_t idle_ms = 60'000;
   std::uint32_t write_ms = 30'000;
+  /// At this number the connection that was idle for the longest time is closed
+  /// in favor of a new one.
   std::uint32_t connections = 4096;
+  /// Time to read one request from its first byte; 0: idle_ms for each read.
+  std::uint32_t request_ms = 0;
+  /// Bytes of incomplete requests of all connections, above which the oldest of
+  /// them is given up; 0: no bound.
+  std::size_t total_bytes = 0;
+  /// Size of the kernel's buffers of a connection; 0: the system's.
+  int socket_bytes = 0;
 };
 
 /// One request on a server connection and the way to answer it. A handler
@@ -65,6 +74,9 @@
   /// Requests under way, each from its first byte on.
   std::uint64_t active() const;
 
+  /// Open connections. Call on the event loop's thread.
+  std::uint32_t connections() const;
+
  private:
   struct State;
   std::shared_ptr<State> state_;
