--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -11,6 +11,13 @@
 
 // Largest time that a setting may name.
 constexpr std::int64_t kMostMs = 3600'000;
+// Bounds of the memory and the descriptors that settings may name. Below the
+// lower ones an instance could not serve one request of the largest size beside
+// its own state.
+constexpr std::int64_t kLeastMemoryMb = 48;
+constexpr std::int64_t kMostMemoryMb = 1024 * 1024;
+constexpr std::int64_t kLeastDescriptors = 128;
+constexpr std::int64_t kMostDescriptors = 1'000'000;
 // Ratios are written in thousandths.
 constexpr double kMilli = 1000;
 // Largest slack of the bound of a cold target, in requests.
@@ -109,6 +116,11 @@
         preference, "cost_ms", kMostMs, settings.domain_preference.cost_ms);
     BOOST_OUTCOME_TRY(preference.Finish());
   }
+  settings.memory_mb = reader.IntegerOr("memory_mb", kLeastMemoryMb,
+                                        kMostMemoryMb, settings.memory_mb);
+  settings.max_descriptors =
+      reader.IntegerOr("max_descriptors", kLeastDescriptors, kMostDescriptors,
+                       settings.max_descriptors);
   BOOST_OUTCOME_TRY(reader.Finish());
   return settings;
 }
