Evacuate failure domains and keep requests in their allowed regions

Rows evacuate/ZONE of the operator's table were dropped by the relay and by each instance, and allowed-regions was not read. Both are now in force in the choice of targets, in placement and in the directory's answer, with refusals domain_evacuated and no_home; jackdawctl evacuates domains of the product's own configuration.

--- a/src/config/check.cc
+++ b/src/config/check.cc
@@ -101,6 +101,17 @@
   return success();
 }
 
+Result<void> CheckEvacuations(const FleetConfig& config) {
+  std::set<std::string_view> seen;
+  for (std::size_t i = 0; i < config.evacuations.size(); ++i) {
+    const std::string& domain = config.evacuations[i].failure_domain;
+    if (!seen.insert(domain).second) {
+      return Invalid(At("evacuations", i), "'" + domain + "' stands twice");
+    }
+  }
+  return success();
+}
+
 bool SameException(const Exception& a, const Exception& b) {
   return a.scope == b.scope && a.setting == b.setting && a.value == b.value &&
          a.expires_ms == b.expires_ms;
@@ -146,6 +157,7 @@
 Result<void> CheckConsistency(const FleetConfig& config) {
   BOOST_OUTCOME_TRY(CheckKeys(config));
   BOOST_OUTCOME_TRY(CheckRoutes(config));
+  BOOST_OUTCOME_TRY(CheckEvacuations(config));
   return CheckExceptions(config);
 }
 
--- a/src/config/fleet_config.cc
+++ b/src/config/fleet_config.cc
@@ -1,5 +1,6 @@
 #include "config/fleet_config.h"
 
+#include <algorithm>
 #include <array>
 
 namespace jackdaw {
@@ -38,6 +39,12 @@
 
 }  // namespace
 
+bool FleetConfig::IsEvacuated(std::string_view failure_domain) const {
+  return std::ranges::any_of(evacuations, [&](const Evacuation& evacuation) {
+    return evacuation.failure_domain == failure_domain;
+  });
+}
+
 const SettingRow* FindSetting(std::string_view name) {
   for (const auto& row : kSettings) {
     if (row.name == name) {
--- a/src/config/fleet_config.h
+++ b/src/config/fleet_config.h
@@ -87,6 +87,11 @@
   std::int64_t expires_ms = 0;
 };
 
+/// A failure domain whose targets get no new requests.
+struct Evacuation {
+  std::string failure_domain;
+};
+
 /// The whole configuration of the fleet at one version.
 struct FleetConfig {
   std::uint64_t version = 0;
@@ -99,6 +104,9 @@
   std::vector<Adapter> adapters;
   std::vector<Deployment> deployments;
   std::vector<Service> services;
+  std::vector<Evacuation> evacuations;
+
+  bool IsEvacuated(std::string_view failure_domain) const;
 };
 
 using FleetConfigPtr = std::shared_ptr<const FleetConfig>;
--- a/src/config/parse.cc
+++ b/src/config/parse.cc
@@ -11,6 +11,7 @@
 constexpr std::int64_t kMaxAccelerators = 1024;
 constexpr std::int64_t kMaxTimeMs = 1LL << 52;
 constexpr std::size_t kDigestDigits = 64;
+constexpr std::size_t kMaxDomainBytes = 256;
 
 Error Invalid(const std::string& path, const std::string& what) {
   return {ErrorKind::kInvalidSetting, path + ": " + what,
@@ -87,6 +88,15 @@
   item.expires_ms = reader.IntegerOr("expires_ms", 0, kMaxTimeMs, 0);
 }
 
+void ReadOne(ObjectReader& reader, Evacuation& item) {
+  item.failure_domain = reader.Text("failure_domain");
+  if (item.failure_domain.empty() ||
+      item.failure_domain.size() > kMaxDomainBytes) {
+    reader.Fail("failure_domain",
+                "must have 1 to " + std::to_string(kMaxDomainBytes) + " bytes");
+  }
+}
+
 template <typename T>
 Result<std::vector<T>> ReadList(ObjectReader& parent, std::string_view list);
 
@@ -240,6 +250,8 @@
   BOOST_OUTCOME_TRY(config.deployments,
                     ReadList<Deployment>(reader, "deployments"));
   BOOST_OUTCOME_TRY(config.services, ReadList<Service>(reader, "services"));
+  BOOST_OUTCOME_TRY(config.evacuations,
+                    ReadList<Evacuation>(reader, "evacuations"));
   BOOST_OUTCOME_TRY(reader.Finish());
   BOOST_OUTCOME_TRY(CheckReferences(config));
   BOOST_OUTCOME_TRY(CheckConsistency(config));
--- a/src/config/tests/fleet_config_test.cc
+++ b/src/config/tests/fleet_config_test.cc
@@ -29,6 +29,22 @@
   BOOST_TEST(rate("workspace/b", 0) == 10);
 }
 
+BOOST_AUTO_TEST_CASE(EvacuatedDomainsAreRead) {
+  const auto config =
+      ParseFleetConfig(R"({"evacuations":[{"failure_domain":"a"}]})", 1);
+  BOOST_TEST_REQUIRE(config.has_value());
+  BOOST_TEST(config.value().IsEvacuated("a"));
+  BOOST_TEST(!config.value().IsEvacuated("b"));
+  ExpectError(R"({"evacuations":[{"failure_domain":""}]})",
+              "/evacuations/0/failure_domain");
+  ExpectError(R"({"evacuations":[{"failure_domain":")" + std::string(300, 'a') +
+                  "\"}]}",
+              "/evacuations/0/failure_domain");
+  ExpectError(R"({"evacuations":[{"failure_domain":"a"},
+                                 {"failure_domain":"a"}]})",
+              "/evacuations/1: 'a' stands twice");
+}
+
 BOOST_AUTO_TEST_CASE(RefusesWhatWouldBreakAPromise) {
   ExpectError(R"({"exceptions":[{"scope":"workspace/a",
                    "setting":"rate_tokens_per_s","value":20}]})",
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -161,6 +161,31 @@
   return Usage("unknown verb '" + verb + "'");
 }
 
+// Begins or ends the evacuation of a failure domain.
+Result<std::string> Evacuate(const OperatorClient& client,
+                             const CommandLine& line) {
+  BOOST_OUTCOME_TRY(const auto domain, Word(line, 1, "the failure domain"));
+  const Resource& evacuations = *FindResource("evacuation");
+  BOOST_OUTCOME_TRY(const auto before, client.GetConfig());
+  ConfigDocument after = before;
+  if (line.undo) {
+    BOOST_OUTCOME_TRY(RemoveItem(after.content, evacuations, domain, ""));
+  } else {
+    PutItem(after.content, evacuations,
+            json::object{{"failure_domain", domain}});
+  }
+  return Commit(
+      client, line, before, after,
+      json::object{{"failure_domain", domain}, {"evacuated", !line.undo}});
+}
+
+Result<std::string> ListEvacuations(const OperatorClient& client,
+                                    const CommandLine& line) {
+  BOOST_OUTCOME_TRY(const auto document, client.GetConfig());
+  return Printed(ListItems(document.content, *FindResource("evacuation")),
+                 line.json);
+}
+
 Result<std::string> Apply(const OperatorClient& client,
                           const CommandLine& line) {
   BOOST_OUTCOME_TRY(const auto path, Word(line, 1, "the file"));
@@ -266,6 +291,12 @@
   if (command == "apply") {
     return Apply(client, line);
   }
+  if (command == "evacuate") {
+    return Evacuate(client, line);
+  }
+  if (command == "evacuations") {
+    return ListEvacuations(client, line);
+  }
   if (command == "drain") {
     return Drain(client, line);
   }
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -27,6 +27,8 @@
   bool json = false;
   bool chrome = false;
   bool dry_run = false;
+  /// Ends an evacuation instead of beginning it.
+  bool undo = false;
 };
 
 /// Calls a path at every instance that is live or leaving.
--- a/src/ctl/resource.h
+++ b/src/ctl/resource.h
@@ -29,6 +29,7 @@
     Resource{"adapter", "adapters", "name"},
     Resource{"service", "services", "name"},
     Resource{"exception", "exceptions", "scope"},
+    Resource{"evacuation", "evacuations", "failure_domain"},
 };
 
 /// @returns null when no resource has that word
--- a/src/daemons/jackdawctl.cc
+++ b/src/daemons/jackdawctl.cc
@@ -16,6 +16,9 @@
   limit     set WORKSPACE --rate N --burst N --reason TEXT
   default   set SETTING VALUE | list
   apply     FILE [--dry-run]
+  evacuate  DOMAIN [--undo] [--dry-run]
+            no new requests to the targets of a failure domain
+  evacuations                        evacuated failure domains
   status | drain INSTANCE
   placement
   refusals  [--workspace W] [--kind K] [--instance I] [--from T] [--to T]
@@ -66,6 +69,7 @@
                                                      cxxopts::value(line.json))(
       "chrome", "Print Chrome trace events", cxxopts::value(line.chrome))(
       "dry-run", "Only show the difference", cxxopts::value(line.dry_run))(
+      "undo", "End the evacuation", cxxopts::value(line.undo))(
       "version", "Print the version")("help", "Print this help");
   options.parse_positional({"words"});
   try {
--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -122,21 +122,23 @@
   }
 }
 
-std::vector<Endpoint> FleetAgent::EntryAddresses() const {
-  std::vector<Endpoint> addresses;
+std::vector<Endpoint> FleetAgent::EntryAddresses(
+    const CallerLocation& caller) const {
+  std::vector<EntryInstance> instances;
   for (const MemberRecord* record : members_.Ready(clock_.Now())) {
     const Member& member = record->member;
     // A leader that has not answered several heartbeats has probably failed.
     const bool lost = failed_heartbeats_ > kFailedHeartbeatThreshold &&
                       member.name == silent_leader_;
     if (member.name != settings_.name && !lost) {
-      addresses.push_back(member.entry);
+      instances.push_back({member.entry, member.failure_domain});
     }
   }
   if (ready()) {
-    addresses.push_back(settings_.entry);
+    instances.push_back({settings_.entry, settings_.failure_domain});
   }
-  return addresses;
+  return ChooseEntries(settings_.regions, instances,
+                       EntryRegions(settings_.regions, config_.get(), caller));
 }
 
 std::vector<FleetMember> FleetAgent::Peers() const {
--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -11,6 +11,7 @@
 
 #include "core/clock.h"
 #include "core/random.h"
+#include "fleet/evacuations.h"
 #include "fleet/fleet_view.h"
 #include "fleet/heartbeat.h"
 #include "fleet/leadership.h"
@@ -73,7 +74,8 @@
   bool draining() const { return state_ == MemberState::kDraining; }
   /// Returns the addresses that callers are to use. Includes this instance's
   /// own address if it is ready.
-  std::vector<Endpoint> EntryAddresses() const;
+  /// @param caller where the caller is and which host it calls
+  std::vector<Endpoint> EntryAddresses(const CallerLocation& caller) const;
   const FleetView& view() const { return view_; }
   /// Returns the other live members.
   std::vector<FleetMember> Peers() const;
@@ -147,6 +149,10 @@
   enum class ConfigOutcome : std::uint8_t { kUnreadable, kOlder, kInForce };
 
   void OnConfigRows(const platform::RowSet& rows, bool whole);
+  void OnRelayedConfig(const HeartbeatReply& reply);
+  void OnEvacuationChanges(const Evacuations::Changes& changes);
+  void LogUnknownEvacuations();
+  void LogUnknownRegions(const ServingConfig& config);
   ConfigOutcome TakeConfig(std::string_view document);
   std::string ConfigLostByStore(std::int64_t known_version) const;
   void LogQuotas(const ServingConfig& config) const;
@@ -178,6 +184,11 @@
   TableReplica config_replica_;
   TableReplica target_replica_;
   TargetFeed target_feed_;
+  Evacuations evacuations_;
+  /// Evacuated failure domains that have not been looked up yet.
+  DomainSet evacuations_to_check_;
+  /// Allowed regions of the configuration in force that are not known.
+  DomainSet unknown_regions_;
   StoreClock store_clock_;
   MemberTable members_;
   /// The leader's last view.
--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -110,6 +110,8 @@
   LogBlocked();
   LogLapsedParts();
   OnTargetChanges(target_feed_.Expire(clock_.Now()));
+  OnEvacuationChanges(evacuations_.Expire(clock_.Now()));
+  LogUnknownEvacuations();
 }
 
 void FleetAgent::CountCrashes() {
@@ -228,9 +230,9 @@
     OnPartsGranted(*reply.parts, sent_at);
   }
   fleet_known_ = true;
-  read_config_ = reply.config.read_store;
+  read_config_ = reply.config.read_store || !reply.relays_evacuations;
   read_targets_ = reply.targets.read_store;
-  OnConfigRows(reply.config.Rows(), reply.config.whole);
+  OnRelayedConfig(reply);
   if (!reply.lost_config.empty()) {
     TakeConfig(reply.lost_config);
     store_lost_config_ = true;
@@ -335,6 +337,7 @@
   }
   const std::size_t max_bytes =
       kMaxRelayedBytes / std::max<std::size_t>(1, view_.members.size());
+  reply.relays_evacuations = true;
   reply.config = config_replica_.DeltaSince(heartbeat.config_after, max_bytes);
   reply.lost_config = ConfigLostByStore(heartbeat.config_version);
   reply.targets =
--- a/src/fleet/fleet_agent_rows.cc
+++ b/src/fleet/fleet_agent_rows.cc
@@ -18,8 +18,17 @@
 // as JSON text, which takes no others.
 // @param whole the rows are a snapshot of the table
 void FleetAgent::OnConfigRows(const platform::RowSet& rows, bool whole) {
+  OnEvacuationChanges(evacuations_.OnRows(rows, whole, clock_.Now()));
   platform::RowSet readable = rows;
+  for (platform::StoredRow& row : readable.rows) {
+    if (EvacuatedDomain(row)) {
+      row.value.clear();
+    }
+  }
   std::erase_if(readable.rows, [&](const platform::StoredRow& row) {
+    if (EvacuatedDomain(row)) {
+      return false;
+    }
     if (row.at.key != platform::kConfigKey || row.dropped) {
       return row.at.key != platform::kConfigKey;
     }
@@ -50,6 +59,7 @@
                                        : ConfigOutcome::kOlder;
   }
   LogQuotas(config.value());
+  LogUnknownRegions(config.value());
   config_ = std::make_shared<const ServingConfig>(std::move(config.value()));
   config_document_ = document;
   quotas_.OnConfig(*config_, boot_clock_.Now());
--- a/src/fleet/heartbeat.cc
+++ b/src/fleet/heartbeat.cc
@@ -140,6 +140,7 @@
     object["parts_epoch"] = reply.parts->epoch;
     object["parts"] = EncodeParts(reply.parts->parts);
   }
+  object["relays_evacuations"] = reply.relays_evacuations;
   object["config"] = EncodeDelta(reply.config);
   object["targets"] = EncodeDelta(reply.targets);
   if (!reply.lost_config.empty()) {
@@ -176,6 +177,7 @@
     BOOST_OUTCOME_TRY(grant.parts, DecodeParts(parts));
     reply.parts = grant;
   }
+  reply.relays_evacuations = reader.FlagOr("relays_evacuations", false);
   BOOST_OUTCOME_TRY(reply.config, ReadDelta(reader, "config"));
   BOOST_OUTCOME_TRY(reply.targets, ReadDelta(reader, "targets"));
   reply.lost_config = reader.TextOr("lost_config", "");
--- a/src/fleet/heartbeat.h
+++ b/src/fleet/heartbeat.h
@@ -45,6 +45,9 @@
   /// Parts of the quotas that the follower is to use, if it uses others or has
   /// not confirmed the table's epoch.
   std::optional<PartGrant> parts;
+  /// `config` carries the rows of evacuations. Leaders of earlier releases
+  /// leave them out.
+  bool relays_evacuations = false;
   /// Rows of the tables of configurations and of targets.
   RowDelta config;
   RowDelta targets;
--- a/src/fleet/order_dispatcher.cc
+++ b/src/fleet/order_dispatcher.cc
@@ -67,6 +67,9 @@
 // Requests a report from the target: its count of accepted orders and what it
 // holds.
 boost::asio::awaitable<bool> OrderDispatcher::FetchReport(TargetPtr target) {
+  if (target->evacuated) {
+    co_return false;
+  }
   auto call =
       http_.Prepare(target->entry.address, platform::ReportRequest(),
                     clock_.Now() + kAnswerTimeout, ConnectionChoice::kFresh);
@@ -95,13 +98,14 @@
 
 // Sends an order, and retries it while it is not answered.
 // @returns the answer, or no value if none arrived; kConflict, kRefused or
-// kFenced also without sending, if the target rests or the count of accepted
-// orders is unknown, memory is short, or the lease does not allow orders
+// kFenced also without sending, if the target rests or is evacuated, the count
+// of accepted orders is unknown, memory is short, or the lease does not allow
+// orders
 boost::asio::awaitable<OrderDispatcher::Answer> OrderDispatcher::SendOrder(
     TargetPtr target,
     EngineSpec offer,
     platform::Order order) {
-  if (target->notice.Rests(clock_.Now())) {
+  if (target->evacuated || target->notice.Rests(clock_.Now())) {
     co_return platform::OrderAnswer::kConflict;
   }
   if (!TrackerOf(*target).accepted_orders()) {
@@ -119,7 +123,7 @@
         {{"target", target->entry.id}, {"model", name}});
     co_return platform::OrderAnswer::kRefused;
   }
-  if (!leadership_.MaySendOrders(boot_clock_.Now())) {
+  if (target->evacuated || !leadership_.MaySendOrders(boot_clock_.Now())) {
     co_return platform::OrderAnswer::kFenced;
   }
   order.expected_orders = *accepted;
@@ -229,7 +233,8 @@
                                                            bool held,
                                                            Instant deadline) {
   while (clock_.Now() < deadline) {
-    if (registry_.Find(target->entry.id) != target || target->leaving) {
+    if (registry_.Find(target->entry.id) != target || target->leaving ||
+        target->evacuated) {
       co_return false;
     }
     if (target->HoldsModel(model) == held) {
--- a/src/fleet/peer_api_limits.cc
+++ b/src/fleet/peer_api_limits.cc
@@ -75,7 +75,8 @@
 
 SendPermission PeerApi::DecideSend(Target& target) {
   const Instant now = clock_.Now();
-  if (!registry_.DecidesLimitedSends(now) || target.leaving) {
+  if (!registry_.DecidesLimitedSends(now) || target.leaving ||
+      target.evacuated) {
     return {false, now + kUndecidedRetryAfter};
   }
   if (registry_.TryTakeSend(target, now)) {
--- a/src/fleet/tests/heartbeat_test.cc
+++ b/src/fleet/tests/heartbeat_test.cc
@@ -66,6 +66,19 @@
   BOOST_TEST(demand.back().key.model == "m1");
 }
 
+// A leader of an earlier release says nothing of evacuations and drops their
+// rows.
+BOOST_AUTO_TEST_CASE(ReplyWithoutWordOfEvacuationsDoesNotRelayThem) {
+  HeartbeatReply reply;
+  reply.relays_evacuations = true;
+  std::string text = EncodeHeartbeatReply(reply);
+  BOOST_TEST(DecodeHeartbeatReply(text).value().relays_evacuations);
+  constexpr std::string_view kWord = R"("relays_evacuations":true,)";
+  BOOST_TEST_REQUIRE(text.find(kWord) != std::string::npos);
+  text.erase(text.find(kWord), kWord.size());
+  BOOST_TEST(!DecodeHeartbeatReply(text).value().relays_evacuations);
+}
+
 BOOST_AUTO_TEST_CASE(AReplyReadsBackWithAndWithoutChanges) {
   const auto empty = DecodeHeartbeatReply(EncodeHeartbeatReply({}));
   BOOST_REQUIRE(empty);
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -23,6 +23,8 @@
 constexpr Micros kNoTargetRetryAfter = 500ms;
 constexpr Micros kNoAdapterRetryAfter = 300ms;
 constexpr Micros kLimitedRetryAfter = 100ms;
+constexpr Micros kEvacuatedRetryAfter = 1s;
+constexpr Micros kNoHomeRetryAfter = 1s;
 
 }  // namespace
 
@@ -100,6 +102,7 @@
   query.call = &call_;
   query.engine = service_->engine ? &*service_->engine : nullptr;
   query.excluded = excluded;
+  query.homes = AllowedDomains(deps_.targets.regions(), *route_, workspace_);
   return deps_.targets.Pick(query, deps_.clock.Now());
 }
 
@@ -159,6 +162,12 @@
   } else if (pick.outcome == PickOutcome::kNoAdapter) {
     Reject({503, "adapter_not_held", "come back when it has been loaded",
             now + kNoAdapterRetryAfter});
+  } else if (pick.outcome == PickOutcome::kEvacuated) {
+    Reject({503, "domain_evacuated", "come back when the domain is in service",
+            now + kEvacuatedRetryAfter});
+  } else if (pick.outcome == PickOutcome::kNoHome) {
+    Reject({503, "no_home", "come back when an allowed region can serve it",
+            now + kNoHomeRetryAfter});
   } else {
     Reject({503, "no_target", "come back when a target is free",
             now + kNoTargetRetryAfter});
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -50,7 +50,7 @@
       settings_path_(std::move(settings_path)),
       signals_(context_, SIGTERM, SIGINT, SIGHUP),
       timers_(context_, clock_),
-      targets_(settings.failure_domain),
+      targets_(settings.failure_domain, settings.regions),
       target_connections_(context_, clock_),
       quotas_(settings.quotas),
       retries_(settings.retries, clock_.Now()),
@@ -243,9 +243,11 @@
   for (const auto& [id, target] : targets_.all()) {
     ++(target->leaving ? state.targets_leaving : state.targets_usable);
     state.targets_suspected += now < target->backoff_until ? 1 : 0;
+    state.targets_evacuated += target->evacuated ? 1 : 0;
     state.targets_resting += target->notice.Rests(now) ? 1 : 0;
     state.targets_limited += target->rate_limit.limited() ? 1 : 0;
   }
+  state.evacuated_domains = targets_.evacuated_domains().size();
   state.crash_requests = crashes_.tracked_requests();
   state.crash_blocked = crashes_.BlockedRequests(now).size();
   const ConfigPtr config = agent_.config();
@@ -279,7 +281,8 @@
     co_await exchange.Respond(std::move(unknown));
     co_return;
   }
-  const std::vector<Endpoint> addresses = agent_.EntryAddresses();
+  const std::vector<Endpoint> addresses =
+      agent_.EntryAddresses(platform::DecodeCaller(exchange.request()));
   HttpResponse response =
       addresses.empty() ? JsonResponse(503, "{}")
                         : platform::DirectoryResponse(
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -92,6 +92,8 @@
   set("requests_without_end", static_cast<double>(state.without_end));
   set("targets_resting", static_cast<double>(state.targets_resting));
   set("resting_refusals", static_cast<double>(state.resting_refusals));
+  set("evacuated_domains", static_cast<double>(state.evacuated_domains));
+  set("targets_evacuated", static_cast<double>(state.targets_evacuated));
   set("crash_requests", static_cast<double>(state.crash_requests));
   set("crash_blocked", static_cast<double>(state.crash_blocked));
   set("members", static_cast<double>(state.members));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -48,6 +48,9 @@
   std::uint64_t targets_resting = 0;
   /// Requests that were refused because all their targets did.
   std::uint64_t resting_refusals = 0;
+  /// Failure domains that the operator has evacuated, and targets there.
+  std::uint64_t evacuated_domains = 0;
+  std::uint64_t targets_evacuated = 0;
   /// Requests during which a target crashed, and those of them that are not
   /// sent any more.
   std::uint64_t crash_requests = 0;
--- a/src/gateway/target.h
+++ b/src/gateway/target.h
@@ -26,6 +26,11 @@
   /// The entry was removed or is draining, or the target announced that it
   /// leaves: no new request is sent.
   bool leaving = false;
+  /// The operator has evacuated its failure domain: no new request is sent.
+  bool evacuated = false;
+  /// Time at which the last evacuation of its failure domain ended; zero if
+  /// there was none.
+  Instant evacuation_ended_at{};
   /// The entry was removed, or another incarnation or address has replaced it.
   bool ended = false;
   /// Requests of this instance that have not ended.
@@ -79,7 +84,7 @@
 
   /// Whether this instance may send a request to the target now.
   bool AcceptsRequests(Instant now) const {
-    return !leaving && !notice.Rests(now);
+    return !leaving && !evacuated && !notice.Rests(now);
   }
 
   /// Returns how long this instance's requests have waited without any byte
--- a/src/gateway/target_registry.cc
+++ b/src/gateway/target_registry.cc
@@ -59,8 +59,9 @@
   return XXH3_64bits_withSeed(call.adapter.data(), call.adapter.size(), model);
 }
 
-TargetRegistry::TargetRegistry(std::string failure_domain)
-    : failure_domain_(std::move(failure_domain)) {}
+TargetRegistry::TargetRegistry(std::string failure_domain, RegionMap regions)
+    : failure_domain_(std::move(failure_domain)),
+      regions_(std::move(regions)) {}
 
 void TargetRegistry::Enqueue(Target& target, std::int64_t tokens, Instant now) {
   const double ms =
--- a/src/gateway/target_registry.h
+++ b/src/gateway/target_registry.h
@@ -1,13 +1,16 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "gateway/homes.h"
 #include "gateway/target.h"
 #include "serving/config.h"
 #include "serving/request_metadata.h"
@@ -25,6 +28,8 @@
   const EngineSpec* engine = nullptr;
   /// Targets that must not be chosen.
   std::span<const TargetPtr> excluded;
+  /// Failure domains that the targets may be in.
+  AllowedDomains homes;
 };
 
 /// Whether a target was chosen, or why not.
@@ -42,6 +47,10 @@
   /// All that could serve the request have named a limit, and this instance may
   /// not send to them without asking.
   kLimited,
+  /// All targets of the service are in evacuated failure domains.
+  kEvacuated,
+  /// No target in the allowed regions can serve the request, but others can.
+  kNoHome,
 };
 
 /// Whether a target of the service may be chosen for a request, or why not.
@@ -52,6 +61,11 @@
   kExcluded,
   kAdapterNotHeld,
   kLimited,
+  kEvacuated,
+  /// Outside the allowed regions; it could serve the request there.
+  kOutsideHomes,
+  /// The same, without the model.
+  kOutsideHomesWithoutModel,
 };
 
 /// The chosen target, with the figures behind the choice.
@@ -95,7 +109,8 @@
 class TargetRegistry {
  public:
   /// @param failure_domain the instance's own failure domain
-  explicit TargetRegistry(std::string failure_domain);
+  /// @param regions regions of the deployment's failure domains
+  explicit TargetRegistry(std::string failure_domain, RegionMap regions = {});
 
   /// Adds or updates a target. An entry of an earlier incarnation is ignored.
   /// @returns true if the target is new, is a new incarnation, or changed its
@@ -103,6 +118,10 @@
   bool Update(const TargetRegistration& entry);
   /// Removes a target: no new request is sent to it.
   void Remove(std::string_view id);
+  /// Sets the failure domains whose targets get no new request.
+  void SetEvacuated(const DomainSet& domains, Instant now);
+  const DomainSet& evacuated_domains() const { return evacuated_domains_; }
+  const RegionMap& regions() const { return regions_; }
 
   /// Returns the target with the lowest cost, or why there is none.
   TargetPick Pick(const TargetQuery& query, Instant now) const;
@@ -163,7 +182,8 @@
   void SetAdapter(Target& target, std::string_view adapter, bool held);
 
   TargetPtr Find(std::string_view id) const;
-  /// Returns the targets of a service that accept requests.
+  /// Returns the targets of a service that are neither leaving nor in an
+  /// evacuated failure domain.
   std::vector<TargetPtr> Usable(std::string_view service) const;
   const std::unordered_map<std::string, TargetPtr>& all() const {
     return targets_;
@@ -197,9 +217,18 @@
               const TargetQuery& query,
               Instant now) const;
 
+  void MarkEvacuated(Target& target) const;
+
   std::string failure_domain_;
+  RegionMap regions_;
+  DomainSet evacuated_domains_;
+  /// Time at which the last evacuation of each failure domain ended.
+  std::map<std::string, Instant, std::less<>> evacuations_ended_at_;
   Instant limited_sends_until_{};
   std::unordered_map<std::string, TargetPtr> targets_;
+  /// Targets that another incarnation or address has replaced, for which
+  /// requests may still wait.
+  std::vector<std::weak_ptr<Target>> replaced_;
   std::unordered_map<std::uint64_t, TargetPtr> by_digest_;
   /// Notices of targets whose entries were removed or replaced, by id.
   std::unordered_map<std::string, RememberedNotice> remembered_notices_;
--- a/src/gateway/target_registry_entries.cc
+++ b/src/gateway/target_registry_entries.cc
@@ -27,6 +27,8 @@
     if (target != nullptr) {
       target->ended = true;
       RememberNotice(*target);
+      std::erase_if(replaced_, [](const auto& old) { return old.expired(); });
+      replaced_.push_back(target);
     }
     target = std::make_shared<Target>();
     RestoreNotice(*target, entry);
@@ -38,6 +40,7 @@
                        !SameModels(target->entry, entry);
   target->leaving = leaving;
   target->entry = entry;
+  MarkEvacuated(*target);
   for (const HeldModel& model : entry.models) {
     for (const std::string& adapter : model.adapters) {
       target->adapters.insert(model.name + "/" + adapter);
@@ -61,6 +64,33 @@
   }
 }
 
+// The time is kept by failure domain, as targets there may register again
+// during the evacuation.
+void TargetRegistry::SetEvacuated(const DomainSet& domains, Instant now) {
+  for (const std::string& domain : evacuated_domains_) {
+    if (!domains.contains(domain)) {
+      evacuations_ended_at_[domain] = now;
+    }
+  }
+  evacuated_domains_ = domains;
+  for (const auto& [id, target] : targets_) {
+    MarkEvacuated(*target);
+  }
+  for (const std::weak_ptr<Target>& old : replaced_) {
+    if (const TargetPtr target = old.lock()) {
+      MarkEvacuated(*target);
+    }
+  }
+}
+
+void TargetRegistry::MarkEvacuated(Target& target) const {
+  const std::string& domain = target.entry.failure_domain;
+  target.evacuated = evacuated_domains_.contains(domain);
+  const auto ended = evacuations_ended_at_.find(domain);
+  target.evacuation_ended_at =
+      ended == evacuations_ended_at_.end() ? Instant{} : ended->second;
+}
+
 TargetPtr TargetRegistry::Find(std::string_view id) const {
   const auto found = targets_.find(std::string(id));
   return found == targets_.end() ? nullptr : found->second;
@@ -69,7 +99,8 @@
 std::vector<TargetPtr> TargetRegistry::Usable(std::string_view service) const {
   std::vector<TargetPtr> usable;
   for (const auto& [id, target] : targets_) {
-    if (!target->leaving && target->entry.service == service) {
+    if (!target->leaving && !target->evacuated &&
+        target->entry.service == service) {
       usable.push_back(target);
     }
   }
--- a/src/gateway/target_registry_pick.cc
+++ b/src/gateway/target_registry_pick.cc
@@ -27,6 +27,10 @@
 // What was found of the targets that are not chosen.
 struct PickTally {
   bool any = false;
+  bool evacuated = false;
+  /// Targets outside the allowed regions: any, and any with the model.
+  bool any_outside = false;
+  bool model_outside = false;
   bool model_held = false;
   bool awake = false;
   Instant rest_until = Instant::max();
@@ -38,7 +42,20 @@
 };
 
 void PickTally::Add(Availability availability, const TargetPtr& target) {
-  any = true;
+  switch (availability) {
+    case Availability::kOutsideHomes:
+      any_outside = true;
+      model_outside = true;
+      return;
+    case Availability::kOutsideHomesWithoutModel:
+      any_outside = true;
+      return;
+    case Availability::kEvacuated:
+      evacuated = true;
+      return;
+    default:
+      any = true;
+  }
   if (availability == Availability::kModelNotHeld) {
     return;
   }
@@ -55,10 +72,12 @@
 
 TargetPick PickTally::Outcome(bool needs_adapter) const {
   TargetPick pick;
-  if (!any) {
-    pick.outcome = PickOutcome::kNoTarget;
+  if (!any && evacuated) {
+    pick.outcome = PickOutcome::kEvacuated;
+  } else if (!any) {
+    pick.outcome = any_outside ? PickOutcome::kNoHome : PickOutcome::kNoTarget;
   } else if (!model_held) {
-    pick.outcome = PickOutcome::kNoModel;
+    pick.outcome = model_outside ? PickOutcome::kNoHome : PickOutcome::kNoModel;
   } else if (!awake) {
     pick.outcome = PickOutcome::kResting;
     pick.retry_at = rest_until;
@@ -113,8 +132,17 @@
                                    const TargetQuery& query,
                                    std::string_view adapter,
                                    Instant now) const {
-  if (query.engine != nullptr && !query.call->model.empty() &&
-      !target->HoldsModel(query.call->model)) {
+  const bool lacks_model = query.engine != nullptr &&
+                           !query.call->model.empty() &&
+                           !target->HoldsModel(query.call->model);
+  if (!query.homes.Allows(target->entry.failure_domain)) {
+    return lacks_model ? Availability::kOutsideHomesWithoutModel
+                       : Availability::kOutsideHomes;
+  }
+  if (target->evacuated) {
+    return Availability::kEvacuated;
+  }
+  if (lacks_model) {
     return Availability::kModelNotHeld;
   }
   if (target->notice.Rests(now)) {
--- a/src/placement/fleet_state.cc
+++ b/src/placement/fleet_state.cc
@@ -92,7 +92,8 @@
     entry.domain =
         domains.emplace(target.failure_domain, static_cast<int>(domains.size()))
             .first->second;
-    entry.usable = !flag("excluded", "target/" + name);
+    entry.usable = !flag("excluded", "target/" + name) &&
+                   !config.IsEvacuated(target.failure_domain);
     entry.capacity = static_cast<double>(
         SettingFor(config, "engine_tokens_per_s", "target/" + name, now_ms) *
         target.accelerators);
--- a/src/routing/target_table.cc
+++ b/src/routing/target_table.cc
@@ -48,6 +48,7 @@
     state.name = target.name;
     state.address = target.address;
     state.failure_domain = target.failure_domain;
+    state.evacuated = config.IsEvacuated(target.failure_domain);
     state.kind = target.kind;
     names[target.name] = index;
   }
@@ -141,7 +142,8 @@
   const bool resident =
       requirements.model.empty() ||
       (state.reported && Contains(state.models, requirements.model));
-  return resident && !state.leaving && state.down_until <= now &&
+  return resident && !state.leaving && !state.evacuated &&
+         state.down_until <= now &&
          !Contains(requirements.excluded, state.name);
 }
 
--- a/src/routing/target_table.h
+++ b/src/routing/target_table.h
@@ -98,6 +98,8 @@
     Instant warmup_started_at{};
     int failures = 0;
     bool leaving = false;
+    // The operator has evacuated the failure domain.
+    bool evacuated = false;
     bool reported = false;
     std::vector<std::string> models;
     std::vector<std::string> adapters;
--- a/src/routing/tests/router_test.cc
+++ b/src/routing/tests/router_test.cc
@@ -47,6 +47,27 @@
   return target->name;
 }
 
+BOOST_AUTO_TEST_CASE(TargetOfAnEvacuatedDomainIsNotPicked) {
+  Router router({"z", 1, 64});
+  FleetConfig config = Config(2);
+  config.targets[1].failure_domain = "y";
+  const auto pick = [&] {
+    router.OnConfig(kStart, config);
+    const auto target = router.Pick(kStart, Need());
+    return target ? target->name : std::string();
+  };
+  router.OnConfig(kStart, config);
+  router.OnReport(kStart, "t0", Report(0));
+  router.OnReport(kStart, "t1", Report(0));
+  BOOST_TEST(pick() == "t0");
+  config.evacuations = {{"z"}, {"unknown"}};
+  BOOST_TEST(pick() == "t1");
+  config.evacuations.push_back({"y"});
+  BOOST_TEST(pick().empty());
+  config.evacuations.clear();
+  BOOST_TEST(pick() == "t0");
+}
+
 BOOST_AUTO_TEST_CASE(InstancesDoNotAllPickATargetThatReportsEmpty) {
   constexpr int kInstances = 8;
   constexpr int kTargets = 12;
--- a/src/serving/config.h
+++ b/src/serving/config.h
@@ -40,6 +40,8 @@
   int priority = 5;
   int max_attempts = 1;
   std::vector<ServiceShare> services;
+  /// Regions whose targets may get the requests; empty for all.
+  std::vector<std::string> home_regions;
 
   /// Whether the request may be sent to a second target after a first one may
   /// have run it.
@@ -91,6 +93,8 @@
   bool counts_tokens = false;
   /// Units charged for a request that states no token count.
   double default_units = 1;
+  /// Regions whose targets may get the requests; empty for all.
+  std::vector<std::string> home_regions;
 };
 
 /// Limits on the size of a caller's request and on the time it may take.
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -40,6 +40,28 @@
   return ratio;
 }
 
+// Reads the region of each failure domain. The instance's own is stated apart,
+// too.
+RegionMap ReadRegions(ObjectReader& reader, const GatewaySettings& settings) {
+  RegionMap regions;
+  const auto* value = reader.Any("regions");
+  if (value != nullptr && !value->is_object()) {
+    reader.Fail("regions", "is not an object");
+  } else if (value != nullptr) {
+    for (const auto& [domain, region] : value->get_object()) {
+      if (!region.is_string()) {
+        reader.Fail("regions", "has a region that is not a text");
+        break;
+      }
+      regions.emplace(domain, region.get_string());
+    }
+  }
+  if (!settings.region.empty()) {
+    regions.emplace(settings.failure_domain, settings.region);
+  }
+  return regions;
+}
+
 }  // namespace
 
 bool IsGatewaySettings(std::string_view document) {
@@ -54,6 +76,8 @@
   GatewaySettings settings;
   settings.name = reader.Text("name");
   settings.failure_domain = reader.Text("failure_domain");
+  settings.region = reader.TextOr("region", "");
+  settings.regions = ReadRegions(reader, settings);
   settings.entry = ReadEndpoint(reader, "entry");
   settings.ready = ReadEndpoint(reader, "ready");
   settings.directory = ReadEndpoint(reader, "directory");
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -5,6 +5,7 @@
 
 #include "core/error.h"
 #include "core/time.h"
+#include "gateway/homes.h"
 #include "gateway/retry_limiter.h"
 #include "http/endpoint.h"
 #include "quota/local_quotas.h"
@@ -16,6 +17,10 @@
 struct GatewaySettings {
   std::string name;
   std::string failure_domain;
+  /// Region of the instance; empty if the deployment names none.
+  std::string region;
+  /// Region of each failure domain, the instance's own included.
+  RegionMap regions;
   /// Where callers connect.
   Endpoint entry;
   /// Where the platform asks whether the instance is ready.
