--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -119,6 +119,8 @@
   LogBlocked();
   LogLapsedParts();
   OnTargetChanges(target_feed_.Expire(clock_.Now()));
+  OnEvacuationChanges(evacuations_.Expire(clock_.Now()));
+  LogUnknownEvacuations();
 }
 
 void FleetAgent::CountCrashes() {
@@ -238,7 +240,7 @@
     OnPartsGranted(*reply.parts, sent_at);
   }
   fleet_known_ = true;
-  OnRelayedConfig(reply.config);
+  OnRelayedConfig(reply);
   if (!reply.lost_config.empty()) {
     TakeConfig(reply.lost_config);
     store_lost_config_ = true;
@@ -332,6 +334,7 @@
        heartbeat.member.parts != usable)) {
     reply.parts = PartGrant{part_table_.epoch, usable};
   }
+  reply.relays_evacuations = true;
   RelayRows(heartbeat, reply);
   reply.lost_config = ConfigLostByStore(heartbeat.config_version);
   reply.crashes = crashes_.BlockedRequests(now);
--- a/src/fleet/fleet_agent_relay.cc
+++ b/src/fleet/fleet_agent_relay.cc
@@ -45,14 +45,25 @@
                         relay_budget_.Left(now, round));
 }
 
-void FleetAgent::OnRelayedConfig(const RowDelta& delta) {
+// A leader of an earlier release relays only the configuration, so this
+// instance reads the table from the store. The replica stays at the version up
+// to which it has all rows.
+void FleetAgent::OnRelayedConfig(const HeartbeatReply& reply) {
+  const RowDelta& delta = reply.config;
   const auto rows = config_replica_.Expand(delta);
-  read_config_ = delta.read_store || !rows;
-  if (read_config_) {
+  const bool complete = rows && !delta.read_store;
+  read_config_ = !complete || !reply.relays_evacuations;
+  if (!complete) {
     LogReferral(platform::kConfigTable,
                 rows ? "referred" : rows.error().message);
-  } else {
+  } else if (reply.relays_evacuations) {
     OnConfigRows(rows.value(), delta.whole);
+  } else {
+    for (const platform::StoredRow& row : rows.value().rows) {
+      if (row.at.key == platform::kConfigKey && !row.dropped) {
+        TakeConfig(row.value);
+      }
+    }
   }
 }
 
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -101,6 +101,8 @@
   set("resting_refusals", static_cast<double>(state.resting_refusals));
   set("full_refusals", static_cast<double>(state.full_refusals));
   set("target_work_ratio", state.target_work_ratio);
+  set("evacuated_domains", static_cast<double>(state.evacuated_domains));
+  set("targets_evacuated", static_cast<double>(state.targets_evacuated));
   set("crash_requests", static_cast<double>(state.crash_requests));
   set("crash_blocked", static_cast<double>(state.crash_blocked));
   set("members", static_cast<double>(state.members));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -63,6 +63,9 @@
   /// Mean ratio of the time of work to its nominal time at the targets that
   /// report it; 0 if none does.
   double target_work_ratio = 0;
+  /// Failure domains that the operator has evacuated, and targets there.
+  std::uint64_t evacuated_domains = 0;
+  std::uint64_t targets_evacuated = 0;
   /// Requests during which a target crashed, and those of them that are not
   /// sent any more.
   std::uint64_t crash_requests = 0;
--- a/src/gateway/target_registry.cc
+++ b/src/gateway/target_registry.cc
@@ -62,11 +62,13 @@
 }
 
 TargetRegistry::TargetRegistry(std::string failure_domain,
+                               RegionMap regions,
                                const DomainPreferenceSettings& preference,
                                bool forecast_load)
     : failure_domain_(std::move(failure_domain)),
       forecast_load_(forecast_load),
-      domain_preference_(preference) {}
+      domain_preference_(preference),
+      regions_(std::move(regions)) {}
 
 void TargetRegistry::Enqueue(Target& target, std::int64_t tokens, Instant now) {
   target.prefill_until =
--- a/src/gateway/target_registry.h
+++ b/src/gateway/target_registry.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -10,6 +11,7 @@
 #include <vector>
 
 #include "gateway/domain_preference.h"
+#include "gateway/homes.h"
 #include "gateway/target.h"
 #include "serving/config.h"
 #include "serving/request_metadata.h"
@@ -29,6 +31,8 @@
   std::span<const TargetPtr> excluded;
   /// Time left to the latency objective of the request.
   Micros objective{};
+  /// Failure domains that the targets may be in.
+  AllowedDomains homes;
 };
 
 /// Whether a target was chosen, or why not.
@@ -48,6 +52,10 @@
   kLimited,
   /// All that could serve the request hold as much as their memory allows.
   kFull,
+  /// All targets of the service are in evacuated failure domains.
+  kEvacuated,
+  /// No target in the allowed regions can serve the request, but others can.
+  kNoHome,
 };
 
 /// Whether a target of the service may be chosen for a request, or why not.
@@ -59,6 +67,11 @@
   kAdapterNotHeld,
   kLimited,
   kFull,
+  kEvacuated,
+  /// Outside the allowed regions; it could serve the request there.
+  kOutsideHomes,
+  /// The same, without the model.
+  kOutsideHomesWithoutModel,
 };
 
 /// The chosen target, with the figures behind the choice.
@@ -137,10 +150,12 @@
 class TargetRegistry {
  public:
   /// @param failure_domain the instance's own failure domain
+  /// @param regions regions of the deployment's failure domains
   /// @param preference when requests leave the failure domain
   /// @param forecast_load whether the load of all targets is forecast; else
   /// only that of services whose targets report their speed
   explicit TargetRegistry(std::string failure_domain,
+                          RegionMap regions = {},
                           const DomainPreferenceSettings& preference = {},
                           bool forecast_load = false);
 
@@ -150,6 +165,10 @@
   bool Update(const TargetRegistration& entry);
   /// Removes a target: no new request is sent to it.
   void Remove(std::string_view id);
+  /// Sets the failure domains whose targets get no new request.
+  void SetEvacuated(const DomainSet& domains, Instant now);
+  const DomainSet& evacuated_domains() const { return evacuated_domains_; }
+  const RegionMap& regions() const { return regions_; }
 
   /// Returns the target with the lowest cost, or why there is none.
   TargetPick Pick(const TargetQuery& query, Instant now) const;
@@ -258,7 +277,8 @@
   double spillover_share() const { return domain_preference_.share(); }
 
   TargetPtr Find(std::string_view id) const;
-  /// Returns the targets of a service that accept requests.
+  /// Returns the targets of a service that are neither leaving nor in an
+  /// evacuated failure domain.
   std::vector<TargetPtr> Usable(std::string_view service) const;
   const std::unordered_map<std::string, TargetPtr>& all() const {
     return targets_;
@@ -335,10 +355,16 @@
               const TargetQuery& query,
               Instant now) const;
 
+  void MarkEvacuated(Target& target) const;
+
   std::string failure_domain_;
   bool forecast_load_ = false;
   /// Changes with each choice.
   mutable DomainPreference domain_preference_;
+  RegionMap regions_;
+  DomainSet evacuated_domains_;
+  /// Time at which the last evacuation of each failure domain ended.
+  std::map<std::string, Instant, std::less<>> evacuations_ended_at_;
   Instant limited_sends_until_{};
   std::map<std::string, ServiceWork, std::less<>> work_;
   /// Digests of targets with Target::load_unsent.
@@ -350,6 +376,9 @@
   mutable Instant caught_up_at_{};
   std::unordered_map<std::string, ColdLimits> cold_limits_;
   std::unordered_map<std::string, TargetPtr> targets_;
+  /// Targets that another incarnation or address has replaced, for which
+  /// requests may still wait.
+  std::vector<std::weak_ptr<Target>> replaced_;
   std::unordered_map<std::uint64_t, TargetPtr> by_digest_;
   /// Notices of targets whose entries were removed or replaced, by id.
   std::unordered_map<std::string, RememberedNotice> remembered_notices_;
--- a/src/gateway/target_registry_entries.cc
+++ b/src/gateway/target_registry_entries.cc
@@ -27,6 +27,8 @@
     if (target != nullptr) {
       target->ended = true;
       RememberNotice(*target);
+      std::erase_if(replaced_, [](const auto& old) { return old.expired(); });
+      replaced_.push_back(target);
     }
     target = std::make_shared<Target>();
     target->restarted = restarted;
@@ -43,6 +45,7 @@
   target->uses_forecast =
       forecast_load_ || (work != work_.end() && work->second.reports_speed);
   ApplyColdLimits(*target);
+  MarkEvacuated(*target);
   for (const HeldModel& model : entry.models) {
     for (const std::string& adapter : model.adapters) {
       target->adapters.insert(model.name + "/" + adapter);
@@ -66,6 +69,40 @@
   }
 }
 
+// The time is kept by failure domain, as targets there may register again
+// during the evacuation.
+// Targets of a domain that returns to service may have become cold meanwhile.
+void TargetRegistry::SetEvacuated(const DomainSet& domains, Instant now) {
+  DomainSet ended;
+  for (const std::string& domain : evacuated_domains_) {
+    if (!domains.contains(domain)) {
+      ended.insert(domain);
+      evacuations_ended_at_[domain] = now;
+    }
+  }
+  evacuated_domains_ = domains;
+  for (const auto& [id, target] : targets_) {
+    MarkEvacuated(*target);
+    const Micros cold_time = ColdTime(target->entry.service);
+    if (ended.contains(target->entry.failure_domain) && cold_time > Micros(0)) {
+      MarkCold(*target, now + cold_time, now);
+    }
+  }
+  for (const std::weak_ptr<Target>& old : replaced_) {
+    if (const TargetPtr target = old.lock()) {
+      MarkEvacuated(*target);
+    }
+  }
+}
+
+void TargetRegistry::MarkEvacuated(Target& target) const {
+  const std::string& domain = target.entry.failure_domain;
+  target.evacuated = evacuated_domains_.contains(domain);
+  const auto ended = evacuations_ended_at_.find(domain);
+  target.evacuation_ended_at =
+      ended == evacuations_ended_at_.end() ? Instant{} : ended->second;
+}
+
 TargetPtr TargetRegistry::Find(std::string_view id) const {
   const auto found = targets_.find(std::string(id));
   return found == targets_.end() ? nullptr : found->second;
@@ -74,7 +111,8 @@
 std::vector<TargetPtr> TargetRegistry::Usable(std::string_view service) const {
   std::vector<TargetPtr> usable;
   for (const auto& [id, target] : targets_) {
-    if (!target->leaving && target->entry.service == service) {
+    if (!target->leaving && !target->evacuated &&
+        target->entry.service == service) {
       usable.push_back(target);
     }
   }
