--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -40,7 +40,7 @@
   return ratio;
 }
 
-// The platform's template writes null for a limit that the machine lacks.
+// Null or 0 stand for a limit that is not known.
 std::optional<double> ReadLink(ObjectReader& reader, std::string_view key) {
   constexpr double kMaxLinkMbps = 1e6;
   const auto* value = reader.Any(key);
@@ -48,10 +48,7 @@
     return std::nullopt;
   }
   const double link = ReadRatio(reader, key, kMaxLinkMbps);
-  if (link <= 0) {
-    reader.Fail(key, "is out of range");
-  }
-  return link;
+  return link > 0 ? std::optional(link) : std::nullopt;
 }
 
 }  // namespace
