--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -16,6 +16,10 @@
 
 // Interval at which the leader plans the placement of models.
 constexpr Micros kPlanInterval = 250ms;
+// Interval at which an instance notes that it runs, while services have cold
+// targets, and otherwise.
+constexpr Micros kObservationInterval = 100ms;
+constexpr Micros kIdleObservationInterval = 1s;
 // Idle connections kept to each server: the leader, the store, the targets.
 constexpr std::size_t kMaxIdleConnections = 3;
 // Number of random bytes in the boot id.
@@ -110,6 +114,7 @@
   Spawn(target_watch_.Run(), "target_watch");
   Spawn(HeartbeatLoop(), "beats");
   Spawn(RunPlacement(), "placement");
+  Spawn(RunObservation(), "observation");
 }
 
 boost::asio::awaitable<void> FleetAgent::Pause(Micros span) {
@@ -176,6 +181,15 @@
   return address ? std::optional<Endpoint>(address.value()) : std::nullopt;
 }
 
+// An instance without requests is not taken for one that was paused.
+boost::asio::awaitable<void> FleetAgent::RunObservation() {
+  for (;;) {
+    co_await Pause(registry_.has_cold_limits() ? kObservationInterval
+                                               : kIdleObservationInterval);
+    registry_.Observe(clock_.Now());
+  }
+}
+
 boost::asio::awaitable<void> FleetAgent::RunPlacement() {
   for (;;) {
     co_await Pause(kPlanInterval);
--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -126,7 +126,6 @@
 
   // Rows relayed by the leader.
   void RelayRows(const HeartbeatRequest& heartbeat, HeartbeatReply& reply);
-  void OnRelayedConfig(const RowDelta& delta);
   void OnRelayedTargets(const RowDelta& delta);
   void LogReferral(std::string_view table, std::string_view reason);
   void UpdateWatches();
@@ -178,6 +177,7 @@
   static platform::RowSet RelayedRows(platform::RowSet rows,
                                       std::span<const TargetRow> targets);
 
+  boost::asio::awaitable<void> RunObservation();
   boost::asio::awaitable<void> RunPlacement();
   boost::asio::awaitable<void> Pause(Micros span);
   void Spawn(boost::asio::awaitable<void> work, std::string name);
--- a/src/fleet/relayed_row.cc
+++ b/src/fleet/relayed_row.cc
@@ -94,6 +94,11 @@
 }
 
 Result<std::string> Decode64(std::string_view text) {
+  // The size of the result is known for whole groups only.
+  constexpr std::size_t kGroupBytes = 4;
+  if (text.size() % kGroupBytes != 0) {
+    return Malformed("the value is not Base64");
+  }
   std::string out(base64::decoded_size(text.size()), '\0');
   const auto [bytes, read] =
       base64::decode(out.data(), text.data(), text.size());
--- a/src/fleet/relayed_target.cc
+++ b/src/fleet/relayed_target.cc
@@ -5,6 +5,7 @@
 
 #include <charconv>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace jackdaw::serving {
@@ -14,6 +15,10 @@
 // A row may name this many adapters by one run; limits what a short text
 // expands to.
 constexpr std::int64_t kMaxRun = 1000;
+// Most adapters of a model, with one run more.
+constexpr std::size_t kMaxAdapters = 20'000;
+// Longest time for which a target is taken to be cold.
+constexpr Micros kMaxColdTime = std::chrono::hours(1);
 constexpr int kHexBase = 16;
 constexpr std::string_view kHexDigits = "0123456789ABCDEF";
 
@@ -140,7 +145,8 @@
     }
     const auto name = SplitNumber(*first);
     const auto to = ParseNumber(last);
-    if (!name || !to || *to - name->number >= kMaxRun) {
+    if (!name || !to || *to <= name->number || *to >= name->number + kMaxRun ||
+        adapters.size() + kMaxRun > kMaxAdapters) {
       return false;
     }
     for (std::int64_t n = name->number + 1; n <= *to; ++n) {
@@ -163,8 +169,11 @@
 template <typename Value>
 bool ReadNumber(std::string_view text, Value& value) {
   const auto number = ParseNumber(text);
-  value = static_cast<Value>(number.value_or(0));
-  return number.has_value();
+  if (!number || !std::in_range<Value>(*number)) {
+    return false;
+  }
+  value = static_cast<Value>(*number);
+  return true;
 }
 
 bool ReadName(std::string_view text, std::string& name) {
@@ -196,10 +205,11 @@
     return ReadNumber(text, entry.slots);
   } else if (name == "c") {
     const auto ms = ParseNumber(text);
-    if (ms) {
-      entry.cold_remaining = std::chrono::milliseconds(*ms);
+    if (!ms || *ms < 0 || *ms > kMaxColdTime / 1ms) {
+      return false;
     }
-    return ms.has_value();
+    entry.cold_remaining = std::chrono::milliseconds(*ms);
+    return true;
   } else if (name == "m") {
     return ReadModel(text, entry.models);
   }
--- a/src/fleet/table_replica.cc
+++ b/src/fleet/table_replica.cc
@@ -78,6 +78,7 @@
     if (!present.contains(key) && !cached.row.dropped) {
       cached.row.dropped = true;
       cached.row.value.clear();
+      cached.text.clear();
       cached.row.version = set.version;
       cached.at = now;
     }
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -158,11 +158,13 @@
   if (lingering_ || resources_->budget.MayRead(id_, clock_.Now())) {
     return true;
   }
+  paused_self_ = shared_from_this();
   resources_->on_short();
   return false;
 }
 
 void CallerConnection::Resume() {
+  const auto self = std::move(paused_self_);
   if (!closed_ && !awaiting_input_ && MayRead()) {
     AwaitInput();
   }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -110,6 +110,9 @@
   void Evict();
   /// Reads what has arrived, if the memory budget permits it now.
   void Resume();
+  /// Lets a paused connection end with its last owner, because nobody resumes
+  /// it any more.
+  void ReleaseIfPaused() { paused_self_.reset(); }
   /// Sets the bytes of the response that the task holds.
   void SetResponseBytes(std::size_t bytes);
   /// Returns the bytes of responses that were written since the start.
@@ -186,6 +189,8 @@
   Instant started_at_{};
   std::size_t discarded_bytes_ = 0;
   bool awaiting_input_ = false;
+  /// Keeps the connection while it is paused: no operation in progress owns it.
+  std::shared_ptr<CallerConnection> paused_self_;
   bool writing_ = false;
   bool closed_ = false;
   /// The connection has sent its last response and waits for the caller's end.
--- a/src/gateway/caller_connection_end.cc
+++ b/src/gateway/caller_connection_end.cc
@@ -188,6 +188,7 @@
 }
 
 void CallerConnection::GiveUp() {
+  const auto self = std::move(paused_self_);
   if (closed_) {
     return;
   }
@@ -206,18 +207,24 @@
 }
 
 void CallerConnection::Evict() {
-  if (closed_ || task_ != nullptr || writing_) {
+  const auto self = shared_from_this();
+  paused_self_.reset();
+  if (closed_ || task_ != nullptr) {
     return;
   }
-  ++resources_->connections_closed;
-  if (started_at_ != Instant{} || lingering_ || !ReadAvailable()) {
-    Close("descriptors are short");
-  } else if (has_read_ahead()) {
+  if (writing_) {
+    // Others go first, so that a response is not cut for their sake.
+    resources_->budget.Refresh(id_, clock_.Now());
+    return;
+  }
+  const bool idle = started_at_ == Instant{} && !lingering_;
+  if (idle && ReadAvailable() && has_read_ahead()) {
     Parse();
     AwaitInput();
-  } else {
-    Close("descriptors are short");
+    return;
   }
+  ++resources_->connections_closed;
+  Close("descriptors are short");
 }
 
 void CallerConnection::Close(std::string_view why) {
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -38,6 +38,11 @@
 }
 
 CallerListener::~CallerListener() {
+  for (const auto& [id, weak] : connections_) {
+    if (const ConnectionPtr connection = weak.lock()) {
+      connection->ReleaseIfPaused();
+    }
+  }
   timers_.Clear(check_timer_);
   timers_.Clear(accept_timer_);
   resources_->on_short = [] {};
@@ -71,7 +76,8 @@
 void CallerListener::Accept() {
   acceptor_.async_wait(
       boost::asio::socket_base::wait_read, [this](const auto& failure) {
-        if (failure == boost::asio::error::operation_aborted) {
+        if (failure == boost::asio::error::operation_aborted ||
+            !acceptor_.is_open()) {
           return;
         }
         if (AcceptOne()) {
@@ -129,6 +135,18 @@
 // Closes connections without a running request until fewer than so many
 // descriptors are open. @returns false if not enough could be closed
 bool CallerListener::MakeRoom(std::size_t descriptors) {
+  // A connection that is to be closed may turn out to have a request, which
+  // asks for room itself.
+  if (making_room_) {
+    return Descriptors() < descriptors;
+  }
+  making_room_ = true;
+  const bool made = CloseOldest(descriptors);
+  making_room_ = false;
+  return made;
+}
+
+bool CallerListener::CloseOldest(std::size_t descriptors) {
   std::size_t tries = kMaxEvictions;
   while (Descriptors() >= descriptors && tries-- > 0) {
     const auto oldest = resources_->budget.Oldest();
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -43,6 +43,7 @@
   void RemoveClosed();
   ConnectionPtr Find(MemoryBudget::Id id) const;
   std::size_t Descriptors() const;
+  bool CloseOldest(std::size_t descriptors);
   bool MakeRoom(std::size_t descriptors);
   void ScheduleCheck();
   void CheckMemory();
@@ -61,6 +62,7 @@
   bool check_scheduled_ = false;
   Instant shortage_logged_at_{};
   std::size_t accepted_ = 0;
+  bool making_room_ = false;
 };
 
 }  // namespace jackdaw::serving
--- a/src/gateway/load_forecast.cc
+++ b/src/gateway/load_forecast.cc
@@ -210,7 +210,7 @@
     }
     if (IsLive(request, now - kMaxOverdue)) {
       tokens -= request.tokens;
-      at = ExpectedEnd(request, now);
+      at = std::max(at, ExpectedEnd(request, now));
     }
   }
   // What is left is held by unknown requests.
--- a/src/gateway/memory_budget.cc
+++ b/src/gateway/memory_budget.cc
@@ -115,6 +115,12 @@
   }
 }
 
+void MemoryBudget::Refresh(Id id, Instant now) {
+  if (Entry* entry = Find(id)) {
+    entry->since = now;
+  }
+}
+
 void MemoryBudget::SetWriteBlocked(Id id, bool blocked, Instant now) {
   Entry* entry = Find(id);
   if (entry == nullptr || entry->write_blocked == blocked) {
--- a/src/gateway/memory_budget.h
+++ b/src/gateway/memory_budget.h
@@ -51,6 +51,8 @@
   /// Records bytes that were read or written.
   void OnProgress(Id id, std::size_t bytes, Instant now);
   /// Records whether bytes wait to be written to a caller that does not read.
+  /// Ranks a connection behind those that have waited longer.
+  void Refresh(Id id, Instant now);
   void SetWriteBlocked(Id id, bool blocked, Instant now);
 
   /// Returns whether bytes of the connection may be read. If not, it is paused
--- a/src/gateway/target_registry.h
+++ b/src/gateway/target_registry.h
@@ -272,6 +272,12 @@
   /// Records whether the target holds an adapter, named `model/adapter`.
   void SetAdapter(Target& target, std::string_view adapter, bool held);
 
+  /// Notes that events are handled at this time; a longer time without any
+  /// shows that the process was paused.
+  void Observe(Instant now) const;
+  /// Whether any service bounds the requests to its cold targets.
+  bool has_cold_limits() const { return !cold_limits_.empty(); }
+
   /// Part of the requests that leaves the failure domain while it is short of
   /// capacity, from 0 to 1.
   double spillover_share() const { return domain_preference_.share(); }
@@ -323,8 +329,6 @@
                  Instant sent_at,
                  Instant now);
   SendKnowledge Knowledge(Instant now) const;
-  /// Notes that events are handled at this time.
-  void Observe(Instant now) const;
   void ApplyColdLimits(Target& target) const;
   static void OnRateLimit(Target& target,
                           const ResponseMetadata& response,
--- a/src/gateway/target_registry_limits.cc
+++ b/src/gateway/target_registry_limits.cc
@@ -7,6 +7,10 @@
 namespace jackdaw::serving {
 namespace {
 
+// Largest age that is told of a limit. That of a target that has never answered
+// is not known.
+constexpr Micros kMaxReportedAge = std::chrono::hours(1);
+
 void LogLimit(const Target& target, std::string_view from) {
   const std::optional<double> limit = target.rate_limit.per_second();
   Log(LogLevel::kInfo, "target_limit",
@@ -84,7 +88,7 @@
   return {TargetDigest(target.entry.id),
           target.entry.born_ms,
           limit.per_second(),
-          now - limit.learned_at(),
+          std::min(kMaxReportedAge, Micros(now - limit.learned_at())),
           limit.cold(now) ? limit.cold_until() - now : Micros(0),
           limit.cold_version()};
 }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -21,7 +21,8 @@
   /// At this number the connection that was idle for the longest time is closed
   /// in favor of a new one.
   std::uint32_t connections = 4096;
-  /// Time to read one request from its first byte; 0: idle_ms for each read.
+  /// Time to read one request from its first byte; 0: idle_ms for the whole
+  /// request.
   std::uint32_t request_ms = 0;
   /// Bytes of incomplete requests of all connections, above which the oldest of
   /// them is given up; 0: no bound.
--- a/src/logread/request_explanation.cc
+++ b/src/logread/request_explanation.cc
@@ -32,8 +32,20 @@
                "not get it loaded in time."},
     ReasonText{
         "target_limited",
-        "Each target that could serve the request had a limit of requests "
-        "a second, named or from being cold, which was used up."},
+        "Each target that could serve the request had got as many requests "
+        "as its limit, or the bound of its service, allows."},
+    ReasonText{"domain_evacuated",
+               "The operator had evacuated the failure domains of all targets "
+               "that could serve the request."},
+    ReasonText{"no_home",
+               "No target in the regions that the route and the workspace "
+               "allow could serve the request, but others could."},
+    ReasonText{"memory_short",
+               "The instance held as many bytes for callers and targets as its "
+               "memory allows."},
+    ReasonText{"descriptors_short",
+               "The instance had as many connections open as its descriptors "
+               "allow."},
     ReasonText{"targets_resting",
                "Each target that could serve the request had asked this "
                "instance to send nothing for some time."},
