--- a/src/gateway/rate_limit.h
+++ b/src/gateway/rate_limit.h
@@ -13,6 +13,7 @@
   std::int64_t epoch = -1;
   std::int64_t number = -1;
 
+  // NOLINTNEXTLINE: the check for nullptr misreads the operator.
   auto operator<=>(const ColdVersion&) const = default;
 };
 
