--- a/src/gateway/tests/homes_test.cc
+++ b/src/gateway/tests/homes_test.cc
@@ -9,11 +9,13 @@
 
 constexpr Instant kStart{Micros(1'700'000'000'000'000)};
 
-const RegionMap kTwo = {{"n-1", "north"}, {"n-2", "north"}, {"s-1", "south"}};
-const RegionMap kThree = {{"n-1", "north"},
-                          {"n-2", "north"},
-                          {"s-1", "south"},
-                          {"w-1", "west"}};
+const RegionMap two_regions = {{"n-1", "north"},
+                               {"n-2", "north"},
+                               {"s-1", "south"}};
+const RegionMap three_regions = {{"n-1", "north"},
+                                 {"n-2", "north"},
+                                 {"s-1", "south"},
+                                 {"w-1", "west"}};
 
 Route RouteOf(std::string host, std::vector<std::string> regions) {
   Route route;
@@ -51,7 +53,7 @@
 BOOST_AUTO_TEST_CASE(RequestWithoutAllowedRegionsReachesAllDomains) {
   const Route route = RouteOf("h", {});
   const Workspace workspace = WorkspaceOf({});
-  const AllowedDomains allowed(kTwo, route, &workspace);
+  const AllowedDomains allowed(two_regions, route, &workspace);
   BOOST_TEST(allowed.Allows("n-1"));
   BOOST_TEST(allowed.Allows("unknown"));
   BOOST_TEST(AllowedDomains().Allows("s-1"));
@@ -59,7 +61,7 @@
 
 BOOST_AUTO_TEST_CASE(RequestReachesOnlyTheAllowedRegions) {
   const Route route = RouteOf("h", {"north", "west"});
-  const AllowedDomains allowed(kThree, route, nullptr);
+  const AllowedDomains allowed(three_regions, route, nullptr);
   BOOST_TEST(allowed.Allows("n-1"));
   BOOST_TEST(allowed.Allows("n-2"));
   BOOST_TEST(allowed.Allows("w-1"));
@@ -70,19 +72,19 @@
 BOOST_AUTO_TEST_CASE(RegionsOfRouteAndWorkspaceBothApply) {
   const Route route = RouteOf("h", {"north", "west"});
   const Workspace workspace = WorkspaceOf({"south", "west"});
-  const AllowedDomains both(kThree, route, &workspace);
+  const AllowedDomains both(three_regions, route, &workspace);
   BOOST_TEST(both.Allows("w-1"));
   BOOST_TEST(!both.Allows("n-1"));
   BOOST_TEST(!both.Allows("s-1"));
   const Route open = RouteOf("h", {});
-  const AllowedDomains own(kThree, open, &workspace);
+  const AllowedDomains own(three_regions, open, &workspace);
   BOOST_TEST(own.Allows("s-1"));
   BOOST_TEST(!own.Allows("n-1"));
 }
 
 BOOST_AUTO_TEST_CASE(UnknownAllowedRegionAllowsNothing) {
   const Route route = RouteOf("h", {"nroth"});
-  const AllowedDomains allowed(kTwo, route, nullptr);
+  const AllowedDomains allowed(two_regions, route, nullptr);
   BOOST_TEST(!allowed.Allows("n-1"));
   BOOST_TEST(!allowed.Allows("s-1"));
 }
@@ -97,22 +99,23 @@
   ServingConfig config;
   config.routes = {RouteOf("h", {"nroth", "south"}), RouteOf("i", {"nroth"})};
   config.workspaces = {WorkspaceOf({"east"})};
-  BOOST_TEST((UnknownRegions(kTwo, config) == DomainSet{"east", "nroth"}));
+  BOOST_TEST(
+      (UnknownRegions(two_regions, config) == DomainSet{"east", "nroth"}));
 }
 
 BOOST_AUTO_TEST_CASE(CallerIsSentToItsRegionAndToTheAllowedOnesOfItsHost) {
   ServingConfig config;
   config.routes = {RouteOf("h", {"west"}), RouteOf("other", {"south"})};
-  BOOST_TEST((EntryRegions(kThree, &config, {"H:80", "north", "n-1"}) ==
+  BOOST_TEST((EntryRegions(three_regions, &config, {"H:80", "north", "n-1"}) ==
               DomainSet{"north", "west"}));
-  BOOST_TEST((EntryRegions(kThree, &config, {"third", "north", "n-1"}) ==
+  BOOST_TEST((EntryRegions(three_regions, &config, {"third", "north", "n-1"}) ==
               DomainSet{"north"}));
-  BOOST_TEST((EntryRegions(kThree, nullptr, {"h", "north", "n-1"}) ==
+  BOOST_TEST((EntryRegions(three_regions, nullptr, {"h", "north", "n-1"}) ==
               DomainSet{"north"}));
   // The failure domain tells the region that the caller does not state.
-  BOOST_TEST((EntryRegions(kThree, &config, {"third", "", "s-1"}) ==
+  BOOST_TEST((EntryRegions(three_regions, &config, {"third", "", "s-1"}) ==
               DomainSet{"south"}));
-  BOOST_TEST(EntryRegions(kThree, &config, {"third", "", ""}).empty());
+  BOOST_TEST(EntryRegions(three_regions, &config, {"third", "", ""}).empty());
 }
 
 BOOST_AUTO_TEST_CASE(DirectoryOfOneRegionNamesAllInstances) {
@@ -129,16 +132,16 @@
 BOOST_AUTO_TEST_CASE(OtherRegionsAreNamedOnlyWhereNoChosenOneIsReady) {
   const DomainSet chosen = {"north", "west"};
   const auto instances = Instances({"s-1", "n-1", "unknown", "w-1"});
-  BOOST_TEST((Ports(ChooseEntries(kThree, instances, chosen)) ==
+  BOOST_TEST((Ports(ChooseEntries(three_regions, instances, chosen)) ==
               std::vector<int>{2, 4}));
   const auto others = Instances({"s-1", "unknown"});
-  BOOST_TEST(
-      (Ports(ChooseEntries(kThree, others, chosen)) == std::vector<int>{1, 2}));
+  BOOST_TEST((Ports(ChooseEntries(three_regions, others, chosen)) ==
+              std::vector<int>{1, 2}));
 }
 
 class RegionFixture {
  protected:
-  RegionFixture() : targets_("n-1", kThree) {
+  RegionFixture() : targets_("n-1", three_regions) {
     engine_.slots = 64;
     call_.model = "m";
     query_.service = "s";
--- a/src/gateway/tests/speed_load_test.cc
+++ b/src/gateway/tests/speed_load_test.cc
@@ -92,8 +92,10 @@
       auto request = std::make_shared<PlayedRequest>();
       request->instance = static_cast<int>(random_() % kInstances);
       request->call.model = "m";
-      request->call.prompt_tokens = 500 + random_() % 1920;
-      request->call.max_output_tokens = 60 + random_() % 224;
+      request->call.prompt_tokens =
+          static_cast<std::int64_t>(500 + random_() % 1920);
+      request->call.max_output_tokens =
+          static_cast<std::int64_t>(60 + random_() % 224);
       request->arrived_at = at;
       Schedule(at, [this, request] { Arrive(request); });
       ++requests_;
--- a/src/gateway/tests/token_account_test.cc
+++ b/src/gateway/tests/token_account_test.cc
@@ -49,7 +49,7 @@
     std::mt19937 random(seed);
     LoadForecast forecast;
     for (int i = 0; i < 16; ++i) {
-      const auto tokens = static_cast<std::int64_t>(816 + random() % (2 * 816));
+      const auto tokens = static_cast<std::int64_t>(816 + random() % 1632);
       BOOST_TEST(!IsFull(engine, forecast, tokens, kStart));
       forecast.AddOther(kStart, kStart + 3s, tokens);
     }
--- a/src/instance/tests/evacuation_test.cc
+++ b/src/instance/tests/evacuation_test.cc
@@ -4,7 +4,7 @@
 namespace jackdaw {
 namespace {
 
-std::string Run(const FleetFixture& fleet, CommandLine line) {
+std::string Run(const FleetFixture& fleet, const CommandLine& line) {
   const auto text = RunCommand(OperatorClient(fleet.Operators(0)), line);
   return text ? text.value() : text.error().Line();
 }
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -15,7 +15,7 @@
 // lower ones an instance could not serve one request of the largest size beside
 // its own state.
 constexpr std::int64_t kLeastMemoryMb = 48;
-constexpr std::int64_t kMostMemoryMb = 1024 * 1024;
+constexpr std::int64_t kMostMemoryMb = 1'048'576;
 constexpr std::int64_t kLeastDescriptors = 128;
 constexpr std::int64_t kMostDescriptors = 1'000'000;
 // Ratios are written in thousandths.
