--- a/src/gateway/tests/homes_test.cc
+++ b/src/gateway/tests/homes_test.cc
@@ -30,7 +30,8 @@
   return workspace;
 }
 
-std::vector<EntryInstance> Instances(std::vector<std::string_view> domains) {
+std::vector<EntryInstance> Instances(
+    const std::vector<std::string_view>& domains) {
   std::vector<EntryInstance> instances;
   for (const std::string_view domain : domains) {
     const auto port = static_cast<std::uint16_t>(instances.size() + 1);
@@ -42,6 +43,7 @@
 
 std::vector<int> Ports(const std::vector<Endpoint>& addresses) {
   std::vector<int> ports;
+  ports.reserve(addresses.size());
   for (const Endpoint& address : addresses) {
     ports.push_back(address.port());
   }
