--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -27,7 +27,8 @@
 // Link of an instance whose settings do not name it, in Mbit/s.
 constexpr double kDefaultLinkMbps = 10;
 
-// Rows that name no target are not relayed, so that each decodes.
+// Returns the compact text of a target's row. Rows that cannot be decoded are
+// not in the replica.
 std::string EncodeTargetText(const platform::StoredRow& row) {
   if (IsRelayedTarget(row.value)) {
     return row.value;
--- a/src/fleet/member.cc
+++ b/src/fleet/member.cc
@@ -21,8 +21,6 @@
 // Largest integer that is accepted in a field of a member's row, if the field
 // has no limit of its own.
 constexpr std::int64_t kMaxInteger = 1'000'000'000'000;
-// Longest time for which a target is taken to be cold.
-constexpr std::int64_t kMaxColdMs = 3'600'000;
 // Largest number of crashes in a report.
 constexpr std::int64_t kMaxCrashes = 1000;
 // Separates the digest of a request from that of the crashed target. Instances
@@ -157,8 +155,8 @@
     if (limit.Any("per_second") != nullptr) {
       report.per_second = FromMilli(limit, "per_second");
     }
-    report.cold_remaining =
-        std::chrono::milliseconds(limit.IntegerOr("cold_ms", 0, kMaxColdMs, 0));
+    report.cold_remaining = std::chrono::milliseconds(
+        limit.IntegerOr("cold_ms", 0, kMaxColdTime / 1ms, 0));
     report.cold_version.epoch =
         limit.IntegerOr("cold_epoch", 0, kMaxInteger, -1);
     report.cold_version.number =
--- a/src/fleet/model_plan.cc
+++ b/src/fleet/model_plan.cc
@@ -19,8 +19,7 @@
 // Least cost, in tokens per second, of unloading a copy while other copies of
 // the model remain.
 constexpr double kMinCopyTokensPerS = 300;
-// Least speed that counts. A target may be slow for a moment only, while a
-// move lasts.
+// Least speed that counts. Lower ones come from few samples.
 constexpr double kMinSpeed = 0.3;
 // Number of iterations that balance the demand between the holders of a model.
 constexpr int kBalanceRounds = 12;
@@ -30,9 +29,8 @@
   /// Number of targets that hold each model.
   std::map<std::string, int> copies;
   /// Demand on each target divided by its speed, in tokens per second, if the
-  /// demand for each model
-  /// is spread over its holders so that the load of the targets is as even as
-  /// possible.
+  /// demand for each model is spread over its holders so that the load of the
+  /// targets is as even as possible.
   std::vector<double> target_tokens;
 };
 
--- a/src/fleet/relayed_target.cc
+++ b/src/fleet/relayed_target.cc
@@ -17,8 +17,6 @@
 constexpr std::int64_t kMaxRun = 1000;
 // Most adapters of a model, with one run more.
 constexpr std::size_t kMaxAdapters = 20'000;
-// Longest time for which a target is taken to be cold.
-constexpr Micros kMaxColdTime = std::chrono::hours(1);
 constexpr int kHexBase = 16;
 constexpr std::string_view kHexDigits = "0123456789ABCDEF";
 
--- a/src/fleet/table_replica.h
+++ b/src/fleet/table_replica.h
@@ -20,8 +20,8 @@
   /// The rows are a snapshot of the table; rows that are not in it were
   /// deleted.
   bool whole = false;
-  /// The rows are too large to be relayed; the receiver has to read them from
-  /// the store.
+  /// The rows are too large to be relayed, or only their compact form is known;
+  /// the receiver has to read them from the store.
   bool read_store = false;
   /// Version of the table that the receiver has after applying the rows.
   TableVersion version;
--- a/src/gateway/exchange_counters.h
+++ b/src/gateway/exchange_counters.h
@@ -21,8 +21,8 @@
   std::uint64_t resting_refusals = 0;
   /// Requests rejected because the memory of all their targets is full.
   std::uint64_t full_refusals = 0;
-  /// Requests that left the failure domain: home would have been late, a part
-  /// was sent away as home was short, or no target at home could serve them.
+  /// Attempts that left the failure domain: it would have been late, a part was
+  /// sent away as it was short, or none of its targets could serve them.
   std::uint64_t left_domain_late = 0;
   std::uint64_t left_domain_spillover = 0;
   std::uint64_t left_domain_no_target = 0;
--- a/src/gateway/exchange_forward.cc
+++ b/src/gateway/exchange_forward.cc
@@ -11,11 +11,11 @@
 namespace http = boost::beast::http;
 
 // Bytes buffered for a slow caller before reading from the target is paused.
-constexpr std::size_t kMaxPendingBytes = 64UL * 1024;
+constexpr std::size_t kPauseAboveBytes = 64UL * 1024;
 // Longest pause of reading from a target, and bytes that are buffered for a
 // caller that reads, but more slowly than the target writes.
 constexpr Micros kMaxReadingPause = 2s;
-constexpr std::size_t kMostPendingBytes = 256UL * 1024;
+constexpr std::size_t kAbortAboveBytes = 256UL * 1024;
 // Version of HTTP from which on callers read chunks.
 constexpr unsigned kHttp11 = 11;
 constexpr std::string_view kChunkedField = "Transfer-Encoding: chunked\r\n";
@@ -186,7 +186,7 @@
     caller_->EndResponse(!closing_);
     return;
   }
-  if (pending_output_.size() > kMaxPendingBytes && connection_ != nullptr &&
+  if (pending_output_.size() > kPauseAboveBytes && connection_ != nullptr &&
       !reading_paused_) {
     PauseReading();
   }
@@ -205,14 +205,14 @@
   });
 }
 
-// Reads on for a caller that is slow. One that reads nothing, or lets too much
-// gather, loses its connection.
+// Reads on for a caller that is slow. One that reads nothing, or for which more
+// than kAbortAboveBytes wait, loses its connection.
 void Exchange::OnReadingPaused() {
   if (!reading_paused_ || done_ || connection_ == nullptr) {
     return;
   }
   if (caller_->written_bytes() == written_at_pause_ ||
-      pending_output_.size() > kMostPendingBytes) {
+      pending_output_.size() > kAbortAboveBytes) {
     AbortResponse("caller reads too slowly");
     return;
   }
--- a/src/gateway/exchange_send.cc
+++ b/src/gateway/exchange_send.cc
@@ -69,14 +69,14 @@
 }
 
 void Exchange::CountDomain(DomainReason reason) {
-  deps_.counters.left_domain_late += reason == DomainReason::kHomeLate ? 1 : 0;
+  deps_.counters.left_domain_late += reason == DomainReason::kOwnLate ? 1 : 0;
   deps_.counters.left_domain_spillover +=
       reason == DomainReason::kSpillover ? 1 : 0;
   deps_.counters.left_domain_no_target +=
-      reason == DomainReason::kNoTargetAtHome ? 1 : 0;
+      reason == DomainReason::kNoOwnTarget ? 1 : 0;
 }
 
-// All targets that could serve the request have named a limit, which the leader
+// All targets that could serve the request have a limit, which the leader
 // keeps.
 void Exchange::AskToSend(const TargetPick& pick) {
   ++send_requests_;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -45,11 +45,11 @@
   std::uint64_t targets_cold = 0;
   /// Requests that were refused because all their targets have a limit.
   std::uint64_t limited_refusals = 0;
-  /// Requests that left the failure domain, by reason; see ExchangeCounters.
+  /// Attempts that left the failure domain, by reason; see ExchangeCounters.
   std::uint64_t left_domain_late = 0;
   std::uint64_t left_domain_spillover = 0;
   std::uint64_t left_domain_no_target = 0;
-  /// Part of the requests that leaves while home is short, from 0 to 1.
+  /// Part of the requests that leaves while the domain is short, from 0 to 1.
   double spillover_share = 0;
   /// Requests that ended without an outcome.
   std::uint64_t without_end = 0;
--- a/src/gateway/homes.cc
+++ b/src/gateway/homes.cc
@@ -7,8 +7,10 @@
 namespace jackdaw::serving {
 namespace {
 
-bool Names(std::span<const std::string> names, std::string_view name) {
-  return names.empty() || std::ranges::find(names, name) != names.end();
+// An empty list allows every region.
+bool IsAllowedBy(std::span<const std::string> allowed,
+                 std::string_view region) {
+  return allowed.empty() || std::ranges::find(allowed, region) != allowed.end();
 }
 
 DomainSet KnownRegions(const RegionMap& regions) {
@@ -43,8 +45,8 @@
     return true;
   }
   const auto region = regions_->find(failure_domain);
-  return region != regions_->end() && Names(route_, region->second) &&
-         Names(workspace_, region->second);
+  return region != regions_->end() && IsAllowedBy(route_, region->second) &&
+         IsAllowedBy(workspace_, region->second);
 }
 
 DomainSet EntryRegions(const RegionMap& regions,
--- a/src/gateway/load_forecast.cc
+++ b/src/gateway/load_forecast.cc
@@ -139,7 +139,11 @@
     if (!IsLive(request, measured_at)) {
       return true;
     }
-    return known > requests && known-- > 0;
+    if (known <= requests) {
+      return false;
+    }
+    --known;
+    return true;
   });
   std::ranges::stable_sort(requests_, {}, &Request::end);
   const double unknown = std::max(0, requests - known);
--- a/src/gateway/memory_budget.cc
+++ b/src/gateway/memory_budget.cc
@@ -199,7 +199,7 @@
   if (entry.stage == Stage::kReading && entry.paused) {
     return now - entry.paused_at >= kMaxPause || bytes_ > limits_.bytes;
   }
-  // Room for those that wait is enough.
+  // Nothing is given up while an eighth of the bound of uploads is free.
   const bool tight = bytes_ > limits_.upload_bytes / 8 * 7;
   const bool stalled = tight && now - entry.progress_at >= kStallTime;
   if (entry.stage == Stage::kReading) {
--- a/src/gateway/rate_limit.cc
+++ b/src/gateway/rate_limit.cc
@@ -13,8 +13,9 @@
 
 }  // namespace
 
-// Without a limit it is the one of a cold target: it spreads the callers that
-// come back to a target that has got all that it may get for now.
+// Returns the time between two requests. For a target that names no limit it is
+// the cold one, also when the target is not cold: NextReturn spaces by it the
+// callers that are refused for the bound of its service.
 Micros RateLimit::Interval(Instant now) const {
   if (!limited() && cold_interval_ > Micros(0)) {
     return cold_interval_;
@@ -74,7 +75,7 @@
 
 // To a cold target, a request may follow earlier by as much as the one before
 // it was late: requests come at random times, and the bound of a second, which
-// SendWindow keeps, would else be used to three quarters.
+// SendWindow keeps, would otherwise be used to about three quarters only.
 void RateLimit::OnSent(Instant now) {
   if (!Applies(now)) {
     return;
--- a/src/gateway/send_window.cc
+++ b/src/gateway/send_window.cc
@@ -75,7 +75,9 @@
   if (limit == 0 || sent_.size() < limit) {
     return now + kSpan;
   }
-  return std::max(now, sent_[sent_.size() - limit].at + kSpan);
+  const Instant room_at = sent_[sent_.size() - limit].at + kSpan;
+  // Where the instance's own decisions are used up, the bound does not tell.
+  return room_at > now ? room_at : now + kSpan;
 }
 
 }  // namespace jackdaw::serving
--- a/src/gateway/target.h
+++ b/src/gateway/target.h
@@ -31,9 +31,6 @@
   bool leaving = false;
   /// The operator has evacuated its failure domain: no new request is sent.
   bool evacuated = false;
-  /// Time at which the last evacuation of its failure domain ended; zero if
-  /// there was none.
-  Instant evacuation_ended_at{};
   /// The entry was removed, or another incarnation or address has replaced it.
   bool ended = false;
   /// Requests of this instance that have not ended.
--- a/src/gateway/target_registry_cold.cc
+++ b/src/gateway/target_registry_cold.cc
@@ -40,7 +40,11 @@
                                 Instant now) {
   Observe(now);
   const auto found = by_digest_.find(target_digest);
-  if (found == by_digest_.end() || (granted && DecidesLimitedSends(now))) {
+  // A leader has counted the sends that it granted, but not those that its
+  // predecessor granted just before.
+  const bool counted = granted && DecidesLimitedSends(now) &&
+                       now - deciding_since_ > SendWindow::kSendTime * 2;
+  if (found == by_digest_.end() || counted) {
     return;
   }
   found->second->send_window.OnSent(now);
--- a/src/gateway/target_registry_entries.cc
+++ b/src/gateway/target_registry_entries.cc
@@ -77,7 +77,6 @@
   for (const std::string& domain : evacuated_domains_) {
     if (!domains.contains(domain)) {
       ended.insert(domain);
-      evacuations_ended_at_[domain] = now;
     }
   }
   evacuated_domains_ = domains;
@@ -98,9 +97,6 @@
 void TargetRegistry::MarkEvacuated(Target& target) const {
   const std::string& domain = target.entry.failure_domain;
   target.evacuated = evacuated_domains_.contains(domain);
-  const auto ended = evacuations_ended_at_.find(domain);
-  target.evacuation_ended_at =
-      ended == evacuations_ended_at_.end() ? Instant{} : ended->second;
 }
 
 TargetPtr TargetRegistry::Find(std::string_view id) const {
--- a/src/gateway/target_registry_limits.cc
+++ b/src/gateway/target_registry_limits.cc
@@ -53,6 +53,7 @@
 }
 
 void TargetRegistry::RestartRateLimits(Instant now) {
+  deciding_since_ = now;
   for (const auto& [id, target] : targets_) {
     target->rate_limit.Restart(now);
   }
--- a/src/gateway/target_registry_pick.cc
+++ b/src/gateway/target_registry_pick.cc
@@ -271,10 +271,10 @@
     return home.target == nullptr || IsBetter(other, home) ? other : home;
   }
   DomainChoice choice;
-  choice.home_ms = home.target == nullptr
-                       ? std::numeric_limits<double>::infinity()
-                       : home.cost_ms;
-  choice.away_ms = away.cost_ms;
+  choice.own_ms = home.target == nullptr
+                      ? std::numeric_limits<double>::infinity()
+                      : home.cost_ms;
+  choice.other_ms = away.cost_ms;
   choice.objective_ms = Milliseconds(query.objective);
   other.domain = domain_preference_.Decide(choice, Draw(query.call->id));
   if (Leaves(other.domain)) {
--- a/src/gateway/tests/domain_preference_test.cc
+++ b/src/gateway/tests/domain_preference_test.cc
@@ -30,10 +30,9 @@
 // Guards against requests that wait at home past their objective.
 BOOST_AUTO_TEST_CASE(RequestsThatHomeWouldServeLateLeaveAtOnce) {
   DomainPreference preference(Enabled());
+  BOOST_TEST((preference.Decide({900, 100, 500}, 1) == DomainReason::kOwnLate));
   BOOST_TEST(
-      (preference.Decide({900, 100, 500}, 1) == DomainReason::kHomeLate));
-  BOOST_TEST((preference.Decide({kNone, 100, 500}, 1) ==
-              DomainReason::kNoTargetAtHome));
+      (preference.Decide({kNone, 100, 500}, 1) == DomainReason::kNoOwnTarget));
   BOOST_TEST(!Leaves(preference.Decide({900, kNone, 500}, 0)));
 }
 
@@ -137,9 +136,9 @@
   const PlayedLoad home =
       Play(rates, [](std::size_t, double, double, double) { return false; });
   std::vector<DomainPreference> preferences(3, DomainPreference(Enabled()));
-  const PlayedLoad decided = Play(rates, [&](std::size_t from, double home_ms,
-                                             double away_ms, double draw) {
-    return Leaves(preferences[from].Decide({home_ms, away_ms, 500}, draw));
+  const PlayedLoad decided = Play(rates, [&](std::size_t from, double own_ms,
+                                             double other_ms, double draw) {
+    return Leaves(preferences[from].Decide({own_ms, other_ms, 500}, draw));
   });
   BOOST_TEST(home.on_time < 0.6);
   BOOST_TEST(decided.on_time > 0.99);
@@ -152,13 +151,13 @@
 BOOST_AUTO_TEST_CASE(EvenDemandStaysAtHome) {
   const std::array<double, 3> rates = {0.15, 0.15, 0.15};
   const PlayedLoad nearest =
-      Play(rates, [](std::size_t, double home_ms, double away_ms, double) {
-        return away_ms + 12 < home_ms;
+      Play(rates, [](std::size_t, double own_ms, double other_ms, double) {
+        return other_ms + 12 < own_ms;
       });
   std::vector<DomainPreference> preferences(3, DomainPreference(Enabled()));
-  const PlayedLoad decided = Play(rates, [&](std::size_t from, double home_ms,
-                                             double away_ms, double draw) {
-    return Leaves(preferences[from].Decide({home_ms, away_ms, 500}, draw));
+  const PlayedLoad decided = Play(rates, [&](std::size_t from, double own_ms,
+                                             double other_ms, double draw) {
+    return Leaves(preferences[from].Decide({own_ms, other_ms, 500}, draw));
   });
   BOOST_TEST(decided.on_time > 0.99);
   BOOST_TEST(decided.away < 0.02);
--- a/src/gateway/tests/evacuation_test.cc
+++ b/src/gateway/tests/evacuation_test.cc
@@ -86,14 +86,24 @@
   BOOST_TEST((Pick().outcome == PickOutcome::kNoTarget));
 }
 
-BOOST_AUTO_TEST_CASE(EndOfTheEvacuationIsKnownOfEachTargetThere) {
+// Guards against a burst at targets that became cold while they were
+// evacuated.
+BOOST_AUTO_TEST_CASE(TargetsCountAsColdAfterTheirEvacuation) {
+  Service service;
+  service.name = "s";
+  service.cold_time = 3s;
+  service.cold_per_second = 13;
+  targets_.SetColdLimits({&service, 1}, 1.5, 5);
+  const auto is_cold = [&](std::string_view id, Instant now) {
+    return targets_.Find(id)->rate_limit.cold(now);
+  };
   targets_.SetEvacuated({"a", "b"}, kStart);
-  BOOST_TEST((targets_.Find("a-1")->evacuation_ended_at == Instant{}));
+  BOOST_TEST(!is_cold("a-1", kStart));
   targets_.SetEvacuated({"b"}, kStart + 9s);
-  targets_.Update(EntryOf("a-2", "a"));
-  BOOST_TEST((targets_.Find("a-1")->evacuation_ended_at == kStart + 9s));
-  BOOST_TEST((targets_.Find("a-2")->evacuation_ended_at == kStart + 9s));
-  BOOST_TEST((targets_.Find("b-1")->evacuation_ended_at == Instant{}));
+  BOOST_TEST(is_cold("a-1", kStart + 9s));
+  BOOST_TEST(is_cold("a-1", kStart + 11900ms));
+  BOOST_TEST(!is_cold("a-1", kStart + 12100ms));
+  BOOST_TEST(!is_cold("b-1", kStart + 9s));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/serving/target_registration.h
+++ b/src/serving/target_registration.h
@@ -20,6 +20,9 @@
   std::vector<std::string> adapters;
 };
 
+/// Longest time for which a target is taken to be cold.
+inline constexpr Micros kMaxColdTime = std::chrono::hours(1);
+
 /// Row that a target registers for itself in the platform's store.
 struct TargetRegistration {
   std::string id;
