--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cmake --build target --target jackdaw-standin
-out=target/review-2
+out=${OUT:-target/review-2}
 mkdir -p "$out"
 flags=(-std=c++20 -O1 -w -DBOOST_ASIO_SEPARATE_COMPILATION
   -DBOOST_ASIO_NO_DEPRECATED -DSPDLOG_COMPILED_LIB -DSPDLOG_FMT_EXTERNAL
--- a/review/kit-2/engine.cc
+++ b/review/kit-2/engine.cc
@@ -83,30 +83,49 @@
 
 asio::awaitable<bool> Engine::WriteEntry() {
   platform::RowTransaction write;
-  write.puts.push_back({{std::string(platform::kTargetTable), "", entry_.id},
-                        platform::EncodeTarget(entry_)});
+  if (withdrawn_) {
+    write.drops.push_back({std::string(platform::kTargetTable), "", entry_.id});
+  } else {
+    write.puts.push_back({{std::string(platform::kTargetTable), "", entry_.id},
+                          platform::EncodeTarget(entry_)});
+  }
   HttpRequest request{"POST",
                       std::string(platform::kOperatorWritePath),
                       {},
                       platform::EncodeTransaction(write)};
+  writing_ = true;
   const auto answer = co_await client_.Fetch(shape_.store, std::move(request),
                                              clock_.Now() + 2s);
+  writing_ = false;
   co_return answer&& answer.value().status == 200;
 }
 
 asio::awaitable<void> Engine::Register() {
-  for (;;) {
+  while (!withdrawn_) {
     co_await WriteEntry();
     co_await Pause(kHeartbeat);
   }
 }
 
-asio::awaitable<std::int64_t> Engine::Drain() {
-  entry_.state = jackdaw::serving::TargetState::kDraining;
+// Writes the entry as it is now, after a write that is under way.
+asio::awaitable<std::int64_t> Engine::WriteLast() {
+  while (writing_) {
+    co_await Pause(1ms);
+  }
   const bool written = co_await WriteEntry();
   co_return written ? jackdaw::ToMillis(clock_.Now()) : 0;
 }
 
+asio::awaitable<std::int64_t> Engine::Drain() {
+  entry_.state = jackdaw::serving::TargetState::kDraining;
+  return WriteLast();
+}
+
+asio::awaitable<std::int64_t> Engine::Withdraw() {
+  withdrawn_ = true;
+  return WriteLast();
+}
+
 bool Engine::Holds(std::string_view model) const {
   return std::ranges::find(shape_.models, model) != shape_.models.end();
 }
--- a/review/kit-2/engine.h
+++ b/review/kit-2/engine.h
@@ -46,12 +46,17 @@
   /// Reports that the engine drains. It goes on serving.
   /// @returns time of the store's acknowledgement, 0 if there was none
   boost::asio::awaitable<std::int64_t> Drain();
+  /// Removes the entry, without having reported that the engine drains. It goes
+  /// on serving.
+  /// @returns time of the store's acknowledgement, 0 if there was none
+  boost::asio::awaitable<std::int64_t> Withdraw();
   const std::vector<Arrival>& arrivals() const { return arrivals_; }
   const std::string& id() const { return shape_.id; }
 
  private:
   boost::asio::awaitable<void> Register();
   boost::asio::awaitable<bool> WriteEntry();
+  boost::asio::awaitable<std::int64_t> WriteLast();
   boost::asio::awaitable<void> Handle(jackdaw::HttpExchange& exchange);
   boost::asio::awaitable<void> Run(jackdaw::HttpExchange& exchange);
   boost::asio::awaitable<void> Stream(jackdaw::HttpExchange& exchange);
@@ -68,6 +73,10 @@
   jackdaw::serving::TargetRegistration entry_;
   std::vector<Arrival> arrivals_;
   int running_ = 0;
+  /// A write of the entry is under way.
+  bool writing_ = false;
+  /// The entry was removed for good.
+  bool withdrawn_ = false;
 };
 
 }  // namespace review
--- a/review/kit-2/stale_leader.cc
+++ b/review/kit-2/stale_leader.cc
@@ -57,6 +57,11 @@
   }
 }
 
+Task NoteLease(Fleet& fleet) {
+  const std::string row = co_await fleet.ReadRow("leader");
+  fleet.Note("lease " + row);
+}
+
 Task Play(Fleet& fleet, bool trouble, int& verdict) {
   co_await fleet.StartStore();
   co_await fleet.Configure(kConfig);
@@ -82,7 +87,7 @@
   for (std::size_t i = 1; i < instances.size(); ++i) {
     co_await fleet.AwaitReady(*instances[i]);
   }
-  fleet.Note("lease " + co_await fleet.ReadRow("leader"));
+  co_await NoteLease(fleet);
   std::int64_t rate = kUsual;
   for (const auto& instance : instances) {
     boost::asio::co_spawn(co_await boost::asio::this_coro::executor,
@@ -97,7 +102,7 @@
   }
   for (int i = 0; i < 6; ++i) {
     co_await fleet.Pause(kCutBefore / 6);
-    fleet.Note("lease " + co_await fleet.ReadRow("leader"));
+    co_await NoteLease(fleet);
   }
   fleet.Note("the tenant sends 7.5 times its usual");
   rate = kHot;
--- a/review/kit-2/store_path.cc
+++ b/review/kit-2/store_path.cc
@@ -25,6 +25,23 @@
   asio::co_spawn(context_, Accept(), asio::detached);
 }
 
+void StorePath::Reset(Link& link) {
+  boost::system::error_code ignored;
+  link.instance.set_option(asio::socket_base::linger(true, 0), ignored);
+  link.instance.close(ignored);
+  link.store.close(ignored);
+}
+
+void StorePath::SetReset(bool reset) {
+  reset_ = reset;
+  for (const auto& weak : links_) {
+    if (const LinkPtr link = weak.lock(); link != nullptr && reset) {
+      Reset(*link);
+    }
+  }
+  std::erase_if(links_, [](const auto& weak) { return weak.expired(); });
+}
+
 asio::awaitable<void> StorePath::Accept() {
   for (;;) {
     auto link = std::make_shared<Link>(context_);
@@ -32,6 +49,11 @@
     if (failure) {
       co_return;
     }
+    if (reset_) {
+      Reset(*link);
+      continue;
+    }
+    links_.push_back(link);
     asio::co_spawn(context_, Serve(std::move(link)), asio::detached);
   }
 }
--- a/review/kit-2/store_path.h
+++ b/review/kit-2/store_path.h
@@ -4,8 +4,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
-#include <set>
 #include <string>
+#include <vector>
 
 namespace review {
 
@@ -23,6 +23,8 @@
 
   /// While the path is cut, bytes of either side are lost without a sign.
   void SetCut(bool cut) { cut_ = cut; }
+  /// While the store turns the instance away, each connection is reset.
+  void SetReset(bool reset);
   /// The answer to the next write that contains `text` is lost: the write
   /// reaches the store, and the connection then delivers nothing further.
   void LoseAnswerTo(std::string text) { lose_answer_to_ = std::move(text); }
@@ -43,6 +45,7 @@
   };
   using LinkPtr = std::shared_ptr<Link>;
 
+  static void Reset(Link& link);
   boost::asio::awaitable<void> Accept();
   boost::asio::awaitable<void> Serve(LinkPtr link);
   boost::asio::awaitable<void> Forward(LinkPtr link, bool to_store);
@@ -51,6 +54,8 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   Endpoint store_;
   bool cut_ = false;
+  bool reset_ = false;
+  std::vector<std::weak_ptr<Link>> links_;
   std::string lose_answer_to_;
   int lost_answers_ = 0;
 };
