--- a/review/kit-2/engine.cc
+++ b/review/kit-2/engine.cc
@@ -126,6 +126,13 @@
   return WriteLast();
 }
 
+void Engine::Exit() {
+  exited_ = true;
+  withdrawn_ = true;
+  server_.StopAccepting();
+  server_.CloseIdle();
+}
+
 bool Engine::Holds(std::string_view model) const {
   return std::ranges::find(shape_.models, model) != shape_.models.end();
 }
@@ -180,7 +187,10 @@
   }
   ++running_;
   co_await Pause(shape_.first_time);
-  if (!model.empty()) {
+  if (exited_) {
+    cut_.push_back(attempt);
+    exchange.CloseAfter();
+  } else if (!model.empty()) {
     co_await Stream(exchange);
   } else {
     HttpResponse answer{200, Headers(request), "answer to " + attempt};
--- a/review/kit-2/engine.h
+++ b/review/kit-2/engine.h
@@ -50,6 +50,11 @@
   /// on serving.
   /// @returns time of the store's acknowledgement, 0 if there was none
   boost::asio::awaitable<std::int64_t> Withdraw();
+  /// Ends the engine: it takes no more connections and cuts those that it has,
+  /// with the requests that run on them.
+  void Exit();
+  /// Attempts that were cut by the engine's exit.
+  const std::vector<std::string>& cut() const { return cut_; }
   const std::vector<Arrival>& arrivals() const { return arrivals_; }
   const std::string& id() const { return shape_.id; }
 
@@ -73,6 +78,8 @@
   jackdaw::serving::TargetRegistration entry_;
   std::vector<Arrival> arrivals_;
   int running_ = 0;
+  bool exited_ = false;
+  std::vector<std::string> cut_;
   /// A write of the entry is under way.
   bool writing_ = false;
   /// The entry was removed for good.
--- a/review/kit-2/even_load.h
+++ b/review/kit-2/even_load.h
@@ -11,10 +11,10 @@
 
 namespace review {
 
-/// A configuration with one plain service, whose requests may be repeated.
+/// A configuration with one plain service, whose requests may run once only.
 inline constexpr const char* kPlainConfig = R"({"version": 1,
- "routes": [{"name": "read", "hostname": "app.example", "prefix": "/read/",
-   "type": "safe", "max-attempts": 2, "timeout-ms": 1200,
+ "routes": [{"name": "book", "hostname": "app.example", "prefix": "/book/",
+   "type": "unsafe", "max-attempts": 1, "timeout-ms": 1200,
    "target-latency-ms": 150, "priority": 2, "service": "app"}],
  "services": [{"name": "app", "health-path": "/healthz",
    "max-connections": 400}],
@@ -22,6 +22,19 @@
  "limits": {"max-header-bytes": 16384, "max-body-bytes": 4194304,
    "header-timeout-ms": 5000, "idle-timeout-ms": 30000}})";
 
+/// Time for which a request runs.
+inline constexpr jackdaw::Micros kWorkTime{30'000};
+/// Time for which an engine goes on serving after the store has acknowledged
+/// that it leaves: `drain-ms` and a little longer.
+inline constexpr jackdaw::Micros kServesOn{2'150'000};
+
+/// Lets an engine that leaves exit.
+inline Task ExitLater(Fleet& fleet, Engine& engine) {
+  co_await fleet.Pause(kServesOn);
+  engine.Exit();
+  co_await engine.Withdraw();
+}
+
 /// Sends requests at an even pace to one instance.
 /// @param stop ends it when set
 inline Task AskEvenly(Fleet& fleet,
@@ -32,7 +45,7 @@
   while (!stop) {
     boost::asio::co_spawn(
         co_await boost::asio::this_coro::executor,
-        fleet.Send(instance, "school", "school-key", "/read/x", "", kTokens, 0),
+        fleet.Send(instance, "school", "school-key", "/book/x", "", kTokens, 0),
         boost::asio::detached);
     co_await fleet.Pause(interval);
   }
@@ -44,6 +57,7 @@
   Engine::Shape shape;
   shape.id = "e-" + std::to_string(number);
   shape.service = "app";
+  shape.first_time = kWorkTime;
   shape.zone = "a-" + std::to_string(number % 3 + 1);
   fleet.AddEngine(shape);
 }
@@ -91,6 +105,33 @@
   }
 }
 
+/// Writes which requests of instances in touch were cut by the exit of an
+/// engine, and what their clients got.
+/// @param excused by engine, an instance that is not in touch at its exit
+inline void NoteCut(Fleet& fleet,
+                    const std::map<std::string, std::string>& excused) {
+  std::map<std::string, const Sent*> sent_of;
+  for (const Sent& sent : fleet.sent()) {
+    sent_of[sent.attempt] = &sent;
+  }
+  std::size_t count = 0;
+  for (const auto& engine : fleet.engines()) {
+    for (const std::string& attempt : engine->cut()) {
+      const Sent& sent = *sent_of.at(attempt);
+      const auto not_in_touch = excused.find(engine->id());
+      if (not_in_touch != excused.end() &&
+          not_in_touch->second == sent.instance) {
+        continue;
+      }
+      fleet.Note("cut: " + attempt + " at " + engine->id() + " from " +
+                 sent.instance + ", its client got " +
+                 std::to_string(sent.status));
+      ++count;
+    }
+  }
+  fleet.Note("requests cut by the exit of an engine: " + std::to_string(count));
+}
+
 /// Returns which instance got each attempt.
 inline std::map<std::string, std::string> InstancesOfAttempts(
     const Fleet& fleet) {
--- a/review/kit-2/late_news.cc
+++ b/review/kit-2/late_news.cc
@@ -72,6 +72,8 @@
       leader->store_path->SetCut(true);
     }
     const std::int64_t acknowledged_ms = co_await engine.Drain();
+    boost::asio::co_spawn(co_await boost::asio::this_coro::executor,
+                          ExitLater(fleet, engine), boost::asio::detached);
     leaving[engine.id()] = {acknowledged_ms, leader->name};
     fleet.Note(engine.id() + " drains, acknowledged" +
                (trouble ? "; turned away: " + leader->name : ""));
@@ -87,6 +89,11 @@
     co_return;
   }
   NoteAnswers(fleet);
+  std::map<std::string, std::string> excused;
+  for (const auto& [engine, news] : leaving) {
+    excused[engine] = news.turned_away;
+  }
+  NoteCut(fleet, excused);
   const int late = CountLate(fleet, leaving);
   fleet.Note("requests that came too late: " + std::to_string(late));
   verdict = late > 0 ? kBroken : kHeld;
--- a/review/kit-2/own_outage.cc
+++ b/review/kit-2/own_outage.cc
@@ -88,6 +88,8 @@
     const std::int64_t back_ms = fleet.NowMs();
     co_await fleet.Pause(kToRemoval);
     const std::int64_t acknowledged_ms = co_await engine.Withdraw();
+    boost::asio::co_spawn(co_await boost::asio::this_coro::executor,
+                          ExitLater(fleet, engine), boost::asio::detached);
     left[engine.id()] = {acknowledged_ms, {leader->name, other->name}, back_ms};
     fleet.Note(engine.id() + " has left, acknowledged");
     co_await fleet.Pause(kRest);
@@ -100,6 +102,7 @@
     co_return;
   }
   NoteAnswers(fleet);
+  NoteCut(fleet, {});
   const int late = CountLate(fleet, left);
   fleet.Note("requests that came too late: " + std::to_string(late));
   verdict = late > 0 ? kBroken : kHeld;
--- a/review/kit-2/process.cc
+++ b/review/kit-2/process.cc
@@ -28,6 +28,8 @@
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::dup2(file, STDOUT_FILENO);
     ::dup2(file, STDERR_FILENO);
+    // Sockets of the stand-ins stay with them.
+    ::closefrom(STDERR_FILENO + 1);
     ::execv(words[0], words.data());
     ::_exit(127);
   }
