--- a/review/kit-2/late_news.cc
+++ b/review/kit-2/late_news.cc
@@ -30,6 +30,16 @@
   std::string turned_away;
 };
 
+// Waits until the leader has renewed its lease once more.
+Task AwaitRenewal(Fleet& fleet) {
+  const std::string before = co_await fleet.ReadRow("leader");
+  std::string now = before;
+  while (now == before) {
+    co_await fleet.Pause(20ms);
+    now = co_await fleet.ReadRow("leader");
+  }
+}
+
 // Returns the number of requests that reached a draining engine too late, sent
 // on by instances that were in touch.
 int CountLate(Fleet& fleet, const std::map<std::string, Leaving>& leaving) {
@@ -66,6 +76,7 @@
   co_await fleet.Pause(5s);
   std::map<std::string, Leaving> leaving;
   for (int i = 0; i < kRounds; ++i) {
+    co_await AwaitRenewal(fleet);
     Instance* leader = co_await Leader(fleet);
     Engine& engine = *fleet.engines()[static_cast<std::size_t>(i)];
     if (trouble) {
