--- a/src/daemons/jackdaw-standin.cc
+++ b/src/daemons/jackdaw-standin.cc
@@ -49,6 +49,8 @@
   shape.pause = jackdaw::Micros(parsed["token-us"].as<std::int64_t>());
   shape.load_time =
       std::chrono::milliseconds(parsed["load-ms"].as<std::int64_t>());
+  shape.slots = parsed["slots"].as<int>();
+  shape.body_bytes = parsed["body-bytes"].as<std::size_t>();
   shape.store = store.value();
   jackdaw::serving::platform::TargetStandin standin(context, shape);
   return Serve(context, standin, address);
@@ -83,6 +85,10 @@
       cxxopts::value<std::string>()->default_value("service"))(
       "failure-domain", "Failure domain of a target",
       cxxopts::value<std::string>()->default_value("a"))(
+      "slots", "Requests that a target runs at once",
+      cxxopts::value<int>()->default_value("8"))(
+      "body-bytes", "Least length of a target's complete response",
+      cxxopts::value<std::size_t>()->default_value("0"))(
       "store", "Store address at which a target registers itself",
       cxxopts::value<std::string>()->default_value(""))(
       "weights", "Platform address to fetch weights from",
