Bound what the servers of the control addresses and the own interface hold

What callers saw: 400 unfinished bodies of 1 MB at the own `entry` or `operators` took 425 MB; crowds at the control addresses of a process that stands still for some seconds took 134 MB of kernel memory on a machine of 60 MB.

Cause: the own interface had no bound of the sum of incomplete bodies, of running requests or of responses that nobody takes. The listeners of all servers left the kernel's buffers of connections that are not yet accepted at the system's size, in queues of 4,096.

Why this works: connections inherit the buffer of the listener before they are accepted, and the queue is short. ServerConnections keeps the connections that wait for a request, for its rest, or for their caller, and closes the one that has waited the longest when the sum exceeds the bound; ordinary requests are read, and their responses taken, within milliseconds. A complete request beyond the bound of running ones is refused before its handler sees it. The own interface gets memory_mb, by default that of the smallest machine.

No functional change for requests inside the limits

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -49,7 +49,8 @@
   limits.request_ms = 10'000;
   limits.write_ms = 10'000;
   limits.total_bytes = 4UL * 1024 * 1024;
-  limits.socket_bytes = 64 * 1024;
+  limits.socket_bytes = 8 * 1024;
+  limits.backlog = 256;
   return limits;
 }
 
@@ -61,7 +62,8 @@
       std::clamp<std::int64_t>(settings.max_descriptors / 64, 16, 64));
   limits.body_bytes = 4096;
   limits.total_bytes = 1024UL * 1024;
-  limits.socket_bytes = 16 * 1024;
+  limits.socket_bytes = 4 * 1024;
+  limits.backlog = 64;
   return limits;
 }
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -7,9 +7,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <list>
 
 #include "http/request_body.h"
+#include "http/server_connections.h"
 #include "http/server_exchange.h"
 
 namespace jackdaw {
@@ -24,8 +24,6 @@
 constexpr std::size_t kFirstRead = 4096;
 // Memory of a header field besides its bytes.
 constexpr std::size_t kFieldBytes = 96;
-// Bytes read ahead of the parser, at most. The parser throws at longer fields.
-constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
 
 using Parser = http::request_parser<RequestBody>;
 
@@ -52,6 +50,34 @@
   return response;
 }
 
+// Answer to a complete request for which there is no memory. Nothing has read
+// it.
+HttpResponse MemoryShort() {
+  HttpResponse response = JsonResponse(
+      503,
+      R"({"type":"about:blank","title":"memory-short","status":503,)"
+      R"("kind":"memory-short","remedy":"come back in a second","ran":"no"})");
+  response.headers[0].value = "application/problem+json";
+  response.headers.push_back({"Retry-After", "1"});
+  return response;
+}
+
+// Counts the bytes of a request while it runs.
+class RunningGuard {
+ public:
+  RunningGuard(std::size_t& total, std::size_t bytes)
+      : total_(total), bytes_(bytes) {
+    total_ += bytes_;
+  }
+  ~RunningGuard() { total_ -= bytes_; }
+  RunningGuard(const RunningGuard&) = delete;
+  RunningGuard& operator=(const RunningGuard&) = delete;
+
+ private:
+  std::size_t& total_;
+  std::size_t bytes_;
+};
+
 bool IsParseFailure(const beast::error_code& failure) {
   return failure.category() ==
              make_error_code(http::error::bad_method).category() &&
@@ -72,18 +98,11 @@
       if (failure == asio::error::operation_aborted) {
         co_return;
       }
-      if (failure) {
-        continue;
-      }
-      MakeRoom();
-      if (connections >= limits.connections) {
+      if (failure || !connections.MakeRoom()) {
         continue;
       }
       beast::error_code ignored;
       if (limits.socket_bytes > 0) {
-        socket.set_option(
-            asio::socket_base::receive_buffer_size(limits.socket_bytes),
-            ignored);
         socket.set_option(
             asio::socket_base::send_buffer_size(limits.socket_bytes), ignored);
       }
@@ -94,48 +113,29 @@
     }
   }
 
-  // An open connection. It is in `idle` or `reading` while it waits for bytes.
-  struct Connection {
-    explicit Connection(asio::ip::tcp::socket socket)
-        : stream(std::move(socket)) {}
+  // Counts the bytes of a response until its caller has taken them.
+  class Watch final : public ResponseWatch {
+   public:
+    Watch(ServerConnections& connections, ServerConnection& connection)
+        : connections_(connections), connection_(connection) {}
 
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer{kMaxUnparsedBytes};
-    // Bytes held of an incomplete request.
-    std::size_t bytes = 0;
-    bool closed = false;
-  };
-  using Connections = std::list<Connection*>;
-
-  // Closes the connection that waits the longest for a request, or else for the
-  // rest of one, if there is no room for another connection.
-  void MakeRoom() {
-    Connections& waiting = idle.empty() ? reading : idle;
-    if (connections >= limits.connections && !waiting.empty()) {
-      CloseOldest(waiting);
+    void OnWriteBegun(std::size_t bytes) override {
+      connections_.SetWait(connection_, ServerWait::kTaken);
+      connections_.SetBytes(connection_, bytes);
+    }
+    void OnWritten() override {
+      connections_.SetWait(connection_, ServerWait::kHandler);
     }
-  }
-
-  // The connection's own coroutine ends later.
-  void CloseOldest(Connections& waiting) {
-    Connection& connection = *waiting.front();
-    waiting.pop_front();
-    connection.closed = true;
-    connection.stream.close();
-    SetBytes(connection, 0);
-    --connections;
-  }
 
-  void SetBytes(Connection& connection, std::size_t bytes) {
-    total_bytes += bytes;
-    total_bytes -= connection.bytes;
-    connection.bytes = bytes;
-  }
+   private:
+    ServerConnections& connections_;
+    ServerConnection& connection_;
+  };
 
   asio::awaitable<void> Serve(asio::ip::tcp::socket socket) {
     auto self = shared_from_this();
-    ++connections;
-    Connection connection(std::move(socket));
+    ServerConnection connection(std::move(socket));
+    connections.Add(connection);
     bool go_on = true;
     while (go_on) {
       go_on = co_await AwaitFirstByte(connection);
@@ -149,12 +149,12 @@
       beast::error_code ignored;
       connection.stream.socket().shutdown(asio::socket_base::shutdown_send,
                                           ignored);
-      --connections;
+      connections.Remove(connection);
     }
   }
 
   // Waits until a request begins. @returns false when the connection ends
-  asio::awaitable<bool> AwaitFirstByte(Connection& connection) {
+  asio::awaitable<bool> AwaitFirstByte(ServerConnection& connection) {
     if (connection.buffer.size() > 0) {
       co_return true;
     }
@@ -162,50 +162,42 @@
       co_return false;
     }
     connection.buffer.shrink_to_fit();
-    const auto place = idle.insert(idle.end(), &connection);
+    connections.SetWait(connection, ServerWait::kRequest);
+    if (limits.total_bytes > 0 && connection.answered) {
+      connections.SetBytes(connection, UnsentBytes(connection.stream.socket()));
+    }
     connection.stream.expires_after(std::chrono::milliseconds(limits.idle_ms));
     auto [failure, size] = co_await connection.stream.async_read_some(
         connection.buffer.prepare(kFirstRead), kAwait);
-    if (connection.closed) {
-      co_return false;
-    }
-    idle.erase(place);
     connection.buffer.commit(size);
-    co_return !failure;
+    co_return !failure && !connection.closed;
   }
 
   // Reads a request. While more is held of incomplete requests than the bound,
   // the oldest of them is given up.
-  asio::awaitable<beast::error_code> Read(Connection& connection,
+  asio::awaitable<beast::error_code> Read(ServerConnection& connection,
                                           Parser& parser) {
     parser.eager(true);
     parser.header_limit(limits.header_bytes);
     parser.body_limit(limits.body_bytes);
     connection.stream.expires_after(std::chrono::milliseconds(
         limits.request_ms > 0 ? limits.request_ms : limits.idle_ms));
-    const auto place = reading.insert(reading.end(), &connection);
+    connections.SetWait(connection, ServerWait::kRest);
     beast::error_code failure;
     while (!failure && !parser.is_done() && !connection.closed) {
       auto [read_failure, size] = co_await http::async_read_some(
           connection.stream, connection.buffer, parser, kAwait);
       failure = read_failure;
-      if (!connection.closed) {
-        SetBytes(connection, HeldBytes(connection, parser));
-      }
-      while (limits.total_bytes > 0 && total_bytes > limits.total_bytes &&
-             !reading.empty()) {
-        CloseOldest(reading);
-      }
+      connections.SetBytes(connection, HeldBytes(connection, parser));
     }
     if (connection.closed) {
       co_return asio::error::operation_aborted;
     }
-    SetBytes(connection, 0);
-    reading.erase(place);
+    connections.SetWait(connection, ServerWait::kHandler);
     co_return failure;
   }
 
-  static std::size_t HeldBytes(const Connection& connection,
+  static std::size_t HeldBytes(const ServerConnection& connection,
                                const Parser& parser) {
     std::size_t bytes =
         connection.buffer.capacity() + parser.get().body().capacity();
@@ -216,22 +208,29 @@
   }
 
   // Reads one request and answers it. @returns whether to read another
-  asio::awaitable<bool> ServeOne(Connection& connection) {
+  asio::awaitable<bool> ServeOne(ServerConnection& connection) {
     Parser parser;
     const beast::error_code failure = co_await Read(connection, parser);
     if (failure && !IsParseFailure(failure)) {
       co_return false;
     }
-    ServerExchange exchange(connection.stream, limits, parser.release());
-    if (failure) {
+    const std::size_t bytes = HeldBytes(connection, parser);
+    const bool has_room =
+        limits.total_bytes == 0 || running_bytes + bytes <= limits.total_bytes;
+    const RunningGuard running(running_bytes, bytes);
+    Watch watch(connections, connection);
+    ServerExchange exchange(connection.stream, limits, parser.release(), watch);
+    if (failure || !has_room) {
       exchange.CloseAfter();
-      co_await exchange.Respond(ParseFailure(failure));
+      HttpResponse response = failure ? ParseFailure(failure) : MemoryShort();
+      co_await exchange.Respond(std::move(response));
       co_return false;
     }
     if (closing) {
       exchange.CloseAfter();
     }
     try {
+      connection.answered = true;
       co_await handler(exchange);
     } catch (const std::exception&) {
       exchange.CloseAfter();
@@ -242,12 +241,9 @@
   asio::ip::tcp::acceptor acceptor;
   HttpLimits limits;
   Handler handler;
-  std::uint32_t connections = 0;
-  // Connections on which no request has begun, and those whose request is
-  // incomplete; those that wait longest come first.
-  Connections idle;
-  Connections reading;
-  std::size_t total_bytes = 0;
+  ServerConnections connections{limits};
+  // Bytes of complete requests that run.
+  std::size_t running_bytes = 0;
   bool closing = false;
   std::atomic<std::uint64_t> active{0};
 };
@@ -267,10 +263,16 @@
   acceptor.open(endpoint.protocol(), failure);
   if (!failure) {
     acceptor.set_option(asio::socket_base::reuse_address(true), failure);
+    // Connections inherit it before they are accepted.
+    if (const int bytes = state_->limits.socket_bytes; bytes > 0) {
+      beast::error_code ignored;
+      acceptor.set_option(asio::socket_base::receive_buffer_size(bytes),
+                          ignored);
+    }
     acceptor.bind(endpoint, failure);
   }
   if (!failure) {
-    acceptor.listen(asio::socket_base::max_listen_connections, failure);
+    acceptor.listen(state_->limits.backlog, failure);
   }
   if (failure) {
     return Error{ErrorKind::kAddressInUse,
@@ -288,13 +290,11 @@
 
 void HttpServer::CloseIdle() {
   state_->closing = true;
-  for (auto* connection : state_->idle) {
-    connection->stream.cancel();
-  }
+  state_->connections.CancelIdle();
 }
 
 std::uint32_t HttpServer::connections() const {
-  return state_->connections;
+  return state_->connections.count();
 }
 
 std::uint64_t HttpServer::active() const {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -25,10 +25,13 @@
   /// request.
   std::uint32_t request_ms = 0;
   /// Bytes of incomplete requests of all connections, above which the oldest of
-  /// them is given up; 0: no bound.
+  /// them is given up; the same for responses that are not taken. So many bytes
+  /// of complete requests may run; further ones are refused. 0: no bound.
   std::size_t total_bytes = 0;
   /// Size of the kernel's buffers of a connection; 0: the system's.
   int socket_bytes = 0;
+  /// Length of the queue of connections that are not yet accepted.
+  int backlog = 4096;
 };
 
 /// One request on a server connection and the way to answer it. A handler
--- a/src/http/server_exchange.h
+++ b/src/http/server_exchange.h
@@ -10,6 +10,14 @@
 
 namespace jackdaw {
 
+/// Learns of the bytes that wait to be taken by a caller.
+class ResponseWatch {
+ public:
+  virtual ~ResponseWatch() = default;
+  virtual void OnWriteBegun(std::size_t bytes) = 0;
+  virtual void OnWritten() = 0;
+};
+
 /// A request on a connection of HttpServer, and the way to answer it.
 class ServerExchange final : public HttpExchange {
  public:
@@ -17,8 +25,10 @@
 
   ServerExchange(boost::beast::tcp_stream& stream,
                  const HttpLimits& limits,
-                 Message&& message)
+                 Message&& message,
+                 ResponseWatch& watch)
       : stream_(stream),
+        watch_(watch),
         write_limit_(limits.write_ms),
         version_(message.version()),
         keep_alive_(message.keep_alive()),
@@ -47,8 +57,10 @@
     message.prepare_payload();
     begun_ = true;
     stream_.expires_after(write_limit_);
+    watch_.OnWriteBegun(message.body().capacity());
     auto [failure, size] =
         co_await boost::beast::http::async_write(stream_, message, kAwait);
+    watch_.OnWritten();
     ended_ = !failure;
     co_return !failure;
   }
@@ -73,8 +85,10 @@
     stream_.expires_after(write_limit_);
     auto chunk = boost::beast::http::make_chunk(
         boost::asio::buffer(bytes.data(), bytes.size()));
+    watch_.OnWriteBegun(bytes.size());
     auto [failure, size] =
         co_await boost::asio::async_write(stream_, chunk, kAwait);
+    watch_.OnWritten();
     co_return !failure;
   }
 
@@ -103,6 +117,7 @@
   }
 
   boost::beast::tcp_stream& stream_;
+  ResponseWatch& watch_;
   std::chrono::milliseconds write_limit_;
   unsigned version_;
   bool keep_alive_;
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -1,5 +1,6 @@
 #include "instance/instance.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -28,10 +29,31 @@
 // Interval between two steps of a drain.
 constexpr auto kDrainPollInterval = std::chrono::milliseconds(50);
 
+constexpr std::size_t kMegabyte = 1024UL * 1024;
+// Largest request of an operator, which is a configuration.
+constexpr std::uint64_t kOperatorBodyBytes = 16 * kMegabyte;
+constexpr std::uint32_t kOperatorConnections = 256;
+// Bound of the kernel's buffers of a connection.
+constexpr int kSocketBytes = 4 * 1024;
+// Length of the queues of connections that are not yet accepted.
+constexpr int kCallerBacklog = 1024;
+constexpr int kOperatorBacklog = 128;
+
+// Bound of what a server holds of incomplete requests, of running ones and of
+// responses. Two of the largest requests fit.
+std::size_t TotalBytes(const InstanceSettings& settings,
+                       std::uint64_t body_bytes) {
+  const auto memory = static_cast<std::size_t>(settings.memory_mb) * kMegabyte;
+  return std::max<std::size_t>(memory / 8, 2 * body_bytes);
+}
+
 HttpLimits CallerLimits(const InstanceSettings& settings) {
   HttpLimits limits;
   limits.body_bytes = static_cast<std::uint64_t>(settings.body_bytes);
   limits.connections = static_cast<std::uint32_t>(settings.connections);
+  limits.total_bytes = TotalBytes(settings, limits.body_bytes);
+  limits.socket_bytes = kSocketBytes;
+  limits.backlog = kCallerBacklog;
   return limits;
 }
 
@@ -46,9 +68,13 @@
   return setup;
 }
 
-HttpLimits OperatorLimits() {
+HttpLimits OperatorLimits(const InstanceSettings& settings) {
   HttpLimits limits;
-  limits.body_bytes = 64ULL * 1024 * 1024;
+  limits.body_bytes = kOperatorBodyBytes;
+  limits.connections = kOperatorConnections;
+  limits.total_bytes = TotalBytes(settings, 0) + kOperatorBodyBytes / 2;
+  limits.socket_bytes = kSocketBytes;
+  limits.backlog = kOperatorBacklog;
   return limits;
 }
 
@@ -124,7 +150,7 @@
       caller_duty.context(), CallerLimits(settings),
       [this](HttpExchange& exchange) { return callers.Handle(exchange); }};
   HttpServer operator_server{
-      operator_duty.context(), OperatorLimits(),
+      operator_duty.context(), OperatorLimits(settings),
       [this](HttpExchange& exchange) { return operators.Handle(exchange); }};
   std::promise<void> drained;
 };
--- a/src/settings/instance_settings.cc
+++ b/src/settings/instance_settings.cc
@@ -12,6 +12,9 @@
 constexpr std::int64_t kDefaultBodyBytes = 1024LL * 1024;
 constexpr std::int64_t kMaxConnections = 100'000;
 constexpr std::int64_t kDefaultConnections = 4096;
+constexpr std::int64_t kLeastMemoryMb = 48;
+constexpr std::int64_t kMostMemoryMb = 1'048'576;
+constexpr std::int64_t kDefaultMemoryMb = 120;
 
 Endpoint ReadEndpoint(ObjectReader& reader, std::string_view key) {
   const std::string text = reader.Text(key);
@@ -63,6 +66,8 @@
       reader.IntegerOr("body_bytes", 1024, kMaxBodyBytes, kDefaultBodyBytes);
   settings.connections =
       reader.IntegerOr("connections", 16, kMaxConnections, kDefaultConnections);
+  settings.memory_mb = reader.IntegerOr("memory_mb", kLeastMemoryMb,
+                                        kMostMemoryMb, kDefaultMemoryMb);
   BOOST_OUTCOME_TRY(reader.Finish());
   return settings;
 }
--- a/src/settings/instance_settings.h
+++ b/src/settings/instance_settings.h
@@ -21,6 +21,8 @@
   std::string log_level = "info";
   std::int64_t body_bytes = 0;
   std::int64_t connections = 0;
+  /// Memory that the instance may use.
+  std::int64_t memory_mb = 0;
 };
 
 /// Reads the settings document.
--- a/src/settings/tests/instance_settings_test.cc
+++ b/src/settings/tests/instance_settings_test.cc
@@ -31,11 +31,13 @@
   BOOST_TEST_REQUIRE(settings.has_value());
   BOOST_TEST(settings.value().name == "a");
   BOOST_TEST(settings.value().log_format == "text");
+  BOOST_TEST(settings.value().memory_mb == 120);
 }
 
 BOOST_AUTO_TEST_CASE(NamesThePathOfEachError) {
   ExpectError(With(R"("extra":1)"), "/extra: is not a known member");
   ExpectError(With(R"("body_bytes":"x")"), "/body_bytes: must be a whole");
+  ExpectError(With(R"("memory_mb":1)"), "/memory_mb: 1 is outside 48 to");
   ExpectError(With(R"("body_bytes":1)"), "/body_bytes: 1 is outside 1024 to");
   ExpectError(With(R"("log_format":"xml")"), "/log_format: must be one of");
   ExpectError(R"({"name":"a"})", "/failure_domain: is missing");
