--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -28,6 +28,10 @@
  public:
   using Receiver = std::function<void(std::string bytes)>;
 
+  /// Longest message. A configuration is one row of the platform's store, which
+  /// holds at most 64 KB.
+  static constexpr std::size_t kMaxMessageBytes = 96UL * 1024;
+
   /// @param receiver called on the thread of the link for each message
   explicit PeerLink(Receiver receiver);
   ~PeerLink();
@@ -40,12 +44,15 @@
   Result<std::string> Start(std::string_view address);
   void Stop();
 
-  /// Queues a message for sending. @returns false if the queue is full
+  /// Queues a message for sending. @returns false if the queue is full or the
+  /// message too long
   bool TrySend(PeerMessage message);
 
  private:
   struct Sockets;
   void Run();
+  void Receive();
+  void Send();
 
   Receiver receiver_;
   BoundedRing<PeerMessage> outgoing_;
--- a/src/peer/peer_service.cc
+++ b/src/peer/peer_service.cc
@@ -13,6 +13,8 @@
 
 // Time between two heartbeat rounds.
 constexpr auto kHeartbeatInterval = std::chrono::milliseconds(500);
+// Bytes of received messages that may wait for the thread of the service.
+constexpr std::size_t kMaxWaitingBytes = 4UL * 1024 * 1024;
 
 }  // namespace
 
@@ -32,9 +34,7 @@
       run_state_(run_state),
       events_(events),
       apply_(std::move(apply)),
-      link_([this](std::string bytes) {
-        duty_.TryPost([this, bytes = std::move(bytes)] { Receive(bytes); });
-      }),
+      link_([this](std::string bytes) { Enqueue(std::move(bytes)); }),
       membership_(name_, incarnation) {}
 
 Result<std::string> PeerService::Start(std::string_view address) {
@@ -45,6 +45,21 @@
   return bound;
 }
 
+// Hands a message to the thread of the service. Messages may be lost, so one
+// for which there is no room is dropped.
+void PeerService::Enqueue(std::string bytes) {
+  const std::size_t size = bytes.size();
+  if (waiting_bytes_ + size > kMaxWaitingBytes) {
+    return;
+  }
+  waiting_bytes_ += size;
+  const bool posted = duty_.TryPost([this, bytes = std::move(bytes)] {
+    waiting_bytes_ -= bytes.size();
+    Receive(bytes);
+  });
+  waiting_bytes_ -= posted ? 0 : size;
+}
+
 asio::awaitable<void> PeerService::Run() {
   asio::steady_timer timer(duty_.context());
   for (;;) {
--- a/src/peer/peer_service.h
+++ b/src/peer/peer_service.h
@@ -61,6 +61,7 @@
 
  private:
   boost::asio::awaitable<void> Run();
+  void Enqueue(std::string bytes);
   void Receive(const std::string& bytes);
   void SendHeartbeats();
   std::string AddressOf(std::string_view peer) const;
@@ -76,6 +77,8 @@
   RunState& run_state_;
   EventLog& events_;
   ApplyConfig apply_;
+  /// Bytes of received messages that wait for the thread of the service.
+  std::atomic<std::size_t> waiting_bytes_{0};
   PeerLink link_;
   std::map<int, Handler> handlers_;
   Membership membership_;
