Bound what the kernel holds for callers, and end each shortage

What callers saw: after 500 uploads had arrived at a process that stood still, it held 95 MB of 60 and answered no ordinary request for 30 s. Requests sent behind one that still runs took 97 MB, with the same silence.

Cause: a connection that was not read held up to 122 KB in the kernel, before it was accepted too. The account counted 128 KB for each paused connection: with enough of them it was exceeded by the pauses themselves, and connections that were paused before the first byte of a request were never given up. Up to 64 KB were read behind a running request, whatever was free. SO_SNDBUF does not bound the queue of written bytes for a caller with a large window.

Why this works: connections inherit 4 KB from the listener, so the account can count the kernel's part as fixed, and a pause costs nothing. Larger buffers are given to large bodies while most of the memory is free, and counted. The first 4 KB of a request are always read, so it is answered. Written bytes are counted with SIOCOUTQ. Behind a running request 16 KB are read while there is much room. A sixteenth of the bound is kept for complete requests to run. A caller that does not read loses its connection by a reset, so the kernel drops its queue. malloc_trim returns what a crowd has held.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -1,5 +1,8 @@
 #include "gateway/caller_connection.h"
 
+#include <netinet/tcp.h>
+
+#include <algorithm>
 #include <boost/beast/http/error.hpp>
 
 #include "core/log.h"
@@ -11,13 +14,19 @@
 
 namespace http = boost::beast::http;
 
-// Bytes read from a connection at once.
-constexpr std::size_t kReadBytes = 16UL * 1024;
-// Unparsed bytes that are read, of pipelined requests too.
+// Unparsed bytes that are read.
 constexpr std::size_t kMaxReadAhead = 64UL * 1024;
-// Bounds of the kernel's buffers of a connection; without them each may grow to
-// several megabytes for a caller that does not read, or is not read.
-constexpr int kSocketBytes = 64 * 1024;
+// Bytes that are read behind a request that still runs.
+constexpr std::size_t kMaxPipelined = 16UL * 1024;
+// Bound of the kernel's buffer for what is written to a caller. The one for
+// what is received is inherited from the listener.
+constexpr int kSendBufferBytes = 4 * 1024;
+// Bounds of both for large bodies while most of the memory is free.
+constexpr int kWideBufferBytes = 64 * 1024;
+// Size of a body from which the wide ones are used.
+constexpr std::size_t kWideFromBytes = 16UL * 1024;
+// Most bytes of a request's body that the kernel takes for the target at once.
+constexpr std::size_t kMaxBodyInKernel = 64UL * 1024;
 // Memory of a header field besides its bytes. Short fields take many times
 // their size.
 constexpr std::size_t kFieldBytes = 96;
@@ -65,9 +74,7 @@
       id_(resources_->budget.Open(clock.Now())) {
   boost::system::error_code ignored;
   socket_.set_option(
-      boost::asio::socket_base::receive_buffer_size(kSocketBytes), ignored);
-  socket_.set_option(boost::asio::socket_base::send_buffer_size(kSocketBytes),
-                     ignored);
+      boost::asio::socket_base::send_buffer_size(kSendBufferBytes), ignored);
   socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
 }
@@ -128,7 +135,8 @@
 }
 
 void CallerConnection::AwaitInput() {
-  if (awaiting_input_ || closed_ || input_.size() > kMaxReadAhead) {
+  const std::size_t most = task_ == nullptr ? kMaxReadAhead : kMaxPipelined;
+  if (awaiting_input_ || closed_ || input_.size() > most) {
     return;
   }
   // A connection that waits holds no larger buffer than it needs.
@@ -152,26 +160,30 @@
       });
 }
 
-// Returns whether the memory budget permits a read. If not, the connection is
-// paused until the listener resumes it.
-bool CallerConnection::MayRead() {
-  if (lingering_ || resources_->budget.MayRead(id_, clock_.Now())) {
-    return true;
+// Returns the bytes that the memory budget permits to be read. If there are
+// none, the connection is paused until the listener resumes it.
+std::size_t CallerConnection::MayRead() {
+  const std::size_t most = resources_->budget.MayRead(id_, clock_.Now());
+  if (lingering_) {
+    return std::max(most, kFirstReadBytes);
   }
-  paused_self_ = shared_from_this();
-  resources_->on_short();
-  return false;
+  if (most == 0) {
+    paused_self_ = shared_from_this();
+    resources_->on_short();
+  }
+  return most;
 }
 
 void CallerConnection::Resume() {
   const auto self = std::move(paused_self_);
-  if (!closed_ && !awaiting_input_ && MayRead()) {
+  if (!closed_ && !awaiting_input_ && MayRead() > 0) {
     AwaitInput();
   }
 }
 
 void CallerConnection::OnReadable() {
-  if (!MayRead() || !ReadAvailable()) {
+  const std::size_t most = MayRead();
+  if (most == 0 || !ReadAvailable(most)) {
     return;
   }
   if (lingering_) {
@@ -183,10 +195,9 @@
 }
 
 // Reads the bytes that have arrived. @returns false if the connection has ended
-bool CallerConnection::ReadAvailable() {
+bool CallerConnection::ReadAvailable(std::size_t most) {
   boost::system::error_code failure;
-  const std::size_t size =
-      socket_.read_some(input_.prepare(kReadBytes), failure);
+  const std::size_t size = socket_.read_some(input_.prepare(most), failure);
   input_.commit(size);
   resources_->budget.OnProgress(id_, size, clock_.Now());
   if (!failure || failure == boost::asio::error::would_block) {
@@ -196,6 +207,24 @@
   return false;
 }
 
+// Lets the kernel take more at once, for a large body.
+void CallerConnection::Widen() {
+  if (wide_ || !resources_->budget.MayWiden(id_)) {
+    return;
+  }
+  wide_ = true;
+  boost::system::error_code ignored;
+  socket_.set_option(
+      boost::asio::socket_base::receive_buffer_size(kWideBufferBytes), ignored);
+  socket_.set_option(
+      boost::asio::socket_base::send_buffer_size(kWideBufferBytes), ignored);
+  // Without it the window stays as small as it was at first.
+  using WindowClamp =
+      boost::asio::detail::socket_option::integer<IPPROTO_TCP,
+                                                  TCP_WINDOW_CLAMP>;
+  socket_.set_option(WindowClamp(kWideBufferBytes), ignored);
+}
+
 void CallerConnection::Parse() {
   if (input_.size() == 0) {
     return;
@@ -242,6 +271,10 @@
     OnRequest();
     return;
   }
+  if (parser_->content_length().value_or(0) > kWideFromBytes ||
+      parser_->get().body().size() > kWideFromBytes) {
+    Widen();
+  }
   timers_.Set(read_deadline_, clock_.Now() + handler_.limits().idle_time,
               [this] { Reject(408, "body_timeout"); });
   const bool expects_continue = boost::beast::iequals(
@@ -275,7 +308,8 @@
                                        request_bytes_ + response_bytes_ +
                                        output_.capacity() +
                                        pending_output_.capacity());
-  if (resources_->budget.short_of_memory()) {
+  const MemoryBudget& budget = resources_->budget;
+  if (budget.short_of_memory() || budget.awaits_release()) {
     resources_->on_short();
   }
 }
@@ -287,6 +321,12 @@
 
 void CallerConnection::OnRequest() {
   timers_.Clear(read_deadline_);
+  if (!resources_->budget.MayRun()) {
+    ++resources_->requests_dropped;
+    resources_->on_short();
+    Reject(503, "memory_short");
+    return;
+  }
   resources_->budget.OnRequestComplete(id_);
   if (!resources_->make_room()) {
     Reject(503, "descriptors_short");
@@ -294,7 +334,9 @@
   }
   CallerRequest request = parser_->release();
   parser_.reset();
-  request_bytes_ = request.body().capacity();
+  // The kernel takes a part of the body on its way to the target.
+  request_bytes_ = request.body().capacity() +
+                   std::min(request.body().size(), kMaxBodyInKernel);
   Account();
   keep_open_ = request.keep_alive();
   auto task =
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -134,19 +134,25 @@
   static constexpr std::string_view kCallerFailed =
       "the caller's connection failed";
 
+  /// Bytes read from a connection on which no request has begun.
+  static constexpr std::size_t kFirstReadBytes = 4UL * 1024;
+
   using Parser = boost::beast::http::request_parser<RequestBody>;
 
   void BeginRequest();
   void AwaitInput();
   void OnReadable();
-  bool ReadAvailable();
+  bool ReadAvailable(std::size_t most = kFirstReadBytes);
   void Parse();
   void OnRequest();
   void Reject(int status, std::string_view kind);
-  bool MayRead();
+  std::size_t MayRead();
+  void Widen();
   void CountHead();
   void Account();
   void WriteSome();
+  std::size_t KernelRoom();
+  void AwaitWritable();
   void SetIdleDeadline();
   void OnIdle();
   void WritePending();
@@ -180,6 +186,13 @@
   /// Bytes of output_ that were written.
   std::size_t written_ = 0;
   std::uint64_t written_total_ = 0;
+  /// Bytes that the kernel held for the caller when they were last counted, and
+  /// those written since.
+  std::size_t kernel_bytes_ = 0;
+  /// The kernel's buffers are large.
+  bool wide_ = false;
+  /// The caller does not read what is to be written.
+  bool write_blocked_ = false;
   /// Bytes to write after those.
   std::string pending_output_;
   /// Deadline of the connection's wait for bytes of the caller.
--- a/src/gateway/caller_connection_end.cc
+++ b/src/gateway/caller_connection_end.cc
@@ -1,5 +1,9 @@
 // Responses on a caller's connection, and the connection's end.
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 
 #include "core/log.h"
 #include "gateway/caller_connection.h"
@@ -14,6 +18,10 @@
 // response on its way.
 constexpr Micros kLingerTime = 2s;
 constexpr std::size_t kMaxDiscardedBytes = 4UL * 1024 * 1024;
+// Bytes that the kernel holds for a caller that does not read. A write may add
+// as many once more.
+constexpr std::size_t kMaxUnsent = 8UL * 1024;
+constexpr std::size_t kMaxUnsentWide = 64UL * 1024;
 
 }  // namespace
 
@@ -36,32 +44,73 @@
   output_ = std::exchange(pending_output_, {});
   written_ = 0;
   writing_ = true;
+  if (output_.size() > kMaxUnsent) {
+    Widen();
+  }
   Account();
   timers_.Set(write_deadline_, clock_.Now() + kWriteTimeout,
               [this] { Close("caller reads too slowly"); });
   WriteSome();
 }
 
+// Returns the bytes that may be written now. The kernel would take more for a
+// caller that does not read, so its queue is counted each time that so many
+// have been written.
+std::size_t CallerConnection::KernelRoom() {
+  const std::size_t most = wide_ ? kMaxUnsentWide : kMaxUnsent;
+  if (kernel_bytes_ >= most) {
+    int queued = 0;
+    // Where the system does not tell, its own bound of the queue decides.
+    if (::ioctl(socket_.native_handle(), SIOCOUTQ, &queued) != 0) {
+      queued = 0;
+    }
+    kernel_bytes_ = static_cast<std::size_t>(queued);
+  }
+  return kernel_bytes_ >= most ? 0 : most;
+}
+
 // Writes until all of output_ is written. A caller that leaves a part of it
 // unread is known to the memory budget.
 void CallerConnection::WriteSome() {
-  socket_.async_write_some(
-      boost::asio::buffer(output_) + written_,
-      [self = shared_from_this()](const boost::system::error_code& failure,
-                                  std::size_t size) {
-        self->written_ += size;
-        self->written_total_ += size;
-        const bool rest =
-            !failure && !self->closed_ && self->written_ < self->output_.size();
-        MemoryBudget& budget = self->resources_->budget;
-        const Instant now = self->clock_.Now();
-        budget.OnProgress(self->id_, size, now);
-        budget.SetWriteBlocked(self->id_, rest, now);
-        if (rest) {
-          self->WriteSome();
-        } else {
+  boost::system::error_code failure;
+  while (!failure && written_ < output_.size()) {
+    const std::size_t room = KernelRoom();
+    if (room == 0) {
+      break;
+    }
+    const std::size_t size = socket_.write_some(
+        boost::asio::buffer(boost::asio::buffer(output_) + written_, room),
+        failure);
+    written_ += size;
+    written_total_ += size;
+    kernel_bytes_ += size;
+    resources_->budget.OnProgress(id_, size, clock_.Now());
+  }
+  if (failure == boost::asio::error::would_block) {
+    failure = {};
+  }
+  write_blocked_ = !failure && written_ < output_.size();
+  resources_->budget.SetWriteBlocked(id_, write_blocked_, clock_.Now());
+  if (write_blocked_) {
+    AwaitWritable();
+    return;
+  }
+  boost::asio::post(
+      socket_.get_executor(),
+      [self = shared_from_this(), failure] { self->OnWritten(failure); });
+}
+
+// Waits until the kernel has sent a part of what it holds.
+void CallerConnection::AwaitWritable() {
+  socket_.async_wait(
+      boost::asio::socket_base::wait_write,
+      [self = shared_from_this()](const boost::system::error_code& failure) {
+        if (failure || self->closed_) {
           self->OnWritten(failure);
+          return;
         }
+        self->kernel_bytes_ = 0;
+        self->WriteSome();
       });
 }
 
@@ -239,8 +288,12 @@
         {{"caller", peer()}, {"reason", std::string(why)}});
   }
   boost::system::error_code ignored;
+  // The kernel would go on to hold what a caller does not read.
+  if (write_blocked_) {
+    SetResetOnClose(true);
+  }
   // A shutdown would send the orderly end that a reset must not have.
-  if (!ends_with_connection_ && !lingering_) {
+  if (!write_blocked_ && !ends_with_connection_ && !lingering_) {
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
   }
   socket_.close(ignored);
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -1,5 +1,7 @@
 #include "gateway/caller_listener.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 
 #include "core/log.h"
@@ -9,10 +11,14 @@
 
 // Length of the queue of connections that are not yet accepted.
 constexpr int kBacklog = 1024;
+// Bound of the kernel's buffer for what a connection receives.
+constexpr int kReceiveBufferBytes = 4 * 1024;
 // Closed connections are removed from the list once per this many accepts.
 constexpr std::size_t kAcceptsPerCleanup = 128;
 // Interval of checks while memory or descriptors are short.
 constexpr Micros kCheckInterval = 50ms;
+// Interval at which memory that was released is returned to the system.
+constexpr Micros kReleaseInterval = 1s;
 // Connections that are closed in favor of one new connection or request.
 constexpr std::size_t kMaxEvictions = 64;
 // Interval of log lines about a shortage.
@@ -55,6 +61,12 @@
   if (!failure) {
     acceptor_.set_option(boost::asio::socket_base::reuse_address(true),
                          failure);
+    // Connections inherit it before they are accepted, when they may be sent
+    // as much as it takes.
+    boost::system::error_code ignored;
+    acceptor_.set_option(
+        boost::asio::socket_base::receive_buffer_size(kReceiveBufferBytes),
+        ignored);
     acceptor_.bind(endpoint, failure);
   }
   if (!failure) {
@@ -160,20 +172,37 @@
 }
 
 void CallerListener::ScheduleCheck() {
-  if (!check_scheduled_) {
-    check_scheduled_ = true;
-    timers_.Set(check_timer_, clock_.Now() + kCheckInterval,
-                [this] { CheckMemory(); });
+  if (check_scheduled_) {
+    return;
   }
+  check_scheduled_ = true;
+  const Micros interval =
+      resources_->budget.short_of_memory() ? kCheckInterval : kReleaseInterval;
+  timers_.Set(check_timer_, clock_.Now() + interval, [this] { CheckMemory(); });
 }
 
 // Gives up what the budget names, then lets the paused connections read on as
 // far as there is room.
 void CallerListener::CheckMemory() {
   check_scheduled_ = false;
-  const Instant now = clock_.Now();
   MemoryBudget& budget = resources_->budget;
-  LogShortage(now);
+  if (budget.short_of_memory()) {
+    const Instant now = clock_.Now();
+    LogShortage(now);
+    GiveUpVictims(now);
+    ResumePaused();
+  }
+  // The allocator would keep what a crowd has held.
+  if (budget.TakeRelease()) {
+    ::malloc_trim(0);
+  }
+  if (budget.short_of_memory() || budget.awaits_release()) {
+    ScheduleCheck();
+  }
+}
+
+void CallerListener::GiveUpVictims(Instant now) {
+  MemoryBudget& budget = resources_->budget;
   while (const auto victim = budget.Victim(now)) {
     const ConnectionPtr connection = Find(*victim);
     if (connection == nullptr) {
@@ -182,14 +211,15 @@
     }
     connection->GiveUp();
   }
+}
+
+void CallerListener::ResumePaused() {
+  const MemoryBudget& budget = resources_->budget;
   for (const MemoryBudget::Id id : budget.Paused()) {
     if (const ConnectionPtr connection = Find(id)) {
       connection->Resume();
     }
   }
-  if (budget.short_of_memory()) {
-    ScheduleCheck();
-  }
 }
 
 void CallerListener::LogShortage(Instant now) {
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -47,6 +47,8 @@
   bool MakeRoom(std::size_t descriptors);
   void ScheduleCheck();
   void CheckMemory();
+  void GiveUpVictims(Instant now);
+  void ResumePaused();
   void LogShortage(Instant now);
 
   boost::asio::io_context& context_;
--- a/src/gateway/memory_budget.cc
+++ b/src/gateway/memory_budget.cc
@@ -7,11 +7,19 @@
 namespace {
 
 constexpr std::size_t kMegabyte = 1024UL * 1024;
-// Cost of an open connection: its object, and the kernel's socket and file.
-constexpr std::size_t kConnectionBytes = 8UL * 1024;
-// Kernel memory of a connection that is not read, or whose caller does not
-// read. Its socket options bound it.
-constexpr std::size_t kKernelBytes = 128UL * 1024;
+// Cost of an open connection: its object, the kernel's socket and file, what
+// the kernel receives while it is not read, and the bytes that are always read.
+constexpr std::size_t kConnectionBytes = 16UL * 1024;
+// Bytes of a request that are read even if there is no room for more, so that
+// it is answered.
+constexpr std::size_t kFreeBytes = 4UL * 1024;
+// What the kernel holds for a caller that does not read. The connection bounds
+// it.
+constexpr std::size_t kUnreadBytes = 16UL * 1024;
+// What the kernel holds in large buffers of a connection, besides.
+constexpr std::size_t kWideBytes = 192UL * 1024;
+// What a running request takes in the kernel for the connection to its target.
+constexpr std::size_t kTargetBytes = 16UL * 1024;
 // Bytes that one read may add.
 constexpr std::size_t kReadBytes = 16UL * 1024;
 // A request up to this size may use the room that large bodies leave.
@@ -41,7 +49,15 @@
 
 std::size_t MemoryBudget::Cost(const Entry& entry) {
   return kConnectionBytes + entry.bytes +
-         (entry.paused || entry.write_blocked ? kKernelBytes : 0);
+         (entry.write_blocked ? kUnreadBytes : 0) +
+         (entry.wide ? kWideBytes : 0) +
+         (entry.stage == Stage::kRunning ? kTargetBytes : 0);
+}
+
+void MemoryBudget::Add(std::size_t bytes) {
+  bytes_ += bytes;
+  most_bytes_ = std::max(most_bytes_, bytes_);
+  run_refused_ = run_refused_ && bytes_ > limits_.upload_bytes;
 }
 
 MemoryBudget::Entry* MemoryBudget::Find(Id id) {
@@ -53,7 +69,7 @@
   Entry& entry = entries_[++last_id_];
   entry.since = now;
   entry.progress_at = now;
-  bytes_ += Cost(entry);
+  Add(Cost(entry));
   return last_id_;
 }
 
@@ -61,24 +77,30 @@
   if (Entry* entry = Find(id)) {
     bytes_ -= Cost(*entry);
     paused_ -= entry->paused ? 1 : 0;
+    receive_paused_ -= entry->receive_paused ? 1 : 0;
     entries_.erase(id);
+    Add(0);
   }
 }
 
 void MemoryBudget::SetBytes(Id id, std::size_t bytes) {
   if (Entry* entry = Find(id)) {
-    bytes_ += bytes;
     bytes_ -= entry->bytes;
     entry->bytes = bytes;
+    Add(bytes);
   }
 }
 
 void MemoryBudget::SetStage(Id id, Stage stage, Instant now) {
   if (Entry* entry = Find(id)) {
+    bytes_ -= Cost(*entry);
     entry->stage = stage;
     entry->since = now;
     entry->progress_at = now;
     entry->progress_bytes = 0;
+    entry->paused_at = now;
+    Add(Cost(*entry));
+    SetReceivePaused(*entry, false);
   }
 }
 
@@ -92,14 +114,27 @@
 
 void MemoryBudget::OnRequestComplete(Id id) {
   if (Entry* entry = Find(id)) {
+    bytes_ -= Cost(*entry);
     entry->stage = Stage::kRunning;
+    Add(Cost(*entry));
   }
 }
 
+bool MemoryBudget::MayRun() {
+  if (bytes_ + kTargetBytes <= limits_.bytes) {
+    return true;
+  }
+  run_refused_ = true;
+  return false;
+}
+
 void MemoryBudget::OnEnding(Id id) {
   if (Entry* entry = Find(id)) {
+    bytes_ -= Cost(*entry);
     entry->stage = Stage::kEnding;
+    Add(Cost(*entry));
     SetPaused(*entry, false, entry->progress_at);
+    SetReceivePaused(*entry, false);
   }
 }
 
@@ -129,22 +164,27 @@
   bytes_ -= Cost(*entry);
   entry->write_blocked = blocked;
   entry->progress_at = now;
-  bytes_ += Cost(*entry);
+  Add(Cost(*entry));
 }
 
 void MemoryBudget::SetPaused(Entry& entry, bool paused, Instant now) {
   if (entry.paused == paused) {
     return;
   }
-  bytes_ -= Cost(entry);
   entry.paused = paused;
   // The pause is not the caller's delay.
   entry.paused_at = now;
   entry.progress_at = now;
-  bytes_ += Cost(entry);
   paused_ = paused ? paused_ + 1 : paused_ - 1;
 }
 
+void MemoryBudget::SetReceivePaused(Entry& entry, bool paused) {
+  if (entry.receive_paused != paused) {
+    entry.receive_paused = paused;
+    receive_paused_ = paused ? receive_paused_ + 1 : receive_paused_ - 1;
+  }
+}
+
 // The oldest incomplete request may use the room up to the whole bound, so
 // that of many bodies which do not fit together one after the other completes.
 bool MemoryBudget::IsOldestReading(Id id) const {
@@ -159,21 +199,72 @@
   });
 }
 
-bool MemoryBudget::MayRead(Id id, Instant now) {
+// The rest of the bound is for complete requests, which take some memory to
+// run.
+std::size_t MemoryBudget::GrowthBytes() const {
+  return limits_.bytes - limits_.bytes / 16;
+}
+
+std::size_t MemoryBudget::MayRead(Id id, Instant now) {
+  Entry* entry = Find(id);
+  if (entry == nullptr) {
+    return kReadBytes;
+  }
+  const bool running = entry->stage == Stage::kRunning;
+  const std::size_t after = bytes_ + kReadBytes;
+  // What follows a running request can wait.
+  const std::size_t most = running ? limits_.upload_bytes / 2
+                           : entry->bytes <= kSmallBytes ? GrowthBytes()
+                                                         : limits_.upload_bytes;
+  const bool may =
+      after <= most || (after <= GrowthBytes() && IsOldestReading(id));
+  const bool may_some = !running && entry->bytes < kFreeBytes;
+  SetPaused(*entry, !may && !may_some, now);
+  if (may) {
+    return kReadBytes;
+  }
+  return may_some ? kFreeBytes : 0;
+}
+
+bool MemoryBudget::MayReceive(Id id) {
   Entry* entry = Find(id);
   if (entry == nullptr) {
     return true;
   }
-  const bool small =
-      entry->stage != Stage::kRunning && entry->bytes <= kSmallBytes;
-  const std::size_t kernel = entry->paused ? kKernelBytes : 0;
-  const std::size_t after = bytes_ - kernel + kReadBytes;
-  const bool may = after <= (small ? limits_.bytes : limits_.upload_bytes) ||
-                   (after <= limits_.bytes && IsOldestReading(id));
-  SetPaused(*entry, !may, now);
+  const bool may = bytes_ + kReadBytes <= GrowthBytes();
+  SetReceivePaused(*entry, !may);
   return may;
 }
 
+bool MemoryBudget::MayWiden(Id id) {
+  Entry* entry = Find(id);
+  if (entry == nullptr || entry->wide ||
+      bytes_ + kWideBytes > limits_.upload_bytes / 2) {
+    return false;
+  }
+  entry->wide = true;
+  Add(kWideBytes);
+  return true;
+}
+
+std::vector<MemoryBudget::Id> MemoryBudget::Receiving() const {
+  std::vector<Id> ids;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.receive_paused) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+bool MemoryBudget::TakeRelease() {
+  if (!awaits_release() || bytes_ > most_bytes_ / 2) {
+    return false;
+  }
+  most_bytes_ = bytes_;
+  return true;
+}
+
 std::vector<MemoryBudget::Id> MemoryBudget::Paused() const {
   std::vector<std::pair<Instant, Id>> found;
   for (const auto& [id, entry] : entries_) {
@@ -191,12 +282,13 @@
 }
 
 bool MemoryBudget::short_of_memory() const {
-  return paused_ > 0 || bytes_ > limits_.bytes;
+  return paused_ + receive_paused_ > 0 || run_refused_ ||
+         bytes_ > limits_.bytes;
 }
 
 // A running request is given up only if its caller does not read the response.
 bool MemoryBudget::IsGivenUp(const Entry& entry, Instant now) const {
-  if (entry.stage == Stage::kReading && entry.paused) {
+  if (entry.stage != Stage::kRunning && entry.paused) {
     return now - entry.paused_at >= kMaxPause || bytes_ > limits_.bytes;
   }
   // Nothing is given up while an eighth of the bound of uploads is free.
--- a/src/gateway/memory_budget.h
+++ b/src/gateway/memory_budget.h
@@ -44,22 +44,35 @@
   void OnIdle(Id id, Instant now);
   /// Records the first byte of a request.
   void OnRequestBegun(Id id, Instant now);
-  /// Records that a request is complete and runs.
+  /// Records that a request is complete and runs. Its connection to a target is
+  /// counted from now on.
   void OnRequestComplete(Id id);
+  /// Returns whether there is room for a complete request to run.
+  bool MayRun();
   /// Records that the connection only carries the rest of a response.
   void OnEnding(Id id);
   /// Records bytes that were read or written.
   void OnProgress(Id id, std::size_t bytes, Instant now);
-  /// Records whether bytes wait to be written to a caller that does not read.
   /// Ranks a connection behind those that have waited longer.
   void Refresh(Id id, Instant now);
+  /// Records whether bytes wait to be written to a caller that does not read.
   void SetWriteBlocked(Id id, bool blocked, Instant now);
 
-  /// Returns whether bytes of the connection may be read. If not, it is paused
-  /// until a later call permits it.
-  bool MayRead(Id id, Instant now);
+  /// Returns the bytes of the connection that may be read now. If there are
+  /// none, it is paused until a later call permits some.
+  std::size_t MayRead(Id id, Instant now);
   /// Returns the paused connections, those with the oldest requests first.
   std::vector<Id> Paused() const;
+  /// Returns whether bytes of a target's response may be read. If not, the
+  /// response waits until a later call permits it.
+  bool MayReceive(Id id);
+  /// Returns the connections whose responses wait, the oldest first.
+  std::vector<Id> Receiving() const;
+  /// Whether a response may be held back until it is complete.
+  bool MayHoldBack() const { return bytes_ <= limits_.upload_bytes; }
+  /// Permits large buffers of the kernel for a connection, if most of the
+  /// memory is free. They are counted until it closes.
+  bool MayWiden(Id id);
   /// Returns a connection whose incomplete request, or unread response, is to
   /// be given up now: the largest of those that have stalled, or one that was
   /// paused for too long.
@@ -68,8 +81,13 @@
   /// was idle for the longest time, else the oldest without a running request.
   std::optional<Id> Oldest() const;
 
-  /// Whether connections are paused or more is held than the bound.
+  /// Whether something waits for room or more is held than the bound.
   bool short_of_memory() const;
+  /// Returns whether so much was released since the most was held that the
+  /// allocator should return its free memory, and begins to count anew.
+  bool TakeRelease();
+  /// Whether TakeRelease may become true.
+  bool awaits_release() const { return most_bytes_ > limits_.bytes / 4; }
   std::size_t connections() const { return entries_.size(); }
   std::size_t paused() const { return paused_; }
   std::size_t bytes() const { return bytes_; }
@@ -82,6 +100,10 @@
     Stage stage = Stage::kIdle;
     bool paused = false;
     bool write_blocked = false;
+    /// The response waits for room.
+    bool receive_paused = false;
+    /// The kernel's buffers are large.
+    bool wide = false;
     std::size_t bytes = 0;
     /// Start of the stage.
     Instant since{};
@@ -94,6 +116,9 @@
   Entry* Find(Id id);
   void SetStage(Id id, Stage stage, Instant now);
   void SetPaused(Entry& entry, bool paused, Instant now);
+  void SetReceivePaused(Entry& entry, bool paused);
+  void Add(std::size_t bytes);
+  std::size_t GrowthBytes() const;
   bool IsOldestReading(Id id) const;
   static std::size_t Cost(const Entry& entry);
   bool IsGivenUp(const Entry& entry, Instant now) const;
@@ -102,7 +127,12 @@
   std::map<Id, Entry> entries_;
   Id last_id_ = 0;
   std::size_t bytes_ = 0;
+  /// Most bytes since the last release.
+  std::size_t most_bytes_ = 0;
   std::size_t paused_ = 0;
+  std::size_t receive_paused_ = 0;
+  /// A complete request was refused, and there is no room yet.
+  bool run_refused_ = false;
 };
 
 }  // namespace jackdaw::serving
--- a/src/gateway/tests/memory_budget_test.cc
+++ b/src/gateway/tests/memory_budget_test.cc
@@ -136,6 +136,70 @@
   BOOST_TEST(budget.paused() == 0U);
 }
 
+// Guards against connections that wait for their first byte without an end.
+BOOST_AUTO_TEST_CASE(TheFirstBytesOfARequestAreAlwaysRead) {
+  Account budget;
+  const auto running = budget.Upload(40 * kMegabyte, kStart);
+  budget.OnRequestComplete(running);
+  const auto idle = budget.Open(kStart);
+  BOOST_TEST(budget.MayRead(idle, kStart) > 0U);
+  BOOST_TEST(budget.paused() == 0U);
+  const auto larger = budget.Upload(60'000, kStart);
+  BOOST_TEST(budget.MayRead(larger, kStart) == 0U);
+  BOOST_TEST((budget.Victim(kStart) == larger));
+}
+
+// Guards against requests that run although there is no memory for them.
+BOOST_AUTO_TEST_CASE(ARequestRunsOnlyIfThereIsRoomForItsTarget) {
+  Account budget;
+  BOOST_TEST(budget.MayRun());
+  const auto id = budget.Upload(32 * kMegabyte - 30'000, kStart);
+  BOOST_TEST(!budget.MayRun());
+  BOOST_TEST(budget.short_of_memory());
+  budget.Close(id);
+  BOOST_TEST(!budget.short_of_memory());
+  BOOST_TEST(budget.MayRun());
+}
+
+// Guards against responses that gather for callers that do not read.
+BOOST_AUTO_TEST_CASE(AResponseWaitsUntilThereIsRoom) {
+  Account budget;
+  const auto id = budget.Open(kStart);
+  BOOST_TEST(budget.MayHoldBack());
+  BOOST_TEST(budget.MayReceive(id));
+  const auto other = budget.Upload(32 * kMegabyte, kStart);
+  BOOST_TEST(!budget.MayHoldBack());
+  BOOST_TEST(!budget.MayReceive(id));
+  BOOST_TEST((budget.Receiving() == std::vector<MemoryBudget::Id>{id}));
+  budget.Close(other);
+  BOOST_TEST(budget.MayReceive(id));
+  BOOST_TEST(budget.Receiving().empty());
+  BOOST_TEST(!budget.short_of_memory());
+}
+
+// Guards against large buffers of the kernel for a whole crowd.
+BOOST_AUTO_TEST_CASE(LargeBuffersAreGivenOnlyWhileMostMemoryIsFree) {
+  Account budget;
+  std::size_t wide = 0;
+  for (int i = 0; i < 1000; ++i) {
+    wide += budget.MayWiden(budget.Open(kStart)) ? 1U : 0U;
+  }
+  BOOST_TEST(wide > 0U);
+  BOOST_TEST(wide * 192 * 1024 <= 12 * kMegabyte);
+}
+
+// Guards against memory that the allocator keeps after a crowd.
+BOOST_AUTO_TEST_CASE(MemoryIsReturnedOnceAfterMuchWasReleased) {
+  Account budget;
+  const auto id = budget.Upload(20 * kMegabyte, kStart);
+  BOOST_TEST(!budget.TakeRelease());
+  budget.Close(id);
+  BOOST_TEST(budget.awaits_release());
+  BOOST_TEST(budget.TakeRelease());
+  BOOST_TEST(!budget.awaits_release());
+  BOOST_TEST(!budget.TakeRelease());
+}
+
 BOOST_AUTO_TEST_CASE(TheBoundsFollowFromTheMachine) {
   const MemoryLimits limits = LimitsOf(120, 3075);
   BOOST_TEST(limits.bytes == 60 * kMegabyte);
