Hold responses to the account of memory

What callers saw: 500 callers that do not read answers of 900 KB took 309 MB of a machine of 60.

Cause: each response was read up to 256 KB ahead before it was forwarded, in a buffer of up to twice that, copied, and kept; the account knew of it, but nothing stopped. Connections to targets took up to 128 KB each in the kernel.

Why this works: while more than uploads may use is held, responses are forwarded as they come, and a caller that leaves 4 KB unread pauses its target. Near the bound nothing is read from targets until there is room; what was held back goes to its caller, so responses cannot wait for each other. The kernel's part of a connection to a target is set before it opens and is part of the account.

No functional change for callers that read

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -181,6 +181,20 @@
   }
 }
 
+bool CallerConnection::MayReceive() {
+  if (resources_->budget.MayReceive(id_)) {
+    return true;
+  }
+  resources_->on_short();
+  return false;
+}
+
+void CallerConnection::ResumeTask() {
+  if (const auto task = task_; task != nullptr && MayReceive()) {
+    task->OnRoom();
+  }
+}
+
 void CallerConnection::OnReadable() {
   const std::size_t most = MayRead();
   if (most == 0 || !ReadAvailable(most)) {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -44,6 +44,9 @@
   virtual void OnCallerDisconnected(std::string_view why) = 0;
   /// Called when the last write has completed and the next one may start.
   virtual void OnWriteComplete() = 0;
+  /// Called when there is room for more of the response after MayReceive denied
+  /// it.
+  virtual void OnRoom() = 0;
   /// Called when the instance shuts down. Sends the caller a final response, or
   /// aborts the response if it has started.
   virtual void OnShutdown() = 0;
@@ -110,6 +113,13 @@
   void Evict();
   /// Reads what has arrived, if the memory budget permits it now.
   void Resume();
+  /// Returns whether the task may read more of the response. If not, OnRoom is
+  /// called later.
+  bool MayReceive();
+  /// Lets the task read on, if there is room now.
+  void ResumeTask();
+  /// Whether the task may hold the response back until it is complete.
+  bool MayHoldBack() const { return resources_->budget.MayHoldBack(); }
   /// Lets a paused connection end with its last owner, because nobody resumes
   /// it any more.
   void ReleaseIfPaused() { paused_self_.reset(); }
--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -220,6 +220,11 @@
       connection->Resume();
     }
   }
+  for (const MemoryBudget::Id id : budget.Receiving()) {
+    if (const ConnectionPtr connection = Find(id)) {
+      connection->ResumeTask();
+    }
+  }
 }
 
 void CallerListener::LogShortage(Instant now) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -38,6 +38,8 @@
 
   void OnCallerDisconnected(std::string_view why) override;
   void OnWriteComplete() override;
+  void OnRoom() override;
+  bool MayReceive() override;
   void OnShutdown() override;
   void OnConnected() override;
   void OnDataReceived() override;
@@ -123,6 +125,8 @@
   void EndBody();
   void Flush();
   void AccountResponse();
+  bool FailedResponse() const;
+  void ForwardHeldBack();
   void PauseReading();
   void OnReadingPaused();
   std::string ResponseHeadText(std::string_view framing) const;
@@ -214,6 +218,8 @@
   bool response_ended_ = false;
   bool caller_writing_ = false;
   bool reading_paused_ = false;
+  /// The response is not read because memory is short.
+  bool waits_for_room_ = false;
   /// Bytes that the caller's connection had written when the pause began.
   std::uint64_t written_at_pause_ = 0;
   std::string pending_output_;
--- a/src/gateway/exchange_forward.cc
+++ b/src/gateway/exchange_forward.cc
@@ -1,6 +1,7 @@
 // Response to a request: forwarding it to the caller.
 #include <array>
 #include <cstdio>
+#include <utility>
 
 #include "gateway/exchange.h"
 #include "platform/call_codec.h"
@@ -12,6 +13,8 @@
 
 // Bytes buffered for a slow caller before reading from the target is paused.
 constexpr std::size_t kPauseAboveBytes = 64UL * 1024;
+// The same while memory is short.
+constexpr std::size_t kPauseAboveBytesShort = 4UL * 1024;
 // Longest pause of reading from a target, and bytes that are buffered for a
 // caller that reads, but more slowly than the target writes.
 constexpr Micros kMaxReadingPause = 2s;
@@ -126,14 +129,23 @@
       BeginResponse(BodyEnd::kLastChunk, kChunkedField);
     }
   }
-  AppendBody(body);
-  body.clear();
+  // Its capacity is that of all that was held back.
+  AppendBody(std::exchange(body, {}));
   if (last) {
     EndBody();
   }
   Flush();
 }
 
+// Forwards what is held back of a response, which then cannot be retried any
+// more if it breaks off.
+void Exchange::ForwardHeldBack() {
+  if (head_parsed_ && !skipping_ && !head_sent_ && !FailedResponse() &&
+      !parser_->get().body().empty()) {
+    ForwardBytes(false);
+  }
+}
+
 // Forwards a response that was read completely.
 void Exchange::SendBufferedResponse() {
   const auto& head = parser_->get();
@@ -145,7 +157,7 @@
   BeginResponse(BodyEnd::kLength, bodiless
                                       ? std::string()
                                       : "Content-Length: " + length + "\r\n");
-  pending_output_ += head.body();
+  pending_output_ += std::exchange(parser_->get().body(), {});
   EndBody();
   Flush();
 }
@@ -186,7 +198,9 @@
     caller_->EndResponse(!closing_);
     return;
   }
-  if (pending_output_.size() > kPauseAboveBytes && connection_ != nullptr &&
+  const std::size_t most =
+      caller_->MayHoldBack() ? kPauseAboveBytes : kPauseAboveBytesShort;
+  if (pending_output_.size() > most && connection_ != nullptr &&
       !reading_paused_) {
     PauseReading();
   }
@@ -232,6 +246,21 @@
   caller_->SetResponseBytes(bytes);
 }
 
+bool Exchange::MayReceive() {
+  waits_for_room_ = !caller_->MayReceive();
+  if (waits_for_room_) {
+    ForwardHeldBack();
+  }
+  return !waits_for_room_;
+}
+
+void Exchange::OnRoom() {
+  waits_for_room_ = false;
+  if (!reading_paused_ && connection_ != nullptr) {
+    connection_->ResumeReading();
+  }
+}
+
 void Exchange::OnWriteComplete() {
   const auto self = shared_from_this();
   caller_writing_ = false;
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -70,10 +70,15 @@
   target_->refused_ids.Add(call_.id);
 }
 
-void Exchange::OnResponseProgress() {
+// Returns whether the response shows that the target has failed or rejected the
+// request.
+bool Exchange::FailedResponse() const {
   const int status = static_cast<int>(parser_->get().result_int());
-  const bool failed =
-      status >= 500 || response_head_.not_executed || PromisesNotRun(status);
+  return status >= 500 || response_head_.not_executed || PromisesNotRun(status);
+}
+
+void Exchange::OnResponseProgress() {
+  const bool failed = FailedResponse();
   const bool cannot_continue =
       head_sent_ && is_stream_ && !IsGoodStream(parser_->get());
   if (failed || cannot_continue) {
@@ -93,7 +98,9 @@
     }
     return;
   }
-  if (head_sent_ || parser_->get().body().size() > kMaxBufferedResponse) {
+  const bool may_hold = parser_->is_done() || caller_->MayHoldBack();
+  const std::size_t most = may_hold ? kMaxBufferedResponse : 0;
+  if (head_sent_ || parser_->get().body().size() > most) {
     ForwardBytes(parser_->is_done());
   } else if (parser_->is_done()) {
     SendBufferedResponse();
--- a/src/gateway/exchange_retry.cc
+++ b/src/gateway/exchange_retry.cc
@@ -42,7 +42,7 @@
   silent_targets_.push_back(target_);
   const TargetPick pick = PickTarget(AllTriedTargets());
   if (pick.outcome != PickOutcome::kChosen || pick.cost_ms > kMaxMoveCostMs ||
-      reading_paused_ || !TryTakeRetry(true)) {
+      reading_paused_ || waits_for_room_ || !TryTakeRetry(true)) {
     silent_targets_.pop_back();
     last_progress_at_ = now;
     ArmStallTimer();
@@ -117,6 +117,7 @@
   }
   target_.reset();
   reading_paused_ = false;
+  waits_for_room_ = false;
   deps_.timers.Clear(pause_timer_);
 }
 
--- a/src/gateway/target_connection.cc
+++ b/src/gateway/target_connection.cc
@@ -13,7 +13,7 @@
 constexpr std::size_t kReadBytes = 16UL * 1024;
 // Bounds of the kernel's buffers of a connection; without them each may grow to
 // several megabytes for a target that does not read, or is not read.
-constexpr int kSocketBytes = 64 * 1024;
+constexpr int kSocketBytes = 8 * 1024;
 
 ConnectionEnd EndOf(const boost::system::error_code& failure) {
   if (failure == boost::asio::error::eof) {
@@ -38,27 +38,27 @@
 void TargetConnection::Open(const Endpoint& address,
                             TargetConnectionUser& user) {
   user_ = &user;
-  socket_.async_connect(
-      address, [self = shared_from_this()](const auto& failure) {
-        if (self->closed_) {
-          return;
-        }
-        if (failure) {
-          self->OnFailure(failure);
-          return;
-        }
-        self->open_ = true;
-        WatchConnection(self->socket_);
-        using boost::asio::socket_base;
-        boost::system::error_code ignored;
-        self->socket_.set_option(socket_base::receive_buffer_size(kSocketBytes),
-                                 ignored);
-        self->socket_.set_option(socket_base::send_buffer_size(kSocketBytes),
-                                 ignored);
-        self->socket_.non_blocking(true, ignored);
-        self->Read();
-        self->user_->OnConnected();
-      });
+  using boost::asio::socket_base;
+  boost::system::error_code ignored;
+  socket_.open(address.protocol(), ignored);
+  socket_.set_option(socket_base::receive_buffer_size(kSocketBytes), ignored);
+  socket_.set_option(socket_base::send_buffer_size(kSocketBytes), ignored);
+  socket_.async_connect(address,
+                        [self = shared_from_this()](const auto& failure) {
+                          if (self->closed_) {
+                            return;
+                          }
+                          if (failure) {
+                            self->OnFailure(failure);
+                            return;
+                          }
+                          self->open_ = true;
+                          WatchConnection(self->socket_);
+                          boost::system::error_code unset;
+                          self->socket_.non_blocking(true, unset);
+                          self->Read();
+                          self->user_->OnConnected();
+                        });
 }
 
 void TargetConnection::Send(std::string head,
@@ -106,6 +106,10 @@
 }
 
 void TargetConnection::OnReadable() {
+  if (user_ != nullptr && !user_->MayReceive()) {
+    reading_paused_ = true;
+    return;
+  }
   boost::system::error_code failure;
   const std::size_t size =
       socket_.read_some(input_.prepare(kReadBytes), failure);
--- a/src/gateway/target_connection.h
+++ b/src/gateway/target_connection.h
@@ -28,6 +28,9 @@
  public:
   virtual ~TargetConnectionUser() = default;
   virtual void OnConnected() = 0;
+  /// Returns whether received bytes may be read. If not, the connection does
+  /// not read until ResumeReading is called.
+  virtual bool MayReceive() = 0;
   /// Called when the connection's input buffer has new bytes.
   virtual void OnDataReceived() = 0;
   virtual void OnConnectionEnd(ConnectionEnd end) = 0;
