Answer requests on connections that wait when the listener stops

What callers saw: a request on a connection that was not yet accepted when an instance stopped listening was reset, and the caller could not tell whether it had run.

Cause: the system resets what waits in a listener's queue when it is closed.

Why this works: the listener accepts what waits, at most its queue's length, before it closes. Connections that have a request are then served or refused like all others, and the rest are closed as idle.

--- a/src/gateway/caller_listener.cc
+++ b/src/gateway/caller_listener.cc
@@ -120,6 +120,22 @@
   return false;
 }
 
+// Accepts what waits in the listener's queue: its end would reset connections
+// on which a request may have arrived.
+void CallerListener::AcceptPending() {
+  boost::system::error_code failure;
+  for (int i = 0; !failure && i < kBacklog; ++i) {
+    if (!MakeRoom(resources_->budget.limits().callers)) {
+      return;
+    }
+    boost::asio::ip::tcp::socket socket(context_);
+    acceptor_.accept(socket, failure);
+    if (!failure) {
+      OnAccepted(std::move(socket));
+    }
+  }
+}
+
 void CallerListener::OnAccepted(boost::asio::ip::tcp::socket socket) {
   auto connection = std::make_shared<CallerConnection>(
       std::move(socket), handler_, timers_, clock_, resources_);
@@ -262,6 +278,7 @@
 
 void CallerListener::StopAccepting() {
   timers_.Clear(accept_timer_);
+  AcceptPending();
   boost::system::error_code ignored;
   acceptor_.close(ignored);
   const auto connections = connections_;
--- a/src/gateway/caller_listener.h
+++ b/src/gateway/caller_listener.h
@@ -39,6 +39,7 @@
 
   void Accept();
   bool AcceptOne();
+  void AcceptPending();
   void OnAccepted(boost::asio::ip::tcp::socket socket);
   void RemoveClosed();
   ConnectionPtr Find(MemoryBudget::Id id) const;
