--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -144,6 +144,8 @@
   static constexpr std::string_view kCallerFailed =
       "the caller's connection failed";
 
+  /// Unparsed bytes that are read.
+  static constexpr std::size_t kMaxReadAhead = 64UL * 1024;
   /// Bytes read from a connection on which no request has begun.
   static constexpr std::size_t kFirstReadBytes = 4UL * 1024;
 
