--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -62,21 +62,24 @@
       boot_id_(RandomHex(kBootIdBytes)),
       http_(context, clock, kMaxIdleConnections),
       store_(http_, settings.store),
-      config_watch_(
-          context,
-          store_,
-          clock,
-          std::string(platform::kConfigTable),
-          {[this](const auto& rows) { OnConfigRows(rows, true); },
-           [this](const auto& rows) { OnConfigRows(rows, false); }, [] {}},
-          std::hash<std::string>{}("config" + boot_id_)),
+      config_watch_(context,
+                    store_,
+                    clock,
+                    std::string(platform::kConfigTable),
+                    {[this](const auto& rows) { OnConfigRows(rows, true); },
+                     [this](const auto& rows) { OnConfigRows(rows, false); },
+                     [](Instant) {}},
+                    std::hash<std::string>{}("config" + boot_id_)),
       target_watch_(context,
                     store_,
                     clock,
                     std::string(platform::kTargetTable),
                     {[this](const auto& rows) { OnTargetRows(rows, true); },
                      [this](const auto& rows) { OnTargetRows(rows, false); },
-                     [this] { target_feed_.OnStoreReconnected(clock_.Now()); }},
+                     [this](Instant refused_at) {
+                       target_feed_.OnStoreReconnected(refused_at,
+                                                       clock_.Now());
+                     }},
                     std::hash<std::string>{}("targets" + boot_id_)),
       target_replica_({EncodeTargetText, IsRelayedTarget}),
       relay_budget_(settings.link_mbps.value_or(kDefaultLinkMbps)),
@@ -98,7 +101,8 @@
               members_,
               demand,
               settings.name),
-      heartbeat_timer_(context) {}
+      heartbeat_timer_(context),
+      expiry_timer_(context) {}
 
 void FleetAgent::Spawn(boost::asio::awaitable<void> work, std::string name) {
   boost::asio::co_spawn(
@@ -114,6 +118,7 @@
   Spawn(config_watch_.Run(), "config_watch");
   Spawn(target_watch_.Run(), "target_watch");
   Spawn(HeartbeatLoop(), "beats");
+  Spawn(RunTargetExpiry(), "target_expiry");
   Spawn(RunPlacement(), "placement");
   Spawn(RunObservation(), "observation");
 }
@@ -191,6 +196,22 @@
   }
 }
 
+// Ends the times of grace of targets on time, however far apart the heartbeats
+// are.
+boost::asio::awaitable<void> FleetAgent::RunTargetExpiry() {
+  for (;;) {
+    const std::optional<Instant> next = target_feed_.NextExpiry();
+    if (next) {
+      expiry_timer_.expires_after(std::max(Micros(0), *next - clock_.Now()));
+    } else {
+      expiry_timer_.expires_at(boost::asio::steady_timer::time_point::max());
+    }
+    co_await expiry_timer_.async_wait(
+        boost::asio::as_tuple(boost::asio::use_awaitable));
+    OnTargetChanges(target_feed_.Expire(clock_.Now()));
+  }
+}
+
 boost::asio::awaitable<void> FleetAgent::RunPlacement() {
   for (;;) {
     co_await Pause(kPlanInterval);
--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -179,6 +179,7 @@
 
   boost::asio::awaitable<void> RunObservation();
   boost::asio::awaitable<void> RunPlacement();
+  boost::asio::awaitable<void> RunTargetExpiry();
   boost::asio::awaitable<void> Pause(Micros span);
   void Spawn(boost::asio::awaitable<void> work, std::string name);
 
@@ -222,6 +223,7 @@
   OrderDispatcher order_dispatcher_;
   ModelPlacer placer_;
   boost::asio::steady_timer heartbeat_timer_;
+  boost::asio::steady_timer expiry_timer_;
   ConfigPtr config_;
   /// Document of the configuration in force, as it was read.
   std::string config_document_;
--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -118,7 +118,6 @@
   }
   LogBlocked();
   LogLapsedParts();
-  OnTargetChanges(target_feed_.Expire(clock_.Now()));
   OnEvacuationChanges(evacuations_.Expire(clock_.Now()));
   LogUnknownEvacuations();
 }
@@ -245,6 +244,11 @@
     TakeConfig(reply.lost_config);
     store_lost_config_ = true;
   }
+  // A leader in touch with the store shows that an outage is over before the
+  // own watch does, which then stops.
+  if (reply.fresh && target_watch_.refused_at()) {
+    target_feed_.OnStoreReconnected(*target_watch_.refused_at(), now);
+  }
   OnRelayedTargets(reply.targets);
   crashes_.AddReports(reply.crashes, now);
   registry_.AddRateLimits(reply.rate_limits, now);
--- a/src/fleet/fleet_agent_rows.cc
+++ b/src/fleet/fleet_agent_rows.cc
@@ -169,6 +169,8 @@
     target_replica_.OnChanges(relayed, now);
     OnTargetChanges(target_feed_.OnChanges(targets, now));
   }
+  // The next expiry may be another.
+  expiry_timer_.cancel();
 }
 
 void FleetAgent::OnTargetChanges(const TargetFeed::Changes& changes) {
--- a/src/fleet/store_watch.cc
+++ b/src/fleet/store_watch.cc
@@ -37,6 +37,9 @@
 
 void StoreWatch::OnFailure(const Error& error) {
   ++failures_;
+  if (error.kind != ErrorKind::kOverloaded) {
+    refused_at_ = sent_at_;
+  }
   if (!lost_) {
     lost_ = true;
     Log(LogLevel::kWarn, "store_lost",
@@ -48,9 +51,16 @@
   failures_ = 0;
   if (lost_) {
     lost_ = false;
-    Log(LogLevel::kInfo, "store_back", {{"table", table_}});
-    sink_.on_reconnected();
+    Log(LogLevel::kInfo, "store_back",
+        {{"table", table_},
+         {"refused_ms_ago",
+          refused_at_ ? std::to_string((clock_.Now() - *refused_at_) / 1ms)
+                      : "never"}});
+    if (refused_at_) {
+      sink_.on_reconnected(*refused_at_);
+    }
   }
+  refused_at_.reset();
 }
 
 bool StoreWatch::IsOfLaterEpoch(const platform::RowSet& set) const {
@@ -58,6 +68,7 @@
 }
 
 boost::asio::awaitable<bool> StoreWatch::ReadSnapshot() {
+  sent_at_ = clock_.Now();
   const Result<platform::RowSet> read = co_await ReadTable(
       store_, table_, clock_, kReadTimeout, &calls_.snapshot);
   if (!read) {
@@ -85,9 +96,10 @@
 
 boost::asio::awaitable<bool> StoreWatch::ReadChanges() {
   ++(leads_ ? calls_.as_leader : calls_.as_follower);
-  const Result<platform::RowChanges> changes =
-      co_await store_.Watch(table_, version_.number, kWatchWait,
-                            clock_.Now() + kWatchWait + kWatchMargin);
+  sent_at_ = clock_.Now();
+  const Micros wait = lost_ ? Micros(0) : kWatchWait;
+  const Result<platform::RowChanges> changes = co_await store_.Watch(
+      table_, version_.number, wait, sent_at_ + wait + kWatchMargin);
   if (!changes) {
     OnFailure(changes.error());
     co_return false;
@@ -144,6 +156,7 @@
       // Failures before the watch was stopped do not count when it starts
       // again.
       lost_ = false;
+      refused_at_.reset();
       failures_ = 0;
       first_call_due_ = true;
       wake_.expires_at(boost::asio::steady_timer::time_point::max());
@@ -167,7 +180,8 @@
       succeeded = co_await ReadChanges();
     }
     if (!succeeded) {
-      co_await Pause(DelayAfterFailure(failures_, random_.Unit()));
+      co_await Pause(DelayAfterFailure(failures_, random_.Unit(),
+                                       clock_.Now() - sent_at_));
     }
   }
 }
--- a/src/fleet/store_watch.h
+++ b/src/fleet/store_watch.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "core/clock.h"
@@ -16,7 +17,7 @@
 /// Time for which the store holds a call that waits for changes, and the margin
 /// that the timeout of the call adds to it. A call made during an outage of the
 /// store may stay unanswered after the outage ends, so it delays changes by up
-/// to the sum of the two.
+/// to the sum of the two. While the store is lost, calls do not wait.
 inline constexpr Micros kWatchWait = 1500ms;
 inline constexpr Micros kWatchMargin = 700ms;
 
@@ -42,8 +43,10 @@
     /// Rows that were written or deleted since the last call; none if only the
     /// version has advanced.
     std::function<void(const platform::RowSet&)> on_changes;
-    /// The store answers again after a failed call.
-    std::function<void()> on_reconnected;
+    /// The store answers again after an outage, given the sending time of the
+    /// last call that it did not serve. A call that was refused for the rate of
+    /// calls is no sign of an outage.
+    std::function<void(Instant refused_at)> on_reconnected;
   };
 
   /// @param seed seed of the delays
@@ -67,6 +70,9 @@
   void ResumeFrom(const TableVersion& version);
   /// Whether the last call to the store failed.
   bool lost() const { return lost_; }
+  /// Returns the sending time of the last call that was not served because of
+  /// an outage, if the store is lost by one.
+  std::optional<Instant> refused_at() const { return refused_at_; }
   const WatchCalls& calls() const { return calls_; }
 
   /// Runs the watch and never returns; to be spawned once.
@@ -93,8 +99,13 @@
   bool snapshot_requested_ = false;
   bool has_snapshot_ = false;
   bool lost_ = false;
+  /// Sending time of the last call that an outage of the store has made fail
+  /// since the store was lost.
+  std::optional<Instant> refused_at_;
   TableVersion version_;
   int failures_ = 0;
+  /// Sending time of the last call.
+  Instant sent_at_{};
   WatchCalls calls_;
 };
 
--- a/src/fleet/target_feed.cc
+++ b/src/fleet/target_feed.cc
@@ -6,18 +6,25 @@
 namespace jackdaw::serving {
 namespace {
 
-// Time in which live targets register again after an outage of the store. An
-// entry that is found missing within this time after the outage may only have
-// expired; its target is kept for as long again.
-constexpr Micros kReregistrationTime = 1800ms;
+// Time in which live targets register again after an outage of the store.
+constexpr Micros kReregistrationTime = 2s;
+// Longest time for which a target without an entry is kept, from the last call
+// that the store did not serve. It is less than the time after which the
+// instance must again be aware of all targets that have left, which is 3 s from
+// the end of the outage.
+constexpr Micros kMaxKeepTime = 2800ms;
 // Time in which the store, back from an older copy, removes the entries of
 // targets that are gone. One that it still has then belongs to a live target.
 constexpr Micros kDoubtTime = 10s;
 
 }  // namespace
 
+void TargetFeed::OnStoreReconnected(Instant refused_at, Instant now) {
+  keep_until_ = std::min(now + kReregistrationTime, refused_at + kMaxKeepTime);
+}
+
 void TargetFeed::OnStoreRestored(Instant now) {
-  OnStoreReconnected(now);
+  keep_until_ = now + kReregistrationTime;
   awaits_first_snapshot_ = true;
   in_doubt_.clear();
   for (auto& [id, known] : known_) {
@@ -40,8 +47,8 @@
   if (!known_.contains(id)) {
     return;
   }
-  if (now - reconnected_at_ < kReregistrationTime) {
-    missing_until_.emplace(id, now + kReregistrationTime);
+  if (now < keep_until_) {
+    missing_until_.emplace(id, keep_until_);
     return;
   }
   Remove(id, now, changes);
@@ -133,6 +140,20 @@
   return changes;
 }
 
+std::optional<Instant> TargetFeed::NextExpiry() const {
+  std::optional<Instant> next;
+  const auto add = [&](Instant until) {
+    next = next ? std::min(*next, until) : until;
+  };
+  for (const auto& [id, until] : missing_until_) {
+    add(until);
+  }
+  for (const auto& [id, doubt] : in_doubt_) {
+    add(doubt.until);
+  }
+  return next;
+}
+
 TargetFeed::Changes TargetFeed::Expire(Instant now) {
   Changes changes;
   std::vector<std::string> missing;
--- a/src/fleet/target_feed.h
+++ b/src/fleet/target_feed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,9 +13,12 @@
 
 /// Derives the set of registered targets from the rows of the store. An entry
 /// that is missing right after an outage of the store may have expired because
-/// the target could not renew it. Such a target is kept for the time in which a
-/// live one registers again. A target that has left does not come back by the
-/// older entry of a store that lost its last writes.
+/// the target could not renew it. Such a target is kept until the time has
+/// passed in which a live one registers again. An instance cannot tell whether
+/// the store was out for all or only for itself, so that time counts from the
+/// end of the outage and not from the removal of the entry. A target that has
+/// left does not come back by the older entry of a store that lost its last
+/// writes.
 class TargetFeed {
  public:
   /// Changes to the set of targets that result from a read.
@@ -24,7 +28,9 @@
   };
 
   /// The store answers again after an outage.
-  void OnStoreReconnected(Instant now) { reconnected_at_ = now; }
+  /// @param refused_at sending time of the last call that it did not serve; the
+  /// outage ended after it, perhaps long before `now`
+  void OnStoreReconnected(Instant refused_at, Instant now);
   /// The store came back from an older copy: its versions begin anew, and what
   /// targets wrote since the copy is written again. The next snapshot is the
   /// first of the new epoch.
@@ -37,6 +43,9 @@
   /// and have not registered again, and takes entries in doubt that the store
   /// still has.
   Changes Expire(Instant now);
+  /// Returns the time at which Expire has something to do next, if there is
+  /// one.
+  std::optional<Instant> NextExpiry() const;
 
  private:
   struct KnownTarget {
@@ -58,8 +67,9 @@
   void OnMissing(const std::string& id, Instant now, Changes& changes);
   void Remove(const std::string& id, Instant now, Changes& changes);
 
-  /// End of the last outage of the store.
-  Instant reconnected_at_{};
+  /// Time until which targets are kept whose entries may have expired in the
+  /// last outage of the store.
+  Instant keep_until_{};
   /// No snapshot was read since the store came back from an older copy.
   bool awaits_first_snapshot_ = false;
   std::map<std::string, KnownTarget> known_;
--- a/src/fleet/watch_delay.cc
+++ b/src/fleet/watch_delay.cc
@@ -30,9 +30,10 @@
                : kFollowerBatchDelay + Share(kFollowerBatchJitter, unit);
 }
 
-Micros DelayAfterFailure(int failures, double unit) {
+Micros DelayAfterFailure(int failures, double unit, Micros elapsed) {
   const Micros delay = std::min(kMaxBackoff, kBackoffStep * (1 + failures));
-  return delay + Share(delay, kBackoffJitter * unit);
+  return std::max(kBackoffStep,
+                  delay + Share(delay, kBackoffJitter * unit) - elapsed);
 }
 
 }  // namespace jackdaw::serving
--- a/src/fleet/watch_delay.h
+++ b/src/fleet/watch_delay.h
@@ -21,6 +21,8 @@
 
 /// Returns the delay after failed calls.
 /// @param failures number of failed calls in a row
-Micros DelayAfterFailure(int failures, double unit);
+/// @param elapsed time since the last of them was sent, which counts towards
+/// the delay: calls that time out are far apart already
+Micros DelayAfterFailure(int failures, double unit, Micros elapsed = Micros(0));
 
 }  // namespace jackdaw::serving
