End the reliance on a leader by a time of its own (DRAIN)

Cause: delays added up. A follower relied on the leader until the leader's last write was 1.6 s old, found out with its next heartbeat, and spread its first call over 0.6 s. With the leader's pause of 0.1 s that is 2.7 s at 6 members (2 s allowed), 3.2 s at 91 (3 s) and 3.3 s at 295 (4 s), without the calls.

Change: each reply of the leader tells how long ago the store has certainly answered it, and a follower relies on it for a time from that moment on: the interval of renewals, that of heartbeats and 250 ms. A timer ends it, not a heartbeat.

--- a/src/fleet/fleet_agent.cc
+++ b/src/fleet/fleet_agent.cc
@@ -75,7 +75,10 @@
                     clock,
                     std::string(platform::kTargetTable),
                     {[this](const auto& rows) { OnTargetRows(rows, true); },
-                     [this](const auto& rows) { OnTargetRows(rows, false); },
+                     [this](const auto& rows) {
+                       OnStoreContact(rows);
+                       OnTargetRows(rows, false);
+                     },
                      [this](Instant refused_at) {
                        target_feed_.OnStoreReconnected(refused_at,
                                                        clock_.Now());
@@ -102,7 +105,8 @@
               demand,
               settings.name),
       heartbeat_timer_(context),
-      expiry_timer_(context) {}
+      expiry_timer_(context),
+      reliance_timer_(context) {}
 
 void FleetAgent::Spawn(boost::asio::awaitable<void> work, std::string name) {
   boost::asio::co_spawn(
@@ -119,6 +123,7 @@
   Spawn(target_watch_.Run(), "target_watch");
   Spawn(HeartbeatLoop(), "beats");
   Spawn(RunTargetExpiry(), "target_expiry");
+  Spawn(RunReliance(), "reliance");
   Spawn(RunPlacement(), "placement");
   Spawn(RunObservation(), "observation");
 }
--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -120,8 +120,8 @@
                         Instant asked_at);
   void SetFollowing(bool following);
   bool IsFreshLeader() const;
+  void OnStoreContact(const platform::RowSet& rows);
   Micros HeartbeatInterval() const;
-  Micros FollowerInterval() const;
   Micros NextHeartbeatDelay();
 
   // Rows relayed by the leader.
@@ -180,6 +180,7 @@
   boost::asio::awaitable<void> RunObservation();
   boost::asio::awaitable<void> RunPlacement();
   boost::asio::awaitable<void> RunTargetExpiry();
+  boost::asio::awaitable<void> RunReliance();
   boost::asio::awaitable<void> Pause(Micros span);
   void Spawn(boost::asio::awaitable<void> work, std::string name);
 
@@ -224,6 +225,7 @@
   ModelPlacer placer_;
   boost::asio::steady_timer heartbeat_timer_;
   boost::asio::steady_timer expiry_timer_;
+  boost::asio::steady_timer reliance_timer_;
   ConfigPtr config_;
   /// Document of the configuration in force, as it was read.
   std::string config_document_;
@@ -261,7 +263,12 @@
   Instant fleet_read_at_{};
   /// Sending time of the last successful write to the store.
   Instant last_write_at_{};
+  /// Latest time, by the boot clock, at which the store has certainly answered
+  /// this instance: what it acknowledged before is known here.
+  Instant store_contact_at_{};
   bool following_ = false;
+  /// Time until which this instance relies on what its leader has relayed.
+  Instant relies_until_{};
   std::uint64_t replies_unreadable_ = 0;
   /// Tables that are read from the store although the instance follows a
   /// leader, because their changes are too large to be relayed.
--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -5,20 +5,16 @@
 
 #include "core/log.h"
 #include "fleet/fleet_agent.h"
+#include "fleet/fleet_timing.h"
 #include "platform/tables.h"
 
 namespace jackdaw::serving {
 namespace {
 
-// Interval of heartbeats to the leader: its minimum, the time that each member
-// of the fleet adds, and its maximum.
-constexpr Micros kMinHeartbeatInterval = 400ms;
-constexpr Micros kHeartbeatIntervalPerMember = 10ms;
-constexpr Micros kMaxHeartbeatInterval = 1000ms;
 // The first heartbeat of an instance is delayed by a random time up to this, so
 // that instances that start together do not send at once.
 constexpr Micros kStartupSpread = 250ms;
-// Heartbeat interval of an instance that leads or has no leader.
+// Heartbeat interval of an instance that has no leader.
 constexpr Micros kStoreSyncInterval = 900ms;
 // The same for an instance that has not been granted parts of the quotas since
 // its start: until then it refuses what it cannot borrow.
@@ -32,8 +28,8 @@
 // Longest reply of a leader that is read: the relayed rows, as JSON text in
 // JSON, with the view and a configuration.
 constexpr std::size_t kMaxReplyBytes = 4UL * 1024 * 1024;
-// Followers rely on a leader only if its last successful write to the store is
-// younger than this.
+// A leader whose last successful write to the store is older than this tells
+// its followers not to rely on it, and hands out no parts of quotas.
 constexpr Micros kMaxLeaderWriteAge = 1600ms;
 
 }  // namespace
@@ -60,17 +56,13 @@
 }
 
 Micros FleetAgent::HeartbeatInterval() const {
-  if (!following_) {
-    return quotas_.epoch() == 0 ? kStartupInterval : kStoreSyncInterval;
+  if (following_) {
+    return FollowerInterval(view_.members.size());
   }
-  return FollowerInterval();
-}
-
-// Returns the interval at which each follower of the fleet sends heartbeats.
-Micros FleetAgent::FollowerInterval() const {
-  const auto members = static_cast<std::int64_t>(view_.members.size());
-  return std::clamp(kHeartbeatIntervalPerMember * members,
-                    kMinHeartbeatInterval, kMaxHeartbeatInterval);
+  if (quotas_.epoch() == 0) {
+    return kStartupInterval;
+  }
+  return leadership_.HoldsLease() ? kLeaderInterval : kStoreSyncInterval;
 }
 
 // An instance that leaves a free lease to others looks again when it may
@@ -206,8 +198,11 @@
   ExtendParts(sent_at);
   crashes_.OnReported(heartbeat.member.crashes);
   OnHeartbeatReply(reply.value(), sent_at, asked_at);
-  SetFollowing(reply.value().fresh);
-  co_return reply.value().fresh;
+  relies_until_ =
+      asked_at - reply.value().contact_age + RelianceTime(view_.members.size());
+  const bool relies = reply.value().fresh && clock_.Now() < relies_until_;
+  SetFollowing(relies);
+  co_return relies;
 }
 
 // The leader may have ended before it stored what it was told.
@@ -259,10 +254,42 @@
 void FleetAgent::SetFollowing(bool following) {
   if (following_ != following) {
     Log(LogLevel::kInfo, following ? "following" : "acting_alone",
-        {{"leader", leadership_.lease().holder}});
+        {{"leader", leadership_.lease().holder},
+         {"relied_for_ms_more",
+          std::to_string((relies_until_ - clock_.Now()) / 1ms)}});
   }
   following_ = following;
   UpdateWatches();
+  reliance_timer_.cancel();
+}
+
+// Stops relying on a leader that the store may not answer, without waiting for
+// the next heartbeat.
+boost::asio::awaitable<void> FleetAgent::RunReliance() {
+  for (;;) {
+    if (following_) {
+      reliance_timer_.expires_after(
+          std::max(Micros(0), relies_until_ - clock_.Now()));
+    } else {
+      reliance_timer_.expires_at(boost::asio::steady_timer::time_point::max());
+    }
+    co_await reliance_timer_.async_wait(
+        boost::asio::as_tuple(boost::asio::use_awaitable));
+    if (following_ && clock_.Now() >= relies_until_) {
+      SetFollowing(false);
+    }
+  }
+}
+
+// What the store acknowledged before it made these rows is in them.
+void FleetAgent::OnStoreContact(const platform::RowSet& rows) {
+  const Instant now = clock_.Now();
+  const StoreTime made{rows.epoch, rows.store_ms};
+  store_clock_.OnAnswer(made, now);
+  if (const auto made_at = store_clock_.ToLocal(made, now)) {
+    store_contact_at_ =
+        std::max(store_contact_at_, boot_clock_.Now() - (now - *made_at));
+  }
 }
 
 bool FleetAgent::IsFreshLeader() const {
@@ -323,6 +350,7 @@
   RefreshView();
   HeartbeatReply reply;
   reply.fresh = IsFreshLeader();
+  reply.contact_age = boot_clock_.Now() - store_contact_at_;
   reply.term = leadership_.term();
   reply.replied_at = store_clock_.At(now);
   reply.silent = members_.Silent(now);
--- a/src/fleet/fleet_agent_relay.cc
+++ b/src/fleet/fleet_agent_relay.cc
@@ -4,6 +4,7 @@
 
 #include "core/log.h"
 #include "fleet/fleet_agent.h"
+#include "fleet/fleet_timing.h"
 #include "fleet/relayed_target.h"
 #include "platform/tables.h"
 
@@ -38,7 +39,7 @@
     return delta;
   };
   const Instant now = clock_.Now();
-  const Micros round = FollowerInterval();
+  const Micros round = FollowerInterval(view_.members.size());
   reply.config = relay(config_replica_, heartbeat.config_after,
                        relay_budget_.Left(now, round) / 2);
   reply.targets = relay(target_replica_, heartbeat.targets_after,
@@ -100,7 +101,7 @@
     watch.ResumeFrom(replica.version());
   }
   watch.SetLeads(leadership_.HoldsLease());
-  watch.SetActive(active);
+  watch.SetActive(active, ActivationSpread(view_.members.size()));
 }
 
 void FleetAgent::UpdateWatches() {
--- a/src/fleet/fleet_agent_store.cc
+++ b/src/fleet/fleet_agent_store.cc
@@ -254,6 +254,7 @@
     co_return false;
   }
   last_write_at_ = sent_at;
+  store_contact_at_ = std::max(store_contact_at_, sent_at);
   ExtendParts(sent_at);
   if (step != LeaseStep::kNone) {
     // The same margin to the end of the lease as that of orders.
--- a/src/fleet/heartbeat.cc
+++ b/src/fleet/heartbeat.cc
@@ -9,6 +9,9 @@
 
 namespace json = boost::json;
 
+// Longest time since the leader's last contact that is read, in milliseconds.
+constexpr std::int64_t kMaxAgeMs = 3600'000;
+
 json::value EncodeDelta(const RowDelta& delta) {
   json::array rows;
   for (const platform::StoredRow& row : delta.rows) {
@@ -152,6 +155,9 @@
 
 std::string EncodeHeartbeatReply(const HeartbeatReply& reply) {
   json::object object{{"fresh", reply.fresh}, {"term", reply.term}};
+  if (reply.fresh) {
+    object["contact_ms"] = reply.contact_age / 1ms;
+  }
   if (reply.view) {
     object["view"] = EncodeView(*reply.view);
   }
@@ -188,6 +194,8 @@
   HeartbeatReply reply;
   reply.fresh = reader.FlagOr("fresh", false);
   reply.term = reader.Integer("term", 0, INT64_MAX);
+  reply.contact_age = std::chrono::milliseconds(
+      reader.IntegerOr("contact_ms", 0, kMaxAgeMs, 0));
   if (const json::value* view = reader.Any("view")) {
     BOOST_OUTCOME_TRY(reply.view, DecodeView(*view));
   }
--- a/src/fleet/heartbeat.h
+++ b/src/fleet/heartbeat.h
@@ -36,6 +36,9 @@
   /// The sender leads, its last write to the store is recent, and its store
   /// watches work. Otherwise the follower reads the store itself.
   bool fresh = false;
+  /// Time since the store has certainly answered the sender; changes since then
+  /// may be unknown to it. Leaders of earlier releases leave it out.
+  Micros contact_age{};
   /// Lease term of the leader.
   std::int64_t term = 0;
   /// Set if the view of the follower is outdated.
--- a/src/fleet/store_watch.cc
+++ b/src/fleet/store_watch.cc
@@ -140,7 +140,8 @@
   leads_ = leads;
 }
 
-void StoreWatch::SetActive(bool active) {
+void StoreWatch::SetActive(bool active, Micros first_call_spread) {
+  first_call_spread_ = first_call_spread;
   if (active_ == active) {
     return;
   }
@@ -166,7 +167,8 @@
     if (first_call_due_) {
       // A watch that is stopped during the delay makes no call.
       first_call_due_ = false;
-      co_await Pause(DelayOfFirstCall(leads_, random_.Unit()));
+      co_await Pause(
+          DelayOfFirstCall(leads_, first_call_spread_, random_.Unit()));
       continue;
     }
     bool succeeded = false;
--- a/src/fleet/store_watch.h
+++ b/src/fleet/store_watch.h
@@ -59,7 +59,9 @@
 
   /// Starts or stops the watch. It is stopped at first; while it is stopped, no
   /// call is made to the store.
-  void SetActive(bool active);
+  /// @param first_call_spread largest delay of the first call of an instance
+  /// that does not lead
+  void SetActive(bool active, Micros first_call_spread);
   /// States whether the instance leads, and others depend on this watch. The
   /// delays between the calls are then short.
   void SetLeads(bool leads);
@@ -93,6 +95,7 @@
   Sink sink_;
   Random random_;
   bool active_ = false;
+  Micros first_call_spread_{};
   bool leads_ = false;
   /// The watch was started and has not made its first call.
   bool first_call_due_ = false;
--- a/src/fleet/tests/heartbeat_test.cc
+++ b/src/fleet/tests/heartbeat_test.cc
@@ -84,8 +84,10 @@
   BOOST_REQUIRE(empty);
   BOOST_TEST(!empty.value().view.has_value());
   BOOST_TEST(!empty.value().fresh);
+  BOOST_TEST((empty.value().contact_age == 0ms));
   HeartbeatReply reply;
   reply.fresh = true;
+  reply.contact_age = 730ms;
   reply.view = FleetView{"x/1",
                          {{"a", MemberOf("a").entry, MemberOf("a").peer, "z",
                            MemberState::kReady}}};
@@ -99,6 +101,7 @@
   reply.targets.rows.push_back(dropped);
   const auto read = DecodeHeartbeatReply(EncodeHeartbeatReply(reply));
   BOOST_REQUIRE(read);
+  BOOST_TEST((read.value().contact_age == 730ms));
   BOOST_TEST((read.value().view->members == reply.view->members));
   BOOST_TEST_REQUIRE(read.value().parts.has_value());
   BOOST_TEST(read.value().parts->epoch == 3);
--- a/src/fleet/tests/watch_delay_test.cc
+++ b/src/fleet/tests/watch_delay_test.cc
@@ -17,9 +17,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(FirstCallsAreSpreadButThoseOfALeader) {
-  BOOST_TEST((DelayOfFirstCall(true, kLargest) == 0ms));
-  BOOST_TEST((DelayOfFirstCall(false, 0) == 0ms));
-  BOOST_TEST((DelayOfFirstCall(false, 0.5) == kActivationSpread / 2));
+  BOOST_TEST((DelayOfFirstCall(true, 600ms, kLargest) == 0ms));
+  BOOST_TEST((DelayOfFirstCall(false, 600ms, 0) == 0ms));
+  BOOST_TEST((DelayOfFirstCall(false, 600ms, 0.5) == 300ms));
 }
 
 BOOST_AUTO_TEST_CASE(TheDelayAfterFailuresGrowsToItsMaximum) {
@@ -27,6 +27,9 @@
   BOOST_TEST((DelayAfterFailure(2, 0) > DelayAfterFailure(1, 0)));
   BOOST_TEST((DelayAfterFailure(1000, kLargest) <= 500ms));
   BOOST_TEST((DelayAfterFailure(1000, 0.5) > DelayAfterFailure(1000, 0)));
+  // A call that took long to fail is followed soon, but not at once.
+  BOOST_TEST((DelayAfterFailure(1000, 0, 300ms) == 100ms));
+  BOOST_TEST((DelayAfterFailure(1000, 0, 5s) > 0ms));
 }
 
 }  // namespace
--- a/src/fleet/watch_delay.cc
+++ b/src/fleet/watch_delay.cc
@@ -21,8 +21,8 @@
 
 }  // namespace
 
-Micros DelayOfFirstCall(bool leads, double unit) {
-  return leads ? Micros(0) : Share(kActivationSpread, unit);
+Micros DelayOfFirstCall(bool leads, Micros spread, double unit) {
+  return leads ? Micros(0) : Share(spread, unit);
 }
 
 Micros DelayAfterChanges(bool leads, double unit) {
--- a/src/fleet/watch_delay.h
+++ b/src/fleet/watch_delay.h
@@ -4,15 +4,11 @@
 
 namespace jackdaw::serving {
 
-/// Largest delay of an instance that does not lead, before the first call of a
-/// watch. When a leader is lost, all its followers start their watches; the
-/// calls are spread over this time.
-inline constexpr Micros kActivationSpread = 600ms;
-
 /// Returns the delay before the first call of a watch that was started.
 /// @param leads whether the instance leads
+/// @param spread largest delay of one that does not; see ActivationSpread
 /// @param unit random number from 0 to 1
-Micros DelayOfFirstCall(bool leads, double unit);
+Micros DelayOfFirstCall(bool leads, Micros spread, double unit);
 
 /// Returns the delay after a call that returned changes, so that changes in
 /// quick succession take one call. It is longer for an instance that does not
