--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -13,6 +13,7 @@
 #include "core/random.h"
 #include "fleet/evacuations.h"
 #include "fleet/fleet_view.h"
+#include "fleet/fleet_write.h"
 #include "fleet/heartbeat.h"
 #include "fleet/leadership.h"
 #include "fleet/member_rows.h"
@@ -84,7 +85,11 @@
   /// Returns the leader's address for requests of instances, if the leader is
   /// known and is not this instance.
   std::optional<Endpoint> LeaderAddress() const;
-  bool leads() const { return leadership_.HoldsLease(); }
+  /// Whether this instance decides for the fleet. One that has sent a release
+  /// of its lease does not, although the release may not have been applied.
+  bool leads() const {
+    return leadership_.HoldsLease() && !leadership_.IsReleasing();
+  }
   /// Whether the instance relies on a leader for changes. It does not while the
   /// leader's last write to the store is too old.
   bool following() const { return following_; }
@@ -137,10 +142,25 @@
   boost::asio::awaitable<void> ReadFleetTable();
   boost::asio::awaitable<bool> WriteFleetTable(bool with_member);
   boost::asio::awaitable<void> RemoveOldRows();
+  bool ending() const {
+    return state_ == MemberState::kDraining || state_ == MemberState::kGone;
+  }
+  FleetWrite PrepareWrite(bool with_member);
+  void RequireLease(FleetWrite& write) const;
+  void AddLease(FleetWrite& write) const;
+  void AddParts(FleetWrite& write) const;
+  void AddView(FleetWrite& write) const;
+  void AddCrashes(FleetWrite& write) const;
+  void OnWriteSent(const FleetWrite& write);
+  void OnWriteApplied(FleetWrite write, std::int64_t version);
+  void OnLeaseWritten(const FleetWrite& write, std::int64_t version);
+  void LogUnansweredWrite(const FleetWrite& write,
+                          const Result<platform::RowCommit>& commit) const;
   LeaderLease ReadLease(const platform::StoredRow& row) const;
   void OnFleetRows(const platform::RowSet& rows);
   void OnStoreRestored(std::int64_t epoch);
-  void OnLeaseAcquired(const std::string& last_holder);
+  void OnLeaseAcquired(const std::string& last_holder,
+                       std::string_view noticed_by);
   void ApplyOwnParts(Instant sent_at);
   void LowerParts();
   void OnPartsGranted(const PartGrant& grant, Instant sent_at);
@@ -245,6 +265,9 @@
   /// Table of the parts, as read from or written to the store.
   PartTable part_table_;
   std::int64_t parts_row_version_ = 0;
+  /// A later table was sent to the store, and whether it was applied, or still
+  /// will be, is not known. No parts are granted by the table known here.
+  bool parts_in_doubt_ = false;
   /// Version of the row of crashes that was read or written last, and the
   /// revision of the tracker that this instance wrote last.
   std::int64_t crashes_row_version_ = 0;
@@ -259,6 +282,8 @@
   /// Whether the instance used parts at the last heartbeat.
   bool had_parts_ = false;
   MemberRows member_rows_;
+  /// A call that removes rows is open.
+  bool removing_rows_ = false;
   /// Time of the last read of the fleet table; zero forces the next read.
   Instant fleet_read_at_{};
   /// Sending time of the last successful write to the store.
--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -322,7 +322,7 @@
         failed_heartbeats_ >= kFailedHeartbeatThreshold || HasUnreportedCrash();
     const bool written = co_await WriteFleetTable(with_member);
     if (written) {
-      co_await RemoveOldRows();
+      Spawn(RemoveOldRows(), "row_removal");
     }
     // The write failed, perhaps because another instance has acquired the
     // lease, so the rows are read and written once more.
@@ -335,7 +335,7 @@
 
 std::optional<HeartbeatReply> FleetAgent::OnHeartbeat(
     const HeartbeatRequest& heartbeat) {
-  if (!leadership_.HoldsLease()) {
+  if (!leads()) {
     return std::nullopt;
   }
   const Instant now = clock_.Now();
@@ -360,8 +360,9 @@
   const PartSet usable = part_table_.UsableBy(heartbeat.member.name);
   const bool has_table = part_table_.epoch > 0 &&
                          part_table_.epoch >= FirstNumberOfEpoch(store_epoch_);
-  // Only a leader with a recent write certainly has the newest table.
-  if (reply.fresh && has_table &&
+  // Only a leader with a recent write certainly has the newest table, and only
+  // if it has sent no later one.
+  if (reply.fresh && has_table && !parts_in_doubt_ &&
       (heartbeat.member.parts_epoch != part_table_.epoch ||
        heartbeat.member.parts != usable)) {
     reply.parts = PartGrant{part_table_.epoch, usable};
--- a/src/fleet/fleet_agent_parts.cc
+++ b/src/fleet/fleet_agent_parts.cc
@@ -15,7 +15,7 @@
 // shown that it is the newest.
 // @param sent_at sending time of the write
 void FleetAgent::ApplyOwnParts(Instant sent_at) {
-  if (leadership_.HoldsLease() && part_table_.epoch > 0) {
+  if (leadership_.HoldsLease() && part_table_.epoch > 0 && !parts_in_doubt_) {
     OnPartsGranted({part_table_.epoch,
                     PartsToApply(part_table_, settings_.name, quotas_.parts(),
                                  FirstNumberOfEpoch(store_epoch_))},
--- a/src/fleet/fleet_agent_store.cc
+++ b/src/fleet/fleet_agent_store.cc
@@ -1,10 +1,11 @@
-// Rows of the fleet table in the store: lease, view, quota parts, and members
+// Reads of the fleet table in the store: lease, view, quota parts, and members
 // that cannot reach a leader.
 #include <algorithm>
 #include <set>
 
 #include "core/log.h"
 #include "fleet/fleet_agent.h"
+#include "fleet/fleet_rows.h"
 #include "fleet/leader_row.h"
 #include "fleet/row_log.h"
 #include "fleet/table_read.h"
@@ -13,19 +14,8 @@
 namespace jackdaw::serving {
 namespace {
 
-// Timeout of a call to the store.
-constexpr Micros kStoreTimeout = 900ms;
 // Interval at which the leader reads the rows of members that cannot reach it.
 constexpr Micros kLeaderReadInterval = 1900ms;
-constexpr std::string_view kMemberPrefix = "member/";
-constexpr std::string_view kLeaseKey = "leader";
-constexpr std::string_view kPartsKey = "parts";
-constexpr std::string_view kViewKey = "view";
-constexpr std::string_view kCrashesKey = "crashes";
-
-platform::RowKey FleetKey(std::string_view key) {
-  return {std::string(platform::kFleetTable), "", std::string(key)};
-}
 
 }  // namespace
 
@@ -35,7 +25,7 @@
     co_return;
   }
   const Result<platform::RowSet> read = co_await ReadTable(
-      store_, std::string(platform::kFleetTable), clock_, kStoreTimeout);
+      store_, std::string(platform::kFleetTable), clock_, kFleetTableTimeout);
   if (!read) {
     co_return;
   }
@@ -82,15 +72,17 @@
     OnStoreRestored(rows.epoch);
   }
   const Instant now = clock_.Now();
+  const std::string last_holder = leadership_.lease().holder;
   bool lease_seen = false;
+  bool acquired = false;
   std::set<std::string> member_keys;
   for (const platform::StoredRow& row : rows.rows) {
     if (row.at.key.starts_with(kMemberPrefix)) {
       member_keys.insert(row.at.key);
       OnMemberRow(row);
     } else if (row.at.key == kLeaseKey) {
-      LeaderLease lease = ReadLease(row);
-      leadership_.OnLeaseRow(&lease, boot_clock_.Now(), rows.epoch);
+      const LeaderLease lease = ReadLease(row);
+      acquired = leadership_.OnLeaseRow(&lease, boot_clock_.Now(), rows.epoch);
       lease_seen = true;
     } else if (row.at.key == kViewKey) {
       OnViewRow(row);
@@ -121,6 +113,9 @@
   member_rows_.Retain(member_keys);
   LowerParts();
   ConfirmStoredView();
+  if (acquired) {
+    OnLeaseAcquired(last_holder, "read");
+  }
   RefreshView();
 }
 
@@ -151,11 +146,17 @@
 // Members of the previous view and holders of quota parts may live, so that
 // their parts are not given to others before they were heard or have been
 // silent for long enough. Callers are sent only to those that certainly live.
-void FleetAgent::OnLeaseAcquired(const std::string& last_holder) {
+//
+// @param noticed_by whether the write of the lease was answered, or the lease
+// was read since
+void FleetAgent::OnLeaseAcquired(const std::string& last_holder,
+                                 std::string_view noticed_by) {
   const Instant now = clock_.Now();
   Log(LogLevel::kInfo, "lease_won",
       {{"term", std::to_string(leadership_.term())},
-       {"last_holder", last_holder}});
+       {"last_holder", last_holder},
+       {"noticed_by", std::string(noticed_by)}});
+  parts_in_doubt_ = false;
   members_.ForgetReports();
   for (const FleetMember& member : view_.members) {
     if (member.name != last_holder) {
@@ -177,137 +178,4 @@
   RefreshView();
 }
 
-boost::asio::awaitable<bool> FleetAgent::WriteFleetTable(bool with_member) {
-  platform::RowTransaction write;
-  const Member own = OwnMember();
-  const bool ending =
-      state_ == MemberState::kDraining || state_ == MemberState::kGone;
-  const Instant sent_at = boot_clock_.Now();
-  LeaseStep step = leadership_.NextStep(sent_at);
-  LeaderLease proposal = leadership_.Proposal(step);
-  if (ending) {
-    step = leadership_.HoldsLease() ? LeaseStep::kRenew : LeaseStep::kNone;
-    proposal = leadership_.Proposal(step);
-    proposal.released = true;
-  }
-  if (step != LeaseStep::kNone) {
-    proposal.renewed_at = store_clock_.At(clock_.Now());
-    proposal.silent = members_.Silent(clock_.Now());
-    write.conditions.push_back(
-        {FleetKey(kLeaseKey), leadership_.lease().row_version});
-    write.puts.push_back({FleetKey(kLeaseKey), EncodeLeaderLease(proposal)});
-  }
-  if (with_member) {
-    write.puts.push_back(
-        {FleetKey(std::string(kMemberPrefix) + own.name), EncodeMember(own)});
-  }
-  PartTable planned = part_table_;
-  if (leadership_.HoldsLease() && !ending) {
-    members_.OnHeartbeat(own, clock_.Now());
-    RefreshView();
-    planned = PlanParts(part_table_, members_, clock_.Now(),
-                        FirstNumberOfEpoch(store_epoch_));
-    if (planned.epoch != part_table_.epoch) {
-      if (step == LeaseStep::kNone) {
-        write.conditions.push_back(
-            {FleetKey(kLeaseKey), leadership_.lease().row_version});
-      }
-      write.conditions.push_back({FleetKey(kPartsKey), parts_row_version_});
-      write.puts.push_back({FleetKey(kPartsKey), EncodePartTable(planned)});
-    }
-  }
-  const FleetView view = view_;
-  const bool writes_view = leadership_.HoldsLease() && view.id != view_written_;
-  if (writes_view) {
-    if (write.conditions.empty()) {
-      write.conditions.push_back(
-          {FleetKey(kLeaseKey), leadership_.lease().row_version});
-    }
-    write.puts.push_back({FleetKey(kViewKey), EncodeViewRow(view)});
-  }
-  const std::uint64_t crashes = crashes_.revision();
-  const bool writes_crashes =
-      leadership_.HoldsLease() && crashes != crashes_written_;
-  if (writes_crashes) {
-    if (write.conditions.empty()) {
-      write.conditions.push_back(
-          {FleetKey(kLeaseKey), leadership_.lease().row_version});
-    }
-    write.puts.push_back({FleetKey(kCrashesKey),
-                          EncodeCrashRow(crashes_.AllCrashes(clock_.Now()))});
-  }
-  if (write.puts.empty()) {
-    co_return true;
-  }
-  const Instant write_sent_at = clock_.Now();
-  const Result<platform::RowCommit> commit =
-      co_await store_.Commit(std::move(write), clock_.Now() + kStoreTimeout);
-  if (commit) {
-    store_clock_.OnAnswer({commit.value().epoch, commit.value().store_ms},
-                          clock_.Now());
-  }
-  const bool applied =
-      commit && commit.value().applied && commit.value().epoch == store_epoch_;
-  if (!applied) {
-    // Another instance may have written; its rows are read before the next try.
-    fleet_read_at_ = Instant{};
-    co_return false;
-  }
-  last_write_at_ = sent_at;
-  store_contact_at_ = std::max(store_contact_at_, sent_at);
-  ExtendParts(sent_at);
-  if (step != LeaseStep::kNone) {
-    // The same margin to the end of the lease as that of orders.
-    const Instant until = write_sent_at + settings_.lease_time / 2;
-    registry_.AllowLimitedSends(ending ? write_sent_at : until);
-  }
-  if (writes_view) {
-    view_written_ = view.id;
-    view_row_version_ = commit.value().version;
-  }
-  if (writes_crashes) {
-    crashes_written_ = crashes;
-    crashes_row_version_ = commit.value().version;
-  }
-  if (step != LeaseStep::kNone) {
-    const bool acquired = step == LeaseStep::kAcquire;
-    const std::string last_holder = leadership_.lease().holder;
-    proposal.row_version = commit.value().version;
-    leadership_.OnApplied(proposal, sent_at);
-    if (acquired) {
-      OnLeaseAcquired(last_holder);
-    }
-  }
-  if (planned.epoch != part_table_.epoch) {
-    part_table_ = std::move(planned);
-    parts_row_version_ = commit.value().version;
-  }
-  ApplyOwnParts(sent_at);
-  co_return true;
-}
-
-// Removes rows of members that are gone, or that reach a leader again and need
-// none. The call is apart from the renewal of the lease: a row that its member
-// writes meanwhile makes it fail.
-boost::asio::awaitable<void> FleetAgent::RemoveOldRows() {
-  const std::vector<MemberRows::OldRow> old = member_rows_.Old(clock_.Now());
-  if (!leadership_.HoldsLease() || old.empty()) {
-    co_return;
-  }
-  platform::RowTransaction removal;
-  removal.conditions.push_back(
-      {FleetKey(kLeaseKey), leadership_.lease().row_version});
-  for (const MemberRows::OldRow& row : old) {
-    removal.conditions.push_back({FleetKey(row.key), row.version});
-    removal.drops.push_back(FleetKey(row.key));
-  }
-  const Result<platform::RowCommit> commit =
-      co_await store_.Commit(std::move(removal), clock_.Now() + kStoreTimeout);
-  // What is there is read before the next try.
-  fleet_read_at_ = Instant{};
-  Log(LogLevel::kInfo, "rows_removed",
-      {{"rows", std::to_string(old.size())},
-       {"removed", commit && commit.value().applied ? "yes" : "no"}});
-}
-
 }  // namespace jackdaw::serving
--- a/src/fleet/leadership.cc
+++ b/src/fleet/leadership.cc
@@ -48,11 +48,17 @@
          !lease.released && lease.store_epoch == store_epoch_;
 }
 
-void Leadership::OnLeaseRow(const LeaderLease* lease,
+// Returns whether a row that was read is an own lease that this instance does
+// not know to hold: the write was applied, but its answer was lost.
+bool Leadership::IsUnnoticedAcquisition(const LeaderLease& lease) const {
+  return IsOwn(lease) && lease.term == sent_term_ && lease.term != lease_.term;
+}
+
+bool Leadership::OnLeaseRow(const LeaderLease* lease,
                             Instant now,
                             std::int64_t store_epoch) {
   if (store_epoch < store_epoch_) {
-    return;
+    return false;
   }
   const bool restored = store_epoch > store_epoch_;
   store_restored_ = store_restored_ || (restored && lease_known_);
@@ -62,10 +68,14 @@
     lease_ = {};
     seen_at_ = now;
     vacant_since_ = vacant_since_.value_or(now);
-    return;
+    return false;
   }
   if (lease_known_ && !restored && lease->row_version <= lease_.row_version) {
-    return;
+    return false;
+  }
+  if (IsUnnoticedAcquisition(*lease)) {
+    OnApplied(*lease, term_sent_at_);
+    return true;
   }
   lease_known_ = true;
   lease_ = *lease;
@@ -75,6 +85,7 @@
   } else {
     vacant_since_ = vacant_since_.value_or(now);
   }
+  return false;
 }
 
 // Returns since when another instance than the holder may acquire the lease, or
@@ -136,6 +147,17 @@
          (!lease_.holder.empty() && lease_.holder != self_);
 }
 
+void Leadership::OnSent(const LeaderLease& lease, Instant sent_at) {
+  if (lease.term != lease_.term && lease.term != sent_term_) {
+    sent_term_ = lease.term;
+    term_sent_at_ = sent_at;
+  }
+  if (lease.released) {
+    releasing_ = true;
+    orders_until_ = std::min(orders_until_, sent_at);
+  }
+}
+
 void Leadership::OnApplied(const LeaderLease& lease, Instant sent_at) {
   const bool acquired = lease.term != lease_.term;
   const bool from_other = acquired && MayHaveLastOrdersOfOther();
@@ -149,6 +171,7 @@
         from_other ? seen_at_ + order_period + lease_time_ + kWriteDelayMargin
                    : sent_at;
     store_restored_ = false;
+    releasing_ = false;
   }
   lease_ = lease;
   vacant_since_.reset();
@@ -157,7 +180,7 @@
   }
   seen_at_ = sent_at;
   renewed_at_ = sent_at;
-  orders_until_ = sent_at + lease_time_ / 2;
+  orders_until_ = releasing_ ? sent_at : sent_at + lease_time_ / 2;
 }
 
 bool Leadership::HoldsLease() const {
--- a/src/fleet/leadership.h
+++ b/src/fleet/leadership.h
@@ -67,7 +67,9 @@
   /// Applies the lease row that was read.
   /// @param lease null if there is no row
   /// @param store_epoch epoch of the store that was read
-  void OnLeaseRow(const LeaderLease* lease,
+  /// @returns whether the row shows that an own acquisition was applied whose
+  /// write was not answered; the instance holds the lease from now on
+  bool OnLeaseRow(const LeaderLease* lease,
                   Instant now,
                   std::int64_t store_epoch = 0);
   /// Returns whether to acquire or to renew the lease now. It is kNone until
@@ -78,6 +80,9 @@
   std::optional<Instant> WaitsUntil(Instant now) const;
   /// Returns the row to be written for a step other than kNone.
   LeaderLease Proposal(LeaseStep step) const;
+  /// A proposal is about to be written. Unless it is answered, it may be
+  /// applied at any later time. After a release is sent, no orders are.
+  void OnSent(const LeaderLease& lease, Instant sent_at);
   /// The store has applied the proposal.
   /// @param sent_at time at which the write was sent; the lease counts from it
   void OnApplied(const LeaderLease& lease, Instant sent_at);
@@ -85,6 +90,9 @@
   /// Whether the instance holds the lease according to the last row that it
   /// has read or written.
   bool HoldsLease() const;
+  /// Whether a release was sent of the lease that the instance holds. Another
+  /// instance may hold it by now.
+  bool IsReleasing() const { return HoldsLease() && releasing_; }
   /// Whether orders to targets may be sent now.
   bool MaySendOrders(Instant now) const;
   std::int64_t term() const { return lease_.term; }
@@ -92,6 +100,7 @@
 
  private:
   bool IsOwn(const LeaderLease& lease) const;
+  bool IsUnnoticedAcquisition(const LeaderLease& lease) const;
   bool MayHaveLastOrdersOfOther() const;
   std::optional<Instant> FreeSince(Instant now) const;
 
@@ -112,6 +121,11 @@
   std::optional<Instant> vacant_since_;
   /// Sending time of the last own write of the lease.
   Instant renewed_at_{};
+  /// Term of the last acquisition that was sent, and when its first write was.
+  std::int64_t sent_term_ = 0;
+  Instant term_sent_at_{};
+  /// A release of the lease was sent.
+  bool releasing_ = false;
   /// Interval in which orders may be sent.
   Instant orders_from_{};
   Instant orders_until_{};
--- a/src/fleet/tests/leadership_test.cc
+++ b/src/fleet/tests/leadership_test.cc
@@ -97,6 +97,89 @@
   BOOST_TEST(own.MaySendOrders(kStart + 1ms));
 }
 
+// An instance writes an acquisition after the lease of another has expired, and
+// reads the row that it wrote.
+struct UnansweredAcquisition {
+  Leadership own{"a", "10.0.0.1:1", "boot", kLease};
+  Instant sent_at = kStart + kLease + 301ms;
+
+  UnansweredAcquisition() {
+    const LeaderLease other = LeaseOf("z", 5);
+    own.OnLeaseRow(&other, kStart);
+  }
+  // @returns whether the instance notices its acquisition
+  bool SendAndRead(Instant read_at) {
+    LeaderLease written = own.Proposal(LeaseStep::kAcquire);
+    own.OnSent(written, sent_at);
+    written.row_version = 6;
+    return own.OnLeaseRow(&written, read_at);
+  }
+};
+
+// Guards against orders beside those of the last leader after the answer to the
+// write that took the lease was lost (ONE), and against leaving out what else
+// belongs to an acquisition, such as the parts of quotas that others hold.
+BOOST_AUTO_TEST_CASE(AcquisitionWithoutAnAnswerIsNoticedAndOrdersWait) {
+  UnansweredAcquisition lost;
+  BOOST_TEST(!lost.own.HoldsLease());
+  BOOST_TEST(lost.SendAndRead(lost.sent_at + 900ms));
+  BOOST_TEST(lost.own.HoldsLease());
+  BOOST_TEST(!lost.own.MaySendOrders(lost.sent_at + 900ms));
+  // It is renewed at once, and by then no order may be sent yet.
+  BOOST_TEST(static_cast<int>(lost.own.NextStep(lost.sent_at + 900ms)) ==
+             static_cast<int>(LeaseStep::kRenew));
+  const Instant last_order = kStart + kLease / 2 + kLease;
+  for (Instant now = lost.sent_at + 900ms; now < kStart + 3 * kLease;
+       now += 700ms) {
+    LeaderLease renewed = lost.own.Proposal(LeaseStep::kRenew);
+    lost.own.OnSent(renewed, now);
+    lost.own.OnApplied(renewed, now);
+    BOOST_TEST(lost.own.MaySendOrders(now + 1ms) == (now > last_order + 300ms));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AcquisitionIsNoticedOnceHoweverOftenItsRowIsRead) {
+  UnansweredAcquisition lost;
+  BOOST_TEST(lost.SendAndRead(lost.sent_at + 900ms));
+  LeaderLease again = lost.own.lease();
+  BOOST_TEST(!lost.own.OnLeaseRow(&again, lost.sent_at + 2s));
+  again.row_version = 7;
+  ++again.renewals;
+  BOOST_TEST(!lost.own.OnLeaseRow(&again, lost.sent_at + 3s));
+  BOOST_TEST(lost.own.HoldsLease());
+}
+
+// The store may apply a write seconds after it was given up. The lease counts
+// from the first try, as nobody knows which of them was applied.
+BOOST_AUTO_TEST_CASE(AcquisitionAppliedLateCountsFromItsFirstTry) {
+  UnansweredAcquisition lost;
+  const LeaderLease first = lost.own.Proposal(LeaseStep::kAcquire);
+  lost.own.OnSent(first, lost.sent_at);
+  const LeaderLease unchanged = LeaseOf("z", 5);
+  BOOST_TEST(!lost.own.OnLeaseRow(&unchanged, lost.sent_at + 900ms));
+  lost.own.OnSent(lost.own.Proposal(LeaseStep::kAcquire), lost.sent_at + 1s);
+  LeaderLease applied = first;
+  applied.row_version = 6;
+  BOOST_TEST(lost.own.OnLeaseRow(&applied, lost.sent_at + 2s));
+  BOOST_TEST(!lost.own.MaySendOrders(lost.sent_at + 2s));
+}
+
+// Guards against orders by two instances after the answer to a release was
+// lost: another may lead as soon as the release is applied.
+BOOST_AUTO_TEST_CASE(NoOrderIsSentOnceAReleaseIsOnItsWay) {
+  Leadership own("a", "10.0.0.1:1", "boot", kLease);
+  own.OnLeaseRow(nullptr, kStart);
+  own.OnApplied(own.Proposal(LeaseStep::kAcquire), kStart);
+  BOOST_TEST(own.MaySendOrders(kStart + 10ms));
+  LeaderLease released = own.Proposal(LeaseStep::kRenew);
+  released.released = true;
+  own.OnSent(released, kStart + 20ms);
+  BOOST_TEST(!own.MaySendOrders(kStart + 20ms));
+  BOOST_TEST(own.IsReleasing());
+  // Not answered, so it is sent again.
+  BOOST_TEST(own.HoldsLease());
+}
+
 BOOST_AUTO_TEST_CASE(ALeaseFromBeforeARestoreIsNotHeldAndItsTermNotReused) {
   Leadership own("a", "10.0.0.1:1", "boot", kLease);
   own.OnLeaseRow(nullptr, kStart);
