Read the rest of a rejected request before closing its connection

After the answer to a request that cannot be read, the server now ends its side and reads and drops what comes, 1 MB and 0.5 s at most, so that the caller reads the answer first.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -25,6 +25,11 @@
 // Memory of a header field besides its bytes.
 constexpr std::size_t kFieldBytes = 96;
 
+// Bounds of what is read and dropped of a rejected request.
+constexpr std::chrono::milliseconds kDropTime(500);
+constexpr std::size_t kMaxDropped = 1024UL * 1024;
+constexpr std::size_t kDropBuffer = 4096;
+
 using Parser = http::request_parser<RequestBody>;
 
 // Answer to bytes that do not form an acceptable request. Such a request was
@@ -207,6 +212,24 @@
     return bytes;
   }
 
+  // Reads and drops what the caller of a rejected request still sends, so that
+  // the connection is not reset before the caller has read the answer.
+  static asio::awaitable<void> DropRest(ServerConnection& connection) {
+    beast::error_code failure;
+    connection.stream.socket().shutdown(asio::socket_base::shutdown_send,
+                                        failure);
+    connection.stream.expires_after(kDropTime);
+    std::array<char, kDropBuffer> bytes;  // NOLINT: filled by the read
+    for (std::size_t dropped = 0;
+         !failure && !connection.closed && dropped < kMaxDropped;) {
+      const auto [read_failure, size] =
+          co_await connection.stream.async_read_some(asio::buffer(bytes),
+                                                     kAwait);
+      failure = read_failure;
+      dropped += size;
+    }
+  }
+
   // Reads one request and answers it. @returns whether to read another
   asio::awaitable<bool> ServeOne(ServerConnection& connection) {
     Parser parser;
@@ -224,6 +247,9 @@
       exchange.CloseAfter();
       HttpResponse response = failure ? ParseFailure(failure) : MemoryShort();
       co_await exchange.Respond(std::move(response));
+      if (failure) {
+        co_await DropRest(connection);
+      }
       co_return false;
     }
     if (closing) {
