Do not confirm the last leader's view by taking the lease (DRAIN)

Cause: the row of the lease has the time at which the view in the store held. The write that takes the lease put its own time there but brings no view, so readers took the last leader's view, with the machine in it, as of now.

--- a/src/fleet/fleet_agent_write.cc
+++ b/src/fleet/fleet_agent_write.cc
@@ -23,10 +23,10 @@
   if (write.step == LeaseStep::kNone) {
     return;
   }
-  write.lease = leadership_.Proposal(write.step);
+  const Instant now = clock_.Now();
+  write.lease = leadership_.Proposal(
+      write.step, {store_clock_.At(now), members_.Silent(now)});
   write.lease.released = ending();
-  write.lease.renewed_at = store_clock_.At(clock_.Now());
-  write.lease.silent = members_.Silent(clock_.Now());
   RequireLease(write);
   write.transaction.puts.push_back(
       {FleetKey(kLeaseKey), EncodeLeaderLease(write.lease)});
--- a/src/fleet/leadership.cc
+++ b/src/fleet/leadership.cc
@@ -122,7 +122,7 @@
   return own || free ? LeaseStep::kAcquire : LeaseStep::kNone;
 }
 
-LeaderLease Leadership::Proposal(LeaseStep step) const {
+LeaderLease Leadership::Proposal(LeaseStep step, ViewConfirmation view) const {
   LeaderLease next = lease_;
   next.store_epoch = store_epoch_;
   if (step == LeaseStep::kAcquire) {
@@ -132,8 +132,13 @@
     next.term = std::max(lease_.term + 1, FirstNumberOfEpoch(store_epoch_));
     next.renewals = 0;
     next.released = false;
+    if (next.renewed_at.epoch != store_epoch_) {
+      next.renewed_at = {};
+    }
   } else {
     ++next.renewals;
+    next.renewed_at = view.held_at;
+    next.silent = std::move(view.silent);
   }
   return next;
 }
--- a/src/fleet/leadership.h
+++ b/src/fleet/leadership.h
@@ -29,14 +29,22 @@
   /// Epoch of the store in which the row was written; see TableVersion. A lease
   /// of an earlier epoch belongs to nobody: the store may have lost later ones.
   std::int64_t store_epoch = 0;
-  /// Store's time of the last renewal, at which the holder's view held.
+  /// Store's time at which the view in the store certainly held: that of the
+  /// last renewal.
   StoreTime renewed_at;
-  /// Members of that view that the holder had not heard for a while.
+  /// Members of that view that its leader had not heard for a while.
   std::vector<MemberSilence> silent;
   /// Version of the row; the next write of the lease is conditional on it.
   std::int64_t row_version = 0;
 };
 
+/// When a leader's view certainly held, by the store's clock, and which of its
+/// members had been silent for a while then.
+struct ViewConfirmation {
+  StoreTime held_at;
+  std::vector<MemberSilence> silent;
+};
+
 /// The next action of an instance on the lease.
 enum class LeaseStep : std::uint8_t { kNone, kAcquire, kRenew };
 
@@ -79,7 +87,10 @@
   /// lease is free now and the instance still waits.
   std::optional<Instant> WaitsUntil(Instant now) const;
   /// Returns the row to be written for a step other than kNone.
-  LeaderLease Proposal(LeaseStep step) const;
+  /// @param view confirmation of the view that is in the store once the row is.
+  /// An acquisition carries no view, so its row keeps what the last holder
+  /// confirmed of its own.
+  LeaderLease Proposal(LeaseStep step, ViewConfirmation view = {}) const;
   /// A proposal is about to be written. Unless it is answered, it may be
   /// applied at any later time. After a release is sent, no orders are.
   void OnSent(const LeaderLease& lease, Instant sent_at);
--- a/src/fleet/tests/leadership_test.cc
+++ b/src/fleet/tests/leadership_test.cc
@@ -97,6 +97,33 @@
   BOOST_TEST(own.MaySendOrders(kStart + 1ms));
 }
 
+// Guards against a machine that the directory names again after it has gone: a
+// new leader confirms the view of the last one, which it did not make (DRAIN).
+BOOST_AUTO_TEST_CASE(AcquisitionDoesNotConfirmTheViewOfTheLastLeader) {
+  Leadership own("a", "10.0.0.1:1", "boot", kLease);
+  LeaderLease other = LeaseOf("z", 5);
+  other.renewed_at = {0, 70'000};
+  other.silent = {{"gone", 2s}};
+  own.OnLeaseRow(&other, kStart);
+  const ViewConfirmation now{{0, 75'000}, {}};
+  const LeaderLease acquired = own.Proposal(LeaseStep::kAcquire, now);
+  BOOST_TEST(acquired.renewed_at.ms == 70'000);
+  BOOST_TEST(acquired.silent.size() == 1U);
+  own.OnApplied(acquired, kStart + 4s);
+  const LeaderLease renewed = own.Proposal(LeaseStep::kRenew, now);
+  BOOST_TEST(renewed.renewed_at.ms == 75'000);
+  BOOST_TEST(renewed.silent.empty());
+}
+
+BOOST_AUTO_TEST_CASE(TimeOfAnEarlierEpochOfTheStoreConfirmsNoView) {
+  Leadership own("a", "10.0.0.1:1", "boot", kLease);
+  LeaderLease other = LeaseOf("z", 5);
+  other.renewed_at = {0, 70'000};
+  own.OnLeaseRow(&other, kStart, 1);
+  BOOST_TEST(
+      !own.Proposal(LeaseStep::kAcquire, {{1, 9'000}, {}}).renewed_at.known());
+}
+
 // An instance writes an acquisition after the lease of another has expired, and
 // reads the row that it wrote.
 struct UnansweredAcquisition {
