Give large fleets more time before a leader is no longer relied on

With 91 members a leader of a tenth of a core and 10 Mbit/s answers heartbeats late after a change of the leader, and its view grows one by one, so that followers used the interval and the time of a small fleet.

--- a/src/fleet/fleet_agent.h
+++ b/src/fleet/fleet_agent.h
@@ -126,6 +126,8 @@
   void SetFollowing(bool following);
   bool IsFreshLeader() const;
   void OnStoreContact(const platform::RowSet& rows);
+  /// Returns the number of members of the fleet, as far as they are known.
+  std::size_t FleetSize() const;
   Micros HeartbeatInterval() const;
   Micros NextHeartbeatDelay();
 
--- a/src/fleet/fleet_agent_heartbeat.cc
+++ b/src/fleet/fleet_agent_heartbeat.cc
@@ -57,7 +57,7 @@
 
 Micros FleetAgent::HeartbeatInterval() const {
   if (following_) {
-    return FollowerInterval(view_.members.size());
+    return FollowerInterval(FleetSize());
   }
   if (quotas_.epoch() == 0) {
     return kStartupInterval;
@@ -65,6 +65,12 @@
   return leadership_.HoldsLease() ? kLeaderInterval : kStoreSyncInterval;
 }
 
+// The view of a new leader grows as its followers report, so it alone would
+// make all of them send heartbeats at the short interval of a small fleet.
+std::size_t FleetAgent::FleetSize() const {
+  return std::max(view_.members.size(), members_.all().size());
+}
+
 // An instance that leaves a free lease to others looks again when it may
 // acquire the lease.
 Micros FleetAgent::NextHeartbeatDelay() {
@@ -199,7 +205,7 @@
   crashes_.OnReported(heartbeat.member.crashes);
   OnHeartbeatReply(reply.value(), sent_at, asked_at);
   relies_until_ =
-      asked_at - reply.value().contact_age + RelianceTime(view_.members.size());
+      asked_at - reply.value().contact_age + RelianceTime(FleetSize());
   const bool relies = reply.value().fresh && clock_.Now() < relies_until_;
   SetFollowing(relies);
   co_return relies;
--- a/src/fleet/fleet_agent_relay.cc
+++ b/src/fleet/fleet_agent_relay.cc
@@ -39,7 +39,7 @@
     return delta;
   };
   const Instant now = clock_.Now();
-  const Micros round = FollowerInterval(view_.members.size());
+  const Micros round = FollowerInterval(FleetSize());
   reply.config = relay(config_replica_, heartbeat.config_after,
                        relay_budget_.Left(now, round) / 2);
   reply.targets = relay(target_replica_, heartbeat.targets_after,
@@ -101,7 +101,7 @@
     watch.ResumeFrom(replica.version());
   }
   watch.SetLeads(leadership_.HoldsLease());
-  watch.SetActive(active, ActivationSpread(view_.members.size()));
+  watch.SetActive(active, ActivationSpread(FleetSize()));
 }
 
 void FleetAgent::UpdateWatches() {
