--- a/review/kit-3/engine.cc
+++ b/review/kit-3/engine.cc
@@ -23,9 +23,7 @@
 // Interval at which the engine writes its entry.
 constexpr jackdaw::Micros kHeartbeat = 1200ms;
 
-std::string Text(int status,
-                 std::string_view fields,
-                 std::string_view body) {
+std::string Text(int status, std::string_view fields, std::string_view body) {
   std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
   const auto reason = http::obsolete_reason(static_cast<http::status>(status));
   text += std::string_view(reason.data(), reason.size());
@@ -98,8 +96,8 @@
   boost::beast::flat_buffer buffer;
   while (connection->socket.is_open()) {
     EngineRequest request;
-    auto [failure, size] = co_await http::async_read(
-        connection->socket, buffer, request, kAwait);
+    auto [failure, size] =
+        co_await http::async_read(connection->socket, buffer, request, kAwait);
     if (failure || !connection->socket.is_open()) {
       break;
     }
@@ -162,11 +160,10 @@
     co_return;
   }
   running_.erase(attempt);
-  const std::string fields = echo + "X-Server-Signature: s." + shape_.id + "." +
-                             attempt + "\r\nX-Server-Load: " +
-                             std::to_string(running_.size()) + ",0," +
-                             std::to_string(shape_.slots) +
-                             "\r\nKeep-Alive: timeout=10\r\n";
+  const std::string fields =
+      echo + "X-Server-Signature: s." + shape_.id + "." + attempt +
+      "\r\nX-Server-Load: " + std::to_string(running_.size()) + ",0," +
+      std::to_string(shape_.slots) + "\r\nKeep-Alive: timeout=10\r\n";
   if (model.empty()) {
     connection->owes_stray_bytes = garbles && garbles();
     co_await Send(connection, Text(200, fields, BodyOf(attempt)));
@@ -258,8 +255,7 @@
     models_.erase(order.model);
     return 202;
   }
-  const double size =
-      shape_.model_mb * static_cast<double>(models_.size() + 1);
+  const double size = shape_.model_mb * static_cast<double>(models_.size() + 1);
   if (size > shape_.weights_mb) {
     std::string held;
     for (const std::string& model : models_) {
--- a/review/kit-3/lab.cc
+++ b/review/kit-3/lab.cc
@@ -99,19 +99,19 @@
                                  std::string key,
                                  std::string value) {
   platform::RowTransaction write;
-  write.puts.push_back({{std::move(table), "", std::move(key)},
-                        std::move(value)});
-  jackdaw::HttpRequest request{"POST", "/standin/rows-tx", {},
-                               platform::EncodeTransaction(write)};
+  write.puts.push_back(
+      {{std::move(table), "", std::move(key)}, std::move(value)});
+  jackdaw::HttpRequest request{
+      "POST", "/standin/rows-tx", {}, platform::EncodeTransaction(write)};
   const auto answer = co_await http_.Fetch(store_, std::move(request),
                                            clock_.Now() + kStoreTimeout);
-  co_return answer && answer.value().status == 200;
+  co_return answer&& answer.value().status == 200;
 }
 
 Task Lab::Configure(std::string document) {
-  const bool written = co_await Write(std::string(platform::kConfigTable),
-                                      std::string(platform::kConfigKey),
-                                      std::move(document));
+  const bool written =
+      co_await Write(std::string(platform::kConfigTable),
+                     std::string(platform::kConfigKey), std::move(document));
   if (!written) {
     throw std::runtime_error("the configuration was not written");
   }
@@ -145,21 +145,15 @@
   instance.name = name;
   instance.zone = zone;
   instance.ip = Address(number);
-  boost::json::object settings{{"name", name},
-                               {"failure_domain", zone},
-                               {"region", "nordeste"},
-                               {"store", jackdaw::ToText(store_)},
-                               {"stop_ms", 8000},
-                               {"lease_ms", 3000},
-                               {"directory_ms", 5000},
-                               {"retry_ratio", 0.2},
-                               {"retry_extra", 52},
-                               {"retry_window_ms", 10000},
-                               {"quota_overshoot", 0.1},
-                               {"quota_slack", 11000},
-                               {"link_mbps", 1000},
-                               {"memory_mb", 260},
-                               {"max_descriptors", 4200}};
+  boost::json::object settings{
+      {"name", name},           {"failure_domain", zone},
+      {"region", "nordeste"},   {"store", jackdaw::ToText(store_)},
+      {"stop_ms", 8000},        {"lease_ms", 3000},
+      {"directory_ms", 5000},   {"retry_ratio", 0.2},
+      {"retry_extra", 52},      {"retry_window_ms", 10000},
+      {"quota_overshoot", 0.1}, {"quota_slack", 11000},
+      {"link_mbps", 1000},      {"memory_mb", 260},
+      {"max_descriptors", 4200}};
   for (const char* port : {"entry", "ready", "directory", "peer", "metrics"}) {
     instance.ports[port] = FreePort(context_, instance.ip);
     settings[port] = instance.ip + ":" + std::to_string(instance.ports[port]);
@@ -191,8 +185,8 @@
   const std::int64_t until = Ms() + kStartTime / 1ms;
   for (;;) {
     jackdaw::HttpRequest request{"GET", "/readyz", {}, ""};
-    const auto answer = co_await http_.Fetch(address, std::move(request),
-                                             clock_.Now() + 1s);
+    const auto answer =
+        co_await http_.Fetch(address, std::move(request), clock_.Now() + 1s);
     if (answer && answer.value().status == 200) {
       co_return;
     }
--- a/review/kit-3/late_order.cc
+++ b/review/kit-3/late_order.cc
@@ -105,8 +105,8 @@
   };
   std::vector<Instance*> instances;
   for (int i = 1; i <= 3; ++i) {
-    instances.push_back(&lab.Start("n" + std::to_string(i),
-                                   "a-" + std::to_string(i), 10 + i));
+    instances.push_back(
+        &lab.Start("n" + std::to_string(i), "a-" + std::to_string(i), 10 + i));
   }
   for (Instance* instance : instances) {
     co_await lab.AwaitReady(*instance);
@@ -118,8 +118,7 @@
     wanted[model] = std::string_view(model) == "m1";
     for (Instance* instance : instances) {
       boost::asio::co_spawn(
-          executor,
-          AskFor(lab, *instance, model, wanted[model], counts[model]),
+          executor, AskFor(lab, *instance, model, wanted[model], counts[model]),
           boost::asio::detached);
     }
   }
--- a/review/kit-3/stray.cc
+++ b/review/kit-3/stray.cc
@@ -78,10 +78,10 @@
     if (breaks_rule(booking)) {
       ++counts.broken;
       lab.Note("booking " + booking.attempt +
-               (booking.ran ? " ran" : " did not run") +
-               ", its client got " + std::to_string(booking.got.status) +
-               ", signature '" + booking.got.signature + "', attempt id '" +
-               booking.got.attempt + "', body " + booking.got.body);
+               (booking.ran ? " ran" : " did not run") + ", its client got " +
+               std::to_string(booking.got.status) + ", signature '" +
+               booking.got.signature + "', attempt id '" + booking.got.attempt +
+               "', body " + booking.got.body);
     }
   }
   --running;
@@ -108,8 +108,8 @@
   }
   std::vector<Instance*> instances;
   for (int i = 1; i <= 3; ++i) {
-    instances.push_back(&lab.Start("n" + std::to_string(i),
-                                   "a-" + std::to_string(i), 10 + i));
+    instances.push_back(
+        &lab.Start("n" + std::to_string(i), "a-" + std::to_string(i), 10 + i));
   }
   for (Instance* instance : instances) {
     co_await lab.AwaitReady(*instance);
